--- /dev/null
+++ b/adapter/src/seat.rs
@@ -0,0 +1,434 @@
+//! One front's seat: ids become small indices at its door, calls go in, actions go out.
+use crate::read::{armour, bytes, nanos, number, Bad, Line, Pairs};
+use rockpick::{
+    Control, Ctl, Front, Group, Guard, Member, Method, Ns, Outcome, Phase, Post, Repeat, Reply, Rights, Roll,
+    Rollout, State, Tenant, Verdict,
+};
+use std::collections::{BTreeMap, HashMap};
+use std::fmt::Write;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+
+/// One entry of a list that the whole process shares.
+pub struct Listed {
+    name: String,
+    entry: Member,
+}
+
+impl Listed {
+    pub fn read(line: &mut Line) -> Result<Self, Bad> {
+        let zone = line.may("zone", |w| w.parse().ok())?.unwrap_or(0);
+        let started = line.may("readyAtMs", nanos)?.filter(|at| *at != 0);
+        line.may("type", |w| w.parse::<u32>().ok())?;
+        let build = line.may("runs", |w| w.parse().ok())?.unwrap_or(0);
+        let state = line.must("availability", |word| match word {
+            "U" => Some(State::Up),
+            "L" => Some(State::Draining),
+            "D" => Some(State::Gone),
+            _ => None,
+        })?;
+        let cell = line.may("block", |w| w.parse().ok())?.unwrap_or(0);
+        let weight = line.may("powerHint", number)?.unwrap_or(1.0);
+        let name = line.word("machine")?.to_string();
+        Ok(Listed { name, entry: Member { machine: 0, zone, cell, build, state, weight, started } })
+    }
+}
+
+#[derive(Default)]
+struct Door {
+    machines: HashMap<String, usize>,
+    names: Vec<String>,
+    rpcs: HashMap<u64, usize>,
+    /// By index: the id, the picks that are out, whether the final answer is given.
+    slots: Vec<(u64, u32, bool)>,
+    free: Vec<usize>,
+}
+
+impl Door {
+    fn machine(&mut self, name: &str) -> usize {
+        if let Some(&index) = self.machines.get(name) {
+            return index;
+        }
+        self.names.push(name.to_string());
+        self.machines.insert(name.to_string(), self.names.len() - 1);
+        self.names.len() - 1
+    }
+
+    fn rpc(&mut self, id: u64) -> usize {
+        let index = self.free.pop().unwrap_or_else(|| {
+            self.slots.push((0, 0, true));
+            self.slots.len() - 1
+        });
+        self.slots[index] = (id, 0, false);
+        self.rpcs.insert(id, index);
+        index
+    }
+
+    fn sweep(&mut self, index: usize) {
+        let (id, out, done) = self.slots[index];
+        if done && out == 0 && self.rpcs.remove(&id).is_some() {
+            self.free.push(index);
+        }
+    }
+}
+
+struct Wire<'a> {
+    now: Ns,
+    front: u32,
+    door: &'a mut Door,
+    out: &'a mut String,
+}
+
+struct Ms(Ns);
+
+impl std::fmt::Display for Ms {
+    fn fmt(&self, out: &mut std::fmt::Formatter) -> std::fmt::Result {
+        let micros = self.0.div_euclid(1000);
+        write!(out, "{}.{:03}", micros.div_euclid(1000), micros.rem_euclid(1000))
+    }
+}
+
+macro_rules! say {
+    ($wire:ident, $($words:tt)*) => {{
+        let _ = writeln!($wire.out, $($words)*);
+    }};
+}
+
+impl Wire<'_> {
+    fn done(&mut self, rpc: usize) -> u64 {
+        self.door.slots[rpc].2 = true;
+        self.door.slots[rpc].0
+    }
+}
+
+impl Ctl for Wire<'_> {
+    fn now(&self) -> Ns {
+        self.now
+    }
+
+    fn pick(&mut self, rpc: usize, machine: usize, time_out: Ns) {
+        self.door.slots[rpc].1 += 1;
+        let (id, name) = (self.door.slots[rpc].0, self.door.names[machine].clone());
+        say!(self, "PASS_ON {} {id:016x} {} {name}", self.front, Ms(time_out));
+    }
+
+    fn cancel(&mut self, rpc: usize, pick: u32) {
+        let id = self.door.slots[rpc].0;
+        say!(self, "REVOKE {} {id:016x} {pick}", self.front);
+    }
+
+    fn push_back(&mut self, rpc: usize, wait: Ns) {
+        let id = self.done(rpc);
+        say!(self, "NOT_NOW {} {id:016x} {}", self.front, Ms(wait));
+    }
+
+    fn abort(&mut self, rpc: usize) {
+        let id = self.done(rpc);
+        say!(self, "LOSE {} {id:016x}", self.front);
+    }
+
+    fn wake_at(&mut self, at: Ns, tag: u64) {
+        say!(self, "WAKE_AT {} {} {tag}", self.front, Ms(at));
+    }
+
+    fn probe(&mut self, machine: usize) {
+        let name = self.door.names[machine].as_str();
+        say!(self, "PROBE {} {name}", self.front);
+    }
+
+    fn tell(&mut self, peer: Option<u32>, note: &[u8]) {
+        let mut text = String::new();
+        armour(note, &mut text);
+        match peer {
+            Some(peer) => say!(self, "MEMO_TO {} {peer} {text}", self.front),
+            None => say!(self, "MEMO_TO {} * {text}", self.front),
+        }
+    }
+
+    fn watch(&mut self, on: bool) {
+        say!(self, "OBSERVE {} {}", self.front, u8::from(on));
+    }
+
+    fn fetch(&mut self) {
+        say!(self, "FETCH {}", self.front);
+    }
+
+    fn vote(&mut self, build: u32, stage: u32, verdict: Verdict) {
+        let how = match verdict {
+            Verdict::NoVote => 0,
+            Verdict::On => 1,
+            Verdict::Hold => 2,
+            Verdict::Back => 3,
+        };
+        say!(self, "OPINION {} {build} {stage} {how}", self.front);
+    }
+
+    fn note(&mut self, text: &str) {
+        say!(self, "TRACE {} {}", self.front, text.replace('\n', " "));
+    }
+}
+
+pub struct Seat {
+    number: u32,
+    door: Door,
+    front: Option<Front>,
+}
+
+fn outcome(word: &str) -> Option<Outcome> {
+    Some(match word {
+        "success" => Outcome::Ok,
+        "failure" => Outcome::Error,
+        "overloaded" => Outcome::Full,
+        "timed_out" => Outcome::TimedOut,
+        "unreachable" => Outcome::Unreachable,
+        "broken" => Outcome::Broken,
+        "withdrawn" => Outcome::Cancelled,
+        "void" => Outcome::Void,
+        _ => return None,
+    })
+}
+
+fn report(word: &str) -> Option<Vec<f64>> {
+    word.split(',').map(|w| if w == "-" { Some(f64::NAN) } else { number(w) }).collect()
+}
+
+fn post(line: &mut Line) -> Result<Post, Bad> {
+    let seed =
+        line.must("rngSeed", |w| w.parse::<u64>().ok().or_else(|| w.parse::<i64>().ok().map(|x| x as u64)))?;
+    let conf = Pairs::new(line)?;
+    let methods = (0..conf.int("lanes.count")?).map(|row| {
+        let at = |name: &str| format!("lanes.{row}.{name}");
+        Ok(Method {
+            soft_deadline: conf.time(&at("aimMs"))?,
+            utility: conf.num(&at("importance"))?,
+            late_utility: conf.num(&at("lateWorth"))?,
+            repeat: conf.get(&at("idempotency"), Repeat::NonIdempotent, |word| match word {
+                "free" => Some(Repeat::Idempotent),
+                "guarded" => Some(Repeat::Tokened),
+                "single_shot" => Some(Repeat::NonIdempotent),
+                _ => None,
+            })?,
+            group: conf.get(&at("keyScope"), Group::Cell, |word| match word {
+                "all" => Some(Group::All),
+                "zone" => Some(Group::Zone),
+                "cell" => Some(Group::Cell),
+                _ => None,
+            })?,
+            remembered: conf.time(&at("windowMs"))?,
+        })
+    });
+    let tenants = (0..conf.int("tenants.count")?)
+        .map(|row| Ok(Tenant { quota: conf.num(&format!("tenants.{row}.quotaPerS"))? }));
+    let columns = conf.word("reporting.columns");
+    Ok(Post {
+        number: conf.int("rank")?,
+        fronts: conf.int("balancers")?,
+        zone: conf.int("locality")?,
+        seed,
+        ask_roster: conf.word("discovery") == "subscribe",
+        step: conf.time("stepMs")?,
+        cross_zone_price: conf.num("charges.crossZone")?,
+        over_share_utility: conf.get("overShareWorth", 1.0, number)?,
+        report_held: columns.split(',').position(|name| name == "concurrent"),
+        methods: methods.collect::<Result<_, Bad>>()?,
+        tenants: tenants.collect::<Result<_, Bad>>()?,
+        rollout: Rollout {
+            control: conf.get("extra.control", Control::FirstVoice, |word| match word {
+                "first_voice" => Some(Control::FirstVoice),
+                "by_count" => Some(Control::ByCount),
+                "automatic" => Some(Control::Automatic),
+                _ => None,
+            })?,
+            parallel: conf.word("extra.layout") != "replace",
+            caps: conf.list("extra.exposureCaps")?,
+            free: conf.num("extra.free")?,
+            window: conf.time("extra.windowMs")?,
+            cap_per_method: conf.word("extra.capScope") == "each_class",
+            guarded_stages: conf.int("extra.safeOnlyStages")? as usize,
+            one_way: conf.flag("extra.oneWay")?,
+            dwell: conf.time("extra.minDwellMs")?,
+            vote_life: conf.time("extra.ballotTtlMs")?,
+            call_timeout: conf.time("extra.apiTimeoutMs")?,
+            tally_every: conf.time("extra.tallyEveryMs")?,
+            staleness_price: conf.num("extra.staleBuildPrice")?,
+            harm_price: conf.num("extra.harmFee")?,
+        },
+        guard: Guard {
+            drain_grace: conf.time("invariants.drainGraceMs")?,
+            ask_within: conf.time("invariants.askWithinMs")?,
+            cold_from: conf.get("invariants.coldFrom", 1.0, number)?,
+            cold_time: conf.time("invariants.coldMs")?,
+            overload_factor: conf.get("invariants.overloadFactor", 1.0, number)?,
+            fall_time: conf.time("invariants.fallMs")?,
+        },
+        rights: Rights {
+            most_picks: conf.get("permissions.attemptsCap", 1, |w| number(w).map(|x| x as u32))?,
+            cancel: conf.flag("permissions.cancel")?,
+            overlap: conf.flag("permissions.parallelTries")?,
+            probing: conf.flag("permissions.probing")?,
+            notes: conf.flag("permissions.peers")?,
+            longest_wait: if conf.flag("permissions.retryAfter")? {
+                conf.time("permissions.maxRetryAfterMs")?
+            } else {
+                0
+            },
+        },
+    })
+}
+
+impl Seat {
+    pub fn start(now: Ns, number: u32, line: &mut Line, out: &mut String) -> Result<Self, Bad> {
+        let post = post(line)?;
+        let mut seat = Seat { number, door: Door::default(), front: None };
+        seat.call(now, out, |front, ctl| *front = Some(Front::start(post, ctl)));
+        Ok(seat)
+    }
+
+    #[cfg(test)]
+    pub fn open(&self) -> usize {
+        self.door.rpcs.len()
+    }
+
+    /// Hands the module a call; a panic in there becomes a BAIL_OUT and the front falls silent.
+    fn call(&mut self, now: Ns, out: &mut String, act: impl FnOnce(&mut Option<Front>, &mut Wire)) {
+        let (front, door, number) = (&mut self.front, &mut self.door, self.number);
+        let run = AssertUnwindSafe(|| act(front, &mut Wire { now, front: number, door, out }));
+        if let Err(panic) = catch_unwind(run) {
+            let text = (panic.downcast_ref::<String>().map(String::as_str))
+                .or(panic.downcast_ref::<&str>().copied())
+                .unwrap_or("panic");
+            if !out.is_empty() && !out.ends_with('\n') {
+                out.push('\n');
+            }
+            let _ = writeln!(out, "BAIL_OUT {number} {}", text.replace('\n', " "));
+            self.front = None;
+        }
+    }
+
+    pub fn event(
+        &mut self, now: Ns, name: &str, line: &mut Line, lists: &BTreeMap<u8, Vec<Listed>>, out: &mut String,
+    ) -> Result<(), Bad> {
+        macro_rules! go {
+            ($call:ident ( $($arg:expr),* )) => {
+                self.call(now, out, |front, ctl| {
+                    if let Some(front) = front { front.$call(ctl, $($arg),*) }
+                })
+            };
+        }
+        match name {
+            "PEERS_KNOWN" => {
+                let form = line.must("form", |word| match word {
+                    "INCREMENTAL" => Some(Roll::Changes),
+                    "FULL" => Some(Roll::Whole),
+                    "SAVED" => Some(Roll::Saved),
+                    "FAILED" => Some(Roll::Failed),
+                    _ => None,
+                })?;
+                let mut members = Vec::new();
+                if form != Roll::Failed {
+                    let set = line.int::<u8>("setId")?;
+                    let list = lists.get(&set).ok_or_else(|| line.bad("setId", format!("no list {set}")))?;
+                    members.extend(
+                        list.iter()
+                            .map(|l| Member { machine: self.door.machine(&l.name), ..l.entry.clone() }),
+                    );
+                }
+                go!(members(form, &members));
+            }
+            "REQ" => {
+                let id = line.hex("req")?;
+                let method = line.int::<usize>("service")?;
+                let tenant = line.may("party", |w| w.parse::<usize>().ok())?.unwrap_or(0);
+                let key = line.may("subject", |w| w.parse::<u64>().ok())?;
+                let deadline = line.time("deadlineMs")?;
+                line.may("workHintMs", number)?;
+                let rpc = self.door.rpc(id);
+                go!(taken(rpc, method, tenant, key, deadline));
+                self.door.sweep(rpc);
+            }
+            "ACCEPTED" => {
+                if let Some(&rpc) = self.door.rpcs.get(&line.hex("req")?) {
+                    let pick = line.int::<u32>("try")?;
+                    go!(begun(rpc, pick));
+                }
+            }
+            "RESULT" => {
+                if let Some(&rpc) = self.door.rpcs.get(&line.hex("req")?) {
+                    let pick = line.int::<u32>("try")?;
+                    line.word("machine")?;
+                    let how = line.must("how", outcome)?;
+                    let elapsed = line.time("elapsedMs")?;
+                    let last = line.flag("last")?;
+                    let figures = line.may("report", report)?;
+                    let slot = &mut self.door.slots[rpc];
+                    slot.1 = slot.1.saturating_sub(1);
+                    slot.2 |= last;
+                    go!(ended(rpc, pick, how, elapsed, last, figures.as_deref()));
+                    self.door.sweep(rpc);
+                }
+            }
+            "ABANDONED" => {
+                if let Some(&rpc) = self.door.rpcs.get(&line.hex("req")?) {
+                    self.door.slots[rpc].2 = true;
+                    go!(left(rpc));
+                    self.door.sweep(rpc);
+                }
+            }
+            "WAKE" => {
+                let tag = line.int("tag")?;
+                go!(woke(tag));
+            }
+            "HEALTH" => {
+                let machine = self.door.machine(line.word("machine")?);
+                let how = line.must("how", outcome)?;
+                let elapsed = line.time("elapsedMs")?;
+                let figures = line.may("report", report)?;
+                go!(probed(machine, how, elapsed, figures.as_deref()));
+            }
+            "INBOX" => {
+                let from = line.int("srcPeer")?;
+                let note = line.may("content", bytes)?.unwrap_or_default();
+                go!(heard(from, &note));
+            }
+            "PHASE_TOLD" => {
+                let stage = line.may("tranche", |w| w.parse::<u32>().ok())?.unwrap_or(0);
+                let age = line.may("oldMs", nanos)?.unwrap_or(0);
+                let answers = line.flag("how")?;
+                let cap = line.may("allowed", number)?.unwrap_or(0.0);
+                let build = line.may("buildNo", |w| w.parse::<u32>().ok())?.unwrap_or(0);
+                let status = line.must("status", outcome)?;
+                let phase = line.may("phase", |word| match word {
+                    "0" => Some(Phase::OnTrial),
+                    "1" => Some(Phase::GoingBack),
+                    "2" => Some(Phase::Released),
+                    "3" => Some(Phase::Withdrawn),
+                    _ => None,
+                })?;
+                let reply = match (answers, status) {
+                    (false, _) => Reply::News,
+                    (true, Outcome::Ok) => Reply::Counted,
+                    (true, Outcome::TimedOut) => Reply::TimedOut,
+                    _ => Reply::Refused,
+                };
+                let news = phase.filter(|_| status == Outcome::Ok);
+                go!(told(reply, news.map(|phase| (build, stage, phase, cap, age))));
+            }
+            "PLATFORM_SAW" => {
+                let build = line.int("buildNo")?;
+                let method = line.int::<usize>("service")?;
+                let picks = line.int("attempts")?;
+                let mean = line.may("elapsedMs", nanos)?;
+                let failed = line.int("notOk")?;
+                let age = line.may("oldMs", nanos)?.unwrap_or(0);
+                go!(tally(build, method, picks, failed, mean, age));
+            }
+            "DISPUTED" => {
+                line.may("oldMs", nanos)?;
+                let machine = self.door.machine(line.word("machine")?);
+                let method = line.int::<usize>("service")?;
+                go!(disputed(machine, method));
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,198 @@
+//! What crosses the border of the decision module: types and the trait [`Ctl`], no decisions.
+
+/// A point in time or a span, in whole nanoseconds.
+pub type Ns = i64;
+
+/// May an RPC of this method run again?
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    Idempotent,
+    /// Repeats are recognised, inside a group of machines and for a time.
+    Tokened,
+    NonIdempotent,
+}
+
+/// The machines that recognise each other's repeats of a tokened RPC.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+/// One row a method.
+#[derive(Clone, Debug)]
+pub struct Method {
+    pub soft_deadline: Ns,
+    pub utility: f64,
+    pub late_utility: f64,
+    pub repeat: Repeat,
+    pub group: Group,
+    /// How long a repeat of a tokened RPC is recognised.
+    pub remembered: Ns,
+}
+
+/// One row a tenant.
+#[derive(Clone, Debug)]
+pub struct Tenant {
+    /// RPCs a second over all fronts that count as within its share.
+    pub quota: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Control {
+    FirstVoice,
+    ByCount,
+    Automatic,
+}
+
+/// How a build comes in, as told at start.
+#[derive(Clone, Debug)]
+pub struct Rollout {
+    pub control: Control,
+    /// Earlier machines stay until the release.
+    pub parallel: bool,
+    /// The cap of each stage.
+    pub caps: Vec<f64>,
+    pub free: f64,
+    pub window: Ns,
+    pub cap_per_method: bool,
+    /// Stages below this one take idempotent methods only.
+    pub guarded_stages: usize,
+    pub one_way: bool,
+    pub dwell: Ns,
+    pub vote_life: Ns,
+    pub call_timeout: Ns,
+    pub tally_every: Ns,
+    pub staleness_price: f64,
+    pub harm_price: f64,
+}
+
+/// The figures of the five rules.
+#[derive(Clone, Debug)]
+pub struct Guard {
+    pub drain_grace: Ns,
+    /// Without a watch, news must be asked for this often.
+    pub ask_within: Ns,
+    pub cold_from: f64,
+    pub cold_time: Ns,
+    pub overload_factor: f64,
+    pub fall_time: Ns,
+}
+
+/// What this front may do.
+#[derive(Clone, Debug)]
+pub struct Rights {
+    pub most_picks: u32,
+    pub cancel: bool,
+    pub overlap: bool,
+    pub probing: bool,
+    pub notes: bool,
+    /// Longest wait that a client obeys after a pushback; 0: none is told.
+    pub longest_wait: Ns,
+}
+
+/// All that a front is told at start.
+#[derive(Clone, Debug)]
+pub struct Post {
+    pub number: u32,
+    pub fronts: u32,
+    pub zone: u32,
+    pub seed: u64,
+    /// The roster answers only when asked.
+    pub ask_roster: bool,
+    pub step: Ns,
+    pub cross_zone_price: f64,
+    pub over_share_utility: f64,
+    /// Which figure of a load report tells the RPCs a machine holds.
+    pub report_held: Option<usize>,
+    pub methods: Vec<Method>,
+    pub tenants: Vec<Tenant>,
+    pub rollout: Rollout,
+    pub guard: Guard,
+    pub rights: Rights,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    Up,
+    Draining,
+    Gone,
+}
+
+/// One line of the roster.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    pub machine: usize,
+    pub zone: u32,
+    pub cell: u32,
+    pub build: u32,
+    pub state: State,
+    pub weight: f64,
+    /// Its last start; none: long ago.
+    pub started: Option<Ns>,
+}
+
+/// Kinds of roster news.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Roll {
+    Changes,
+    Whole,
+    Saved,
+    Failed,
+}
+
+/// How a pick or a probe ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Ok,
+    Error,
+    Full,
+    TimedOut,
+    Unreachable,
+    Broken,
+    Cancelled,
+    Void,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    OnTrial,
+    GoingBack,
+    Released,
+    Withdrawn,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    NoVote,
+    On,
+    Hold,
+    Back,
+}
+
+/// What a call to the platform came to, or news that it sent by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reply {
+    News,
+    Counted,
+    TimedOut,
+    Refused,
+}
+
+/// Through this the decisions act. RPCs and machines are the small indices given at the door.
+pub trait Ctl {
+    fn now(&self) -> Ns;
+    fn pick(&mut self, rpc: usize, machine: usize, time_out: Ns);
+    fn cancel(&mut self, rpc: usize, pick: u32);
+    fn push_back(&mut self, rpc: usize, wait: Ns);
+    fn abort(&mut self, rpc: usize);
+    fn wake_at(&mut self, at: Ns, tag: u64);
+    fn probe(&mut self, machine: usize);
+    /// Sends a note to one peer, or to all.
+    fn tell(&mut self, peer: Option<u32>, note: &[u8]);
+    fn watch(&mut self, on: bool);
+    fn fetch(&mut self);
+    fn vote(&mut self, build: u32, stage: u32, verdict: Verdict);
+    fn note(&mut self, text: &str);
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,20 @@
+//! rockpick watches over software updates from a tier of fronts: each front routes RPCs between the
+//! builds of a fleet and votes on the build on trial. [`Front`] (in `logic`) takes every decision and
+//! acts through [`Ctl`]; `interface` holds the types that cross the border, and nothing else.
+//!
+//! ```
+//! use rockpick::{median, rank_z, Sample};
+//! let (mut new, mut old) = (Sample::default(), Sample::default());
+//! for ms in 0..30 {
+//!     old.add(Some((50 + ms) * 1_000_000), 0.0);
+//!     new.add(Some((90 + ms) * 1_000_000), 0.0);
+//! }
+//! assert!(rank_z(&new, &old) > 2.6 && median(&new) > median(&old));
+//! ```
+mod interface;
+mod logic;
+#[cfg(test)]
+mod tests;
+
+pub use interface::*;
+pub use logic::{deviates, median, rank_z, Front, Sample};
