--- a/src/logic.rs
+++ b/src/logic.rs
@@ -159,7 +159,7 @@
     member: Member,
     /// RPCs of this front that it holds, and what its last report said it held, ours left out.
     held: f64,
-    others: f64,
+    others: (f64, Ns),
     /// Its last answer, or the pick that found it idle.
     heard: Ns,
     /// How slow it is against the fleet, 1 as usual.
@@ -235,6 +235,9 @@
     heard: Vec<(Ns, u32, [Counts; 2])>,
     ballot: Option<Ballot>,
     budget: f64,
+    /// Ok answers, and RPCs open now: how much this front can carry.
+    served: Ring<u32>,
+    open: u32,
 }
 
 const BEAT: u64 = 0;
@@ -268,6 +271,8 @@
             heard: vec![(i64::MIN / 2, 0, Default::default()); post.fronts as usize],
             ballot: None,
             budget: 5.0,
+            served: Ring::new(post.guard.fall_time.max(SEC) / 8, 17),
+            open: 0,
             post,
         };
         if front.post.ask_roster {
@@ -373,18 +378,13 @@
             return true;
         }
         let size = m.member.weight * self.warmth(m, now);
-        let (mut picks, mut sizes) = (0, 0.0);
-        let rows: Vec<f64> = self.machines.iter().map(|m| m.member.weight * self.warmth(m, now)).collect();
-        for (m, row) in self.machines.iter_mut().zip(rows) {
-            if m.member.state == State::Up {
-                // What was picked there over the last span of a fall.
-                picks += m.picked.last(now, 9).sum::<u32>();
-                sizes += row;
-            }
-        }
-        let fair = f64::from(picks) / f64::max(sizes, 1e-9) * size;
+        let up = self.machines.iter().filter(|m| m.member.state == State::Up);
+        let sizes: f64 = up.map(|m| m.member.weight * self.warmth(m, now)).sum();
+        // What this front's machines have served in one span of a fall, by size: never above their capacity.
+        let span = guard.fall_time as f64 / (2 * guard.fall_time.max(SEC)) as f64;
+        let served = f64::from(self.served.last(now, 17).sum::<u32>()) * span;
         // Six tenths of the multiple: a third of slack for uneven work, and for fronts that differ.
-        let most = (0.6 * self.post.guard.overload_factor * fair).max(1.0);
+        let most = (0.6 * guard.overload_factor * served / sizes.max(1e-9) * size).max(1.0);
         f64::from(self.machines[machine].picked.last(now, 9).sum::<u32>()) < most
     }
 
@@ -393,8 +393,10 @@
         let warmth = self.warmth(&self.machines[machine], now);
         let soft = self.post.methods.iter().map(|m| m.soft_deadline).min().unwrap_or(SEC);
         let m = &mut self.machines[machine];
-        let load = (m.held + m.others + 1.0) / (m.member.weight.max(1e-6) * warmth);
-        let mut cost = load * m.slow;
+        // A report ages fast: what it said is forgotten within seconds, or the machine would be shunned for it.
+        let others = m.others.0 * (-((now - m.others.1) as f64) / SEC as f64).exp();
+        let load = (m.held + others + 1.0) / (m.member.weight.max(1e-6) * warmth);
+        let mut cost = load * m.slow.max(0.1).sqrt();
         if !bare {
             // A machine that fails draws fewer picks, not none: it must be seen to recover.
             let count = m.counts.last(now, 8).fold([0, 0], |sum, rows| add(sum, total(rows, 0..ROWS)));
@@ -461,6 +463,17 @@
             mark: None,
             then: Vec::new(),
         });
+        self.open += 1;
+        // More open RPCs than are served within the soft deadline would only be served late: those of the
+        // least utility are turned away first, and sooner.
+        let rate = f64::from(self.served.last(now, 17).sum::<u32>())
+            / (2 * self.post.guard.fall_time.max(SEC)) as f64;
+        let most = self.post.methods.iter().map(|m| m.utility).fold(1e-9, f64::max);
+        let row = &self.post.methods[method];
+        let limit = rate * row.soft_deadline as f64 * (0.4 + 0.4 * row.utility / most);
+        if f64::from(self.open) > limit.max(10.0) {
+            return self.give_up(ctl, rpc);
+        }
         self.first(ctl, rpc);
     }
 
@@ -478,7 +491,7 @@
             (Some(t), Some(e)) => {
                 // Full, but not past what its machines can hold: twice the load elsewhere is slack enough
                 // for a cap above their share of the fleet.
-                if self.cost(t, now, true) <= 2.0 * self.cost(e, now, true) {
+                if self.cost(t, now, true) <= 1.6 * self.cost(e, now, true) {
                     Some(t)
                 } else {
                     Some(e)
@@ -510,7 +523,13 @@
         r.last = machine;
         let m = &mut self.machines[machine];
         let mark = (m.member.zone, m.member.cell, now);
-        let (build, load) = (m.member.build, m.held / m.member.weight.max(1e-6));
+        // Other fronts' picks there are told, or taken to be like ours.
+        let held = if self.post.report_held.is_some() {
+            m.held + m.others.0
+        } else {
+            m.held * f64::from(self.post.fronts)
+        };
+        let (build, load) = (m.member.build, held / m.member.weight.max(1e-6));
         if m.held < 1.0 {
             m.heard = now;
         }
@@ -536,7 +555,10 @@
                     }
                 }
             }
-            r.open &= !ended.last;
+            if r.open && ended.last {
+                r.open = false;
+                front.open -= 1;
+            }
             if r.open && r.flying == 0 {
                 front.repeat(ctl, rpc);
             }
@@ -603,7 +625,10 @@
                 Repeat::Tokened => method.group == Group::All,
                 Repeat::NonIdempotent => false,
             };
-        r.open = false;
+        if r.open {
+            r.open = false;
+            self.open -= 1;
+        }
         if harmless && r.deadline > ctl.now() {
             ctl.push_back(rpc, (method.soft_deadline / 2).min(self.post.rights.longest_wait));
         } else {
@@ -632,6 +657,7 @@
     /// A streamed answer has begun: the client owns it, its end closes the RPC.
     pub fn begun(&mut self, _ctl: &mut dyn Ctl, rpc: usize, _pick: u32) {
         if let Some(r) = self.rpcs.get_mut(rpc).and_then(Option::as_mut) {
+            self.open -= u32::from(r.open);
             r.open = false;
         }
     }
@@ -640,6 +666,7 @@
     pub fn left(&mut self, _ctl: &mut dyn Ctl, rpc: usize) {
         if let Some(slot) = self.rpcs.get_mut(rpc) {
             if let Some(r) = slot.as_mut() {
+                self.open -= u32::from(r.open);
                 r.open = false;
             }
             if slot.as_ref().is_some_and(|r| r.flying == 0) {
@@ -715,27 +742,33 @@
         let m = &mut self.machines[machine];
         m.held = (m.held - 1.0).max(0.0);
         if let Some(held) = ended.held {
-            m.others = (held - m.held).max(0.0);
+            m.others = ((held - m.held).max(0.0), now);
         }
         if matches!(ended.outcome, Outcome::Cancelled | Outcome::Void) || m.member.build != build {
             return;
         }
         let failed = ended.outcome != Outcome::Ok;
-        if !failed || ended.outcome == Outcome::Error {
+        let error = matches!(ended.outcome, Outcome::Error | Outcome::Broken);
+        if !failed || error {
             m.heard = now;
         }
         // Each machine's first second is left out of what is held against a build.
         let young = m.member.started.is_some_and(|at| sent < at + SEC);
         if !young {
             let count = &mut m.counts.at(now)[row.min(ROWS - 1)];
-            *count = add(*count, [1, u32::from(failed)]);
+            *count = add(*count, [1, u32::from(error)]);
         }
-        if !failed {
+        // A pick that timed out tells of a slow machine, not of an error.
+        if !failed || ended.outcome == Outcome::TimedOut {
             let took = ended.elapsed as f64;
             let mean = &mut self.means[row];
-            *mean = if *mean == 0.0 { took } else { *mean + 0.02 * (took - *mean) };
+            if *mean == 0.0 {
+                *mean = took;
+            } else if !failed {
+                *mean += 0.02 * (took - *mean);
+            }
             let ratio = (took / *mean).min(8.0);
-            m.slow = (m.slow + 0.08 * (ratio - m.slow)).max(0.2);
+            m.slow += 0.1 * (ratio - m.slow);
         }
         if !young && !matches!(ended.outcome, Outcome::Full | Outcome::Unreachable) {
             // A cold machine's times are told as if it were warm: like with like.
@@ -747,6 +780,7 @@
             let side = usize::from(build < self.watched);
             let count = &mut self.disputes.at(now)[side];
             *count = add(*count, [1, 0]);
+            *self.served.at(now) += 1;
         }
     }
 
@@ -938,7 +972,7 @@
         Machine {
             member,
             held: 0.0,
-            others: 0.0,
+            others: (0.0, now),
             heard: now,
             slow: 1.0,
             counts: Ring::new(BUCKET, KEPT),
