Slowness is harm only where it makes RPCs late

Cause: on every deployment good builds were sent back by the rank test alone, since machines on trial carry more (first picks fill the cap) and start cold; their answers were slower, yet in time. Departure: the marginal range for slowness asks for 10 points more late answers as well. Tallies count only where an error was seen here, since they mix errors with time-outs. Harm: a build that is slower but in time is let through.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -77,15 +77,16 @@
 impl Sample {
     /// Adds an outcome: the time it took, or none for a failure.
     pub fn add(&mut self, took: Option<Ns>, load: f64) {
-        let bin = took.map_or(BINS - 1, |t| {
-            let doublings = (t.max(1) as f64 / (4 * MS) as f64).log2();
-            (doublings * 8.0).clamp(0.0, (BINS - 2) as f64) as usize
-        });
+        let bin = took.map_or(BINS - 1, Self::bin);
         self.bins[bin] += 1;
         self.n += 1;
         self.load += load;
     }
 
+    fn bin(time: Ns) -> usize {
+        ((time.max(1) as f64 / (4 * MS) as f64).log2() * 8.0).clamp(0.0, (BINS - 2) as f64) as usize
+    }
+
     fn merge(mut self, other: &Sample) -> Sample {
         self.bins.iter_mut().zip(&other.bins).for_each(|(a, b)| *a += b);
         self.n += other.n;
@@ -93,8 +94,9 @@
         self
     }
 
-    fn failed(&self) -> f64 {
-        f64::from(self.bins[BINS - 1]) / f64::from(self.n.max(1))
+    /// The share that failed or took longer than `soft`.
+    fn late(&self, soft: Ns) -> f64 {
+        f64::from(self.bins[Self::bin(soft) + 1..].iter().sum::<u32>()) / f64::from(self.n.max(1))
     }
 }
 
@@ -898,6 +900,10 @@
             sum
         }));
         for (which, [new, mut old]) in sides.into_iter().enumerate() {
+            // Tallies do not tell errors from time-outs: they count where an error was seen here too.
+            if which == 2 && total(&pooled[0], 0..ROWS)[1] == 0 {
+                continue;
+            }
             if total(&old, 0..ROWS)[0] < 30 {
                 old = self.before;
             }
@@ -929,7 +935,10 @@
             // Like with like: a machine that holds more answers later, whatever its build.
             let load = |s: &Sample| 1.0 + s.load / f64::from(s.n);
             let lean = (load(&new) / load(&old)).max(1.0);
-            let slower = median(&new) > 1.25 * lean * median(&old) || new.failed() > old.failed() + 0.05;
+            let slower = median(&new) > 1.25 * lean * median(&old);
+            // Slower, but within the soft deadline, harms nobody; sending a good build back does.
+            let soft = self.post.methods[row].soft_deadline;
+            let slower = slower && new.late(soft) > old.late(soft) + 0.1;
             let z = rank_z(&new, &old);
             // 2.6 for one test; 3.4 grants the same odds to some dozen methods and fronts.
             if z > 3.4 && slower {
