--- a/adapter/src/seat.rs
+++ b/adapter/src/seat.rs
@@ -347,13 +347,16 @@
             }
             "ACCEPTED" => {
                 if let Some(&rpc) = self.door.rpcs.get(&line.hex("req")?) {
-                    let pick = line.int::<u32>("try")?;
-                    go!(begun(rpc, pick));
+                    self.call(now, out, |front, _| {
+                        if let Some(front) = front {
+                            front.left(rpc)
+                        }
+                    });
                 }
             }
             "RESULT" => {
                 if let Some(&rpc) = self.door.rpcs.get(&line.hex("req")?) {
-                    let pick = line.int::<u32>("try")?;
+                    let pick = line.int::<usize>("try")?;
                     line.word("machine")?;
                     let how = line.must("how", outcome)?;
                     let elapsed = line.time("elapsedMs")?;
@@ -369,7 +372,11 @@
             "ABANDONED" => {
                 if let Some(&rpc) = self.door.rpcs.get(&line.hex("req")?) {
                     self.door.slots[rpc].2 = true;
-                    go!(left(rpc));
+                    self.call(now, out, |front, _| {
+                        if let Some(front) = front {
+                            front.left(rpc)
+                        }
+                    });
                     self.door.sweep(rpc);
                 }
             }
@@ -377,13 +384,8 @@
                 let tag = line.int("tag")?;
                 go!(woke(tag));
             }
-            "HEALTH" => {
-                let machine = self.door.machine(line.word("machine")?);
-                let how = line.must("how", outcome)?;
-                let elapsed = line.time("elapsedMs")?;
-                let figures = line.may("report", report)?;
-                go!(probed(machine, how, elapsed, figures.as_deref()));
-            }
+            // The module asks for no probe, so no answer to one concerns it.
+            "HEALTH" => {}
             "INBOX" => {
                 let from = line.int("srcPeer")?;
                 let note = line.may("content", bytes)?.unwrap_or_default();
@@ -416,16 +418,15 @@
                 let build = line.int("buildNo")?;
                 let method = line.int::<usize>("service")?;
                 let picks = line.int("attempts")?;
-                let mean = line.may("elapsedMs", nanos)?;
+                line.may("elapsedMs", nanos)?;
                 let failed = line.int("notOk")?;
-                let age = line.may("oldMs", nanos)?.unwrap_or(0);
-                go!(tally(build, method, picks, failed, mean, age));
+                line.may("oldMs", nanos)?;
+                go!(tally(build, method, picks, failed));
             }
             "DISPUTED" => {
                 line.may("oldMs", nanos)?;
                 let machine = self.door.machine(line.word("machine")?);
-                let method = line.int::<usize>("service")?;
-                go!(disputed(machine, method));
+                go!(disputed(machine));
             }
             _ => {}
         }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -128,20 +128,26 @@
 }
 
 /// Picks and failures.
-type Count = [u32; 2];
+pub type Count = [u32; 2];
+
+fn add(a: Count, b: Count) -> Count {
+    [a[0] + b[0], a[1] + b[1]]
+}
+
+fn share(c: Count) -> f64 {
+    f64::from(c[1]) / f64::from(c[0].max(1))
+}
 
 /// Are `new`'s failures too many to be chance at `old`'s rate? `odds` is the chance allowed.
 pub fn deviates(new: Count, old: Count, odds: f64) -> bool {
-    // One failure in 150 is granted beyond what the earlier build shows, so that little is not taken for none.
+    // One failure in 150 is granted beyond what the earlier build shows, so little is not none.
     let rate = (f64::from(old[1]) + 1.0) / (f64::from(old[0]) + 150.0);
-    let (n, failed) = (f64::from(new[0]), f64::from(new[1]));
-    // The margin: under 2 points of difference is not worth a rollback's staleness.
-    if failed < 2.0 || failed / n < rate + 0.02 {
+    // The margin: one failure, or under 2 points of difference, is not worth a rollback's staleness.
+    if new[1] < 2 || share(new) < rate + 0.02 {
         return false;
     }
-    let mean = n * rate;
-    let mut term = (-mean).exp();
-    let mut under = 0.0;
+    let mean = f64::from(new[0]) * rate;
+    let (mut term, mut under) = ((-mean).exp(), 0.0);
     for k in 0..new[1] {
         under += term;
         term *= mean / f64::from(k + 1);
@@ -149,17 +155,28 @@
     1.0 - under < odds
 }
 
-/// Rows for methods in counts kept by machine; more methods than this share the last row.
+/// Counts by row: all picks, disputed answers, then a row a method; methods beyond share the last row.
 const ROWS: usize = 8;
+const ALL: usize = 0;
+const DISPUTES: usize = 1;
 type Counts = [Count; ROWS];
 
-/// Evidence is kept for 12 s: long enough for a quiet front, short enough for lateness to show.
+fn row_of(method: usize) -> usize {
+    (method + 2).min(ROWS - 1)
+}
+
+fn merge(a: Counts, b: &Counts) -> Counts {
+    std::array::from_fn(|row| add(a[row], b[row]))
+}
+
+/// Evidence is kept for 12 s: long enough for a quiet front, short enough for late badness to show.
 const KEPT: usize = 24;
-const BUCKET: Ns = SEC / 2;
+/// Its buckets, and the interval of the tests: the shortest that still gathers outcomes on a quiet front.
+const INTERVAL: Ns = SEC / 2;
 
 struct Machine {
     member: Member,
-    /// RPCs of this front that it holds, and what its last report said it held, ours left out.
+    /// RPCs of this front that it holds; what its last report said that it held besides, and when.
     held: f64,
     others: (f64, Ns),
     /// Its last answer, or the pick that found it idle.
@@ -170,18 +187,25 @@
     picked: Ring<u32>,
 }
 
-struct Rpc {
-    method: usize,
-    key: Option<u64>,
-    deadline: Ns,
-    taken: Ns,
-    open: bool,
-    picks: u32,
-    flying: u32,
-    /// The last pick that was sent, and the first that may have run: its machine's zone and cell, its time.
-    last: usize,
-    mark: Option<(u32, u32, Ns)>,
-    then: Vec<Option<Then>>,
+impl Machine {
+    fn new(member: Member, now: Ns, guard: &Guard) -> Machine {
+        let (counts, picked) = (Ring::new(INTERVAL, KEPT), Ring::new(guard.fall_time / 8, 9));
+        Machine { member, held: 0.0, others: (0.0, now), heard: now, slow: 1.0, counts, picked }
+    }
+
+    fn up(&self) -> bool {
+        self.member.state == State::Up
+    }
+
+    /// The share of its capacity that it has by now, at the least.
+    fn warmth(&self, now: Ns, guard: &Guard) -> f64 {
+        let age = self.member.started.map_or(guard.cold_time, |at| (now - at).clamp(0, guard.cold_time));
+        guard.cold_from + (1.0 - guard.cold_from) * age as f64 / guard.cold_time.max(1) as f64
+    }
+
+    fn size(&self, now: Ns, guard: &Guard) -> f64 {
+        (self.member.weight * self.warmth(now, guard)).max(1e-6)
+    }
 }
 
 /// What to do with a pick's end.
@@ -194,6 +218,20 @@
     held: Option<f64>,
 }
 
+#[derive(Default)]
+struct Rpc {
+    method: usize,
+    key: Option<u64>,
+    deadline: Ns,
+    open: bool,
+    flying: u32,
+    /// The machine of the last pick; zone, cell and time of the first pick that may have run.
+    last: usize,
+    mark: Option<(u32, u32, Ns)>,
+    /// One a pick.
+    then: Vec<Option<Then>>,
+}
+
 /// The platform's last word on the newest build.
 #[derive(Clone, Copy)]
 struct Told {
@@ -205,9 +243,7 @@
 }
 
 struct Ballot {
-    build: u32,
-    stage: u32,
-    verdict: Verdict,
+    vote: (u32, u32, Verdict),
     cast: Ns,
     counted: bool,
 }
@@ -215,84 +251,87 @@
 pub struct Front {
     post: Post,
     chance: Chance,
+    born: Ns,
+    /// The shortest soft deadline.
+    soft: Ns,
     machines: Vec<Machine>,
-    rpcs: Vec<Option<Rpc>>,
+    rpcs: Vec<Rpc>,
+    open: u32,
+    /// Repeats that may still be made; ok answers; the most that machines have served, a second and size.
+    budget: f64,
+    served: Ring<u32>,
+    carry: f64,
+    /// Mean time of a method's ok picks.
+    means: Vec<f64>,
+    tenants: Vec<Ring<u32>>,
     told: Option<Told>,
     watching: bool,
-    /// By method, or one row where the cap is for all: RPCs taken, picks at builds on trial.
-    taken: Vec<Ring<u32>>,
-    exposed: Vec<Ring<u32>>,
-    /// One-way keys that the build on trial has answered, and how often keys and bound keys come.
+    /// RPCs taken and picks at builds on trial: a row a method, or one where the cap is for all.
+    exposure: Vec<Ring<Count>>,
+    /// One-way keys that the build on trial has answered; how often keys come; RPCs with a bound key.
     bound: BTreeSet<u64>,
-    keys: Ring<Vec<u16>>,
+    keys: Ring<Vec<u32>>,
     bound_taken: Ring<Count>,
-    /// The build under watch, its outcomes and the earlier build's, by method.
+    /// The newest build; its times and the earlier ones' (sides 0 and 1), by method; tallies by side.
     watched: u32,
     samples: Vec<[Ring<Sample>; 2]>,
-    /// Mean time of a method's ok picks, and the earlier build's counts before this trial.
-    means: Vec<f64>,
+    tallies: [Ring<Counts>; 2],
+    /// All counts before this trial, and the last note of each peer: when, build, sides.
     before: Counts,
-    tallies: Ring<[Counts; 2]>,
-    disputes: Ring<[Count; 2]>,
-    heard: Vec<(Ns, u32, [Counts; 2])>,
+    notes: Vec<(Ns, u32, [Counts; 2])>,
     ballot: Option<Ballot>,
-    budget: f64,
-    /// Ok answers, and RPCs open now: how much this front can carry.
-    served: Ring<u32>,
-    open: u32,
+    slower: u32,
 }
 
 const BEAT: u64 = 0;
 const WATCH: u64 = 1;
-/// The interval of the tests: the shortest that still gathers some outcomes on a quiet front.
-const INTERVAL: Ns = SEC / 2;
 
 impl Front {
     pub fn start(post: Post, ctl: &mut dyn Ctl) -> Front {
-        let rows = post.methods.len();
+        let (rows, guard) = (post.methods.len(), &post.guard);
         let scopes = if post.rollout.cap_per_method { rows } else { 1 };
-        // 32 whole buckets of the cap's window are counted as taken, one more as exposed: never too many.
-        let ring = || Ring::new(post.rollout.window / 32, 33);
-        let front = Front {
+        // 32 whole buckets of the cap's window count as taken, one more as exposed: never too many.
+        let exposure = (0..scopes).map(|_| Ring::new(post.rollout.window / 32, 33)).collect();
+        if post.ask_roster {
+            ctl.watch(true);
+        }
+        ctl.wake_at(ctl.now() + INTERVAL, BEAT);
+        Front {
             chance: Chance(post.seed | 1),
+            born: ctl.now(),
+            soft: post.methods.iter().map(|m| m.soft_deadline).min().unwrap_or(SEC).max(MS),
             machines: Vec::new(),
             rpcs: Vec::new(),
+            open: 0,
+            budget: 5.0,
+            served: Ring::new(guard.fall_time.max(SEC) / 8, 17),
+            carry: 0.0,
+            means: vec![0.0; rows],
+            tenants: post.tenants.iter().map(|_| Ring::new(INTERVAL, 4)).collect(),
             told: None,
             watching: false,
-            taken: (0..scopes).map(|_| ring()).collect(),
-            exposed: (0..scopes).map(|_| ring()).collect(),
+            exposure,
             bound: BTreeSet::new(),
             keys: Ring::new(2 * SEC, 3),
-            bound_taken: Ring::new(BUCKET, 8),
+            bound_taken: Ring::new(INTERVAL, 8),
             watched: 0,
-            samples: (0..rows).map(|_| [0, 1].map(|_| Ring::new(BUCKET, KEPT))).collect(),
-            means: vec![0.0; rows],
+            samples: (0..rows).map(|_| [0, 1].map(|_| Ring::new(INTERVAL, KEPT))).collect(),
+            tallies: [0, 1].map(|_| Ring::new(INTERVAL, KEPT)),
             before: Counts::default(),
-            tallies: Ring::new(BUCKET, KEPT),
-            disputes: Ring::new(BUCKET, KEPT),
-            heard: vec![(i64::MIN / 2, 0, Default::default()); post.fronts as usize],
+            notes: vec![(i64::MIN / 2, 0, Default::default()); post.fronts as usize],
             ballot: None,
-            budget: 5.0,
-            served: Ring::new(post.guard.fall_time.max(SEC) / 8, 17),
-            open: 0,
+            slower: 0,
             post,
-        };
-        if front.post.ask_roster {
-            ctl.watch(true);
         }
-        ctl.wake_at(ctl.now() + INTERVAL, BEAT);
-        front
     }
 
     /// Timers: the beat of the tests, and asking for the roster again after a failure.
     pub fn woke(&mut self, ctl: &mut dyn Ctl, tag: u64) {
-        match tag {
-            BEAT => {
-                self.beat(ctl);
-                ctl.wake_at(ctl.now() + INTERVAL, BEAT);
-            }
-            _ if !self.watching => ctl.watch(true),
-            _ => {}
+        if tag == BEAT {
+            self.beat(ctl);
+            ctl.wake_at(ctl.now() + INTERVAL, BEAT);
+        } else if !self.watching {
+            ctl.watch(true);
         }
     }
 
@@ -301,8 +340,9 @@
         if roll == Roll::Failed {
             // A lost watch makes the list count as known all the same: ask again, spread over a while.
             self.watching = false;
-            let spread = self.chance.below((self.post.guard.ask_within / 8).max(1) as usize) as Ns;
-            return ctl.wake_at(now + self.post.guard.ask_within / 16 + spread, WATCH);
+            let within = self.post.guard.ask_within;
+            let spread = self.chance.below((within / 8).max(1) as usize) as Ns;
+            return ctl.wake_at(now + within / 16 + spread, WATCH);
         }
         self.watching |= roll != Roll::Saved;
         if roll != Roll::Changes {
@@ -310,10 +350,8 @@
         }
         for entry in entries {
             while self.machines.len() <= entry.machine {
-                let (machine, state) = (self.machines.len(), State::Gone);
-                let member =
-                    Member { machine, state, zone: 0, cell: 0, build: 0, weight: 1.0, started: None };
-                self.machines.push(Machine::new(member, now, &self.post.guard));
+                let unknown = Member { machine: self.machines.len(), state: State::Gone, ..entry.clone() };
+                self.machines.push(Machine::new(unknown, now, &self.post.guard));
             }
             let known = &mut self.machines[entry.machine];
             if (known.member.build, known.member.started) != (entry.build, entry.started) {
@@ -328,7 +366,6 @@
     }
 
     pub fn told(&mut self, ctl: &mut dyn Ctl, reply: Reply, news: Option<(u32, u32, Phase, f64, Ns)>) {
-        let now = ctl.now();
         match (reply, &mut self.ballot) {
             (Reply::Counted, Some(ballot)) => ballot.counted = true,
             // One that timed out may count: it is cast again all the same, which replaces it.
@@ -336,8 +373,8 @@
             _ => {}
         }
         if let Some((build, stage, phase, cap, age)) = news {
-            self.told = Some(Told { build, stage, phase, cap, since: now - age });
-            self.watch_newest(now);
+            self.told = Some(Told { build, stage, phase, cap, since: ctl.now() - age });
+            self.watch_newest(ctl.now());
             if matches!(phase, Phase::GoingBack | Phase::Withdrawn) {
                 self.bound.clear();
             }
@@ -346,65 +383,45 @@
 
     /// A newer build than any before: its outcomes are new from here on, all others are the reference.
     fn watch_newest(&mut self, now: Ns) {
-        let told = self.told.map_or(0, |t| t.build);
-        let up = self.machines.iter().filter(|m| m.member.state == State::Up);
-        let newest = up.map(|m| m.member.build).max().unwrap_or(0).max(told);
+        let listed = self.machines.iter().filter(|m| m.up()).map(|m| m.member.build);
+        let newest = listed.chain(self.told.map(|t| t.build)).max().unwrap_or(0);
         if newest > self.watched {
-            for row in 0..ROWS {
-                let sides = [0, 1].map(|side| self.counted(now, side, row..row + 1));
-                self.before[row] = [sides[0][0] + sides[1][0], sides[0][1] + sides[1][1]];
-            }
+            self.before = merge(self.counted(now, 0), &self.counted(now, 1));
             self.watched = newest;
             self.bound.clear();
             self.samples.iter_mut().flatten().for_each(Ring::clear);
-            self.tallies.clear();
-            self.disputes.clear();
+            self.tallies.iter_mut().for_each(Ring::clear);
         }
     }
 
     // ---- machines and routing
 
-    /// The share of its capacity that a machine has by now, at the least.
-    fn warmth(&self, machine: &Machine, now: Ns) -> f64 {
-        let guard = &self.post.guard;
-        let age = machine.member.started.map_or(guard.cold_time, |at| (now - at).clamp(0, guard.cold_time));
-        guard.cold_from + (1.0 - guard.cold_from) * age as f64 / guard.cold_time.max(1) as f64
-    }
-
-    /// Rule 4: of a cold machine this front takes no larger share than what it sends to warm ones, times
-    /// the multiple it may be sent; when every front does so, their sum keeps within it too.
+    /// Rule 4: a cold machine gets from this front no more than this front's machines have been seen to
+    /// serve, by size and warmth, times six tenths of the multiple that it stands: the rest is slack for
+    /// uneven work. What is served is never above capacity, so when every front does so the sum holds.
     fn cold_room(&mut self, machine: usize, now: Ns) -> bool {
         let guard = &self.post.guard;
-        let m = &self.machines[machine];
+        let m = &mut self.machines[machine];
         if m.member.started.is_none_or(|at| now - at > guard.cold_time + guard.fall_time) {
             return true;
         }
-        let size = m.member.weight * self.warmth(m, now);
-        let up = self.machines.iter().filter(|m| m.member.state == State::Up);
-        let sizes: f64 = up.map(|m| m.member.weight * self.warmth(m, now)).sum();
-        // What this front's machines have served in one span of a fall, by size: never above their capacity.
-        let span = guard.fall_time as f64 / (2 * guard.fall_time.max(SEC)) as f64;
-        let served = f64::from(self.served.last(now, 17).sum::<u32>()) * span;
-        // Six tenths of the multiple: a third of slack for uneven work, and for fronts that differ.
-        let most = (0.6 * guard.overload_factor * served / sizes.max(1e-9) * size).max(1.0);
-        f64::from(self.machines[machine].picked.last(now, 9).sum::<u32>()) < most
+        let span = guard.fall_time as f64 / SEC as f64;
+        let most = 0.6 * guard.overload_factor * self.carry * span * m.size(now, guard);
+        f64::from(m.picked.last(now, 9).sum::<u32>()) < most.max(1.0)
     }
 
     /// What a pick there is expected to cost: its load and speed, and, beyond `bare`, its sickness.
     fn cost(&mut self, machine: usize, now: Ns, bare: bool) -> f64 {
-        let warmth = self.warmth(&self.machines[machine], now);
-        let soft = self.post.methods.iter().map(|m| m.soft_deadline).min().unwrap_or(SEC);
         let m = &mut self.machines[machine];
-        // A report ages fast: what it said is forgotten within seconds, or the machine would be shunned for it.
+        // A report is forgotten within seconds, or a machine would be shunned for what it once said.
         let others = m.others.0 * (-((now - m.others.1) as f64) / SEC as f64).exp();
-        let load = (m.held + others + 1.0) / (m.member.weight.max(1e-6) * warmth);
-        let mut cost = load * m.slow.max(0.1).sqrt();
+        let mut cost = (m.held + others + 1.0) / m.size(now, &self.post.guard) * m.slow.max(0.1).sqrt();
         if !bare {
             // A machine that fails draws fewer picks, not none: it must be seen to recover.
-            let count = m.counts.last(now, 8).fold([0, 0], |sum, rows| add(sum, total(rows, 0..ROWS)));
+            let count = m.counts.last(now, 8).fold([0, 0], |sum, counts| add(sum, counts[ALL]));
             cost *= 1.0 + 20.0 * f64::from(count[1]) / (f64::from(count[0]) + 3.0);
             // One that holds picks and stays silent past the shortest soft deadline may be gone.
-            let silence = (now - m.heard) as f64 / soft.max(1) as f64;
+            let silence = (now - m.heard) as f64 / self.soft as f64;
             if m.held >= 1.0 && silence > 1.0 {
                 cost *= 4.0 * silence;
             }
@@ -416,13 +433,13 @@
     }
 
     /// The cheapest machine that `fits`, ties by chance.
-    fn best(&mut self, now: Ns, fits: impl Fn(&Machine) -> bool) -> Option<usize> {
+    fn best(&mut self, now: Ns, fits: impl Fn(&Member) -> bool) -> Option<usize> {
         let size = self.machines.len();
         let from = self.chance.below(size.max(1));
         let mut best: Option<(f64, usize)> = None;
         for i in (0..size).map(|i| (from + i) % size) {
             let m = &self.machines[i];
-            if m.member.state == State::Up && fits(m) && self.cold_room(i, now) {
+            if m.up() && fits(&m.member) && self.cold_room(i, now) {
                 let cost = self.cost(i, now, false);
                 if best.is_none_or(|(least, _)| cost < least) {
                     best = Some((cost, i));
@@ -435,71 +452,66 @@
     // ---- the steps of an RPC
 
     pub fn taken(
-        &mut self, ctl: &mut dyn Ctl, rpc: usize, method: usize, _tenant: usize, key: Option<u64>,
+        &mut self, ctl: &mut dyn Ctl, rpc: usize, method: usize, tenant: usize, key: Option<u64>,
         deadline: Ns,
     ) {
         let now = ctl.now();
         let scope = self.scope(method);
-        *self.taken[scope].at(now) += 1;
+        self.exposure[scope].at(now)[0] += 1;
         self.budget = (self.budget + 0.2).min(20.0);
         if let Some(key) = key {
-            let bound = self.bound.contains(&key);
+            let count = self.bound_taken.at(now);
+            *count = add(*count, [1, u32::from(self.bound.contains(&key))]);
             let cells = self.keys.at(now);
             cells.resize(KEYS, 0);
-            cells[slot(key)] = cells[slot(key)].saturating_add(1);
-            let count = self.bound_taken.at(now);
-            *count = add(*count, [1, u32::from(bound)]);
+            cells[slot(key)] += 1;
         }
         if self.rpcs.len() <= rpc {
-            self.rpcs.resize_with(rpc + 1, || None);
-        }
-        self.rpcs[rpc] = Some(Rpc {
-            method,
-            key,
-            deadline,
-            taken: now,
-            open: true,
-            picks: 0,
-            flying: 0,
-            last: usize::MAX,
-            mark: None,
-            then: Vec::new(),
-        });
+            self.rpcs.resize_with(rpc + 1, Rpc::default);
+        }
+        self.rpcs[rpc] = Rpc { method, key, deadline, open: true, last: usize::MAX, ..Rpc::default() };
         self.open += 1;
-        // More open RPCs than are served within the soft deadline would only be served late: those of the
-        // least utility are turned away first, and sooner.
-        let rate = f64::from(self.served.last(now, 17).sum::<u32>())
-            / (2 * self.post.guard.fall_time.max(SEC)) as f64;
-        let most = self.post.methods.iter().map(|m| m.utility).fold(1e-9, f64::max);
-        let row = &self.post.methods[method];
-        let limit = rate * row.soft_deadline as f64 * (0.4 + 0.4 * row.utility / most);
-        if f64::from(self.open) > limit.max(10.0) {
+        if self.overfull(now, method, tenant) {
             return self.give_up(ctl, rpc);
         }
         self.first(ctl, rpc);
     }
 
+    /// More open RPCs than are served within the shortest soft deadline would all be served late. Those of
+    /// the least utility for their work, and beyond a tenant's share, are turned away first.
+    fn overfull(&mut self, now: Ns, method: usize, tenant: usize) -> bool {
+        let over = match (self.tenants.get_mut(tenant), self.post.tenants.get(tenant)) {
+            (Some(ring), Some(tenant)) => {
+                *ring.at(now) += 1;
+                // Over 2 s; fronts see even parts of a tenant, more or less.
+                let taken = ring.last(now, 4).sum::<u32>() * self.post.fronts;
+                f64::from(taken) > 2.0 * tenant.quota
+            }
+            _ => false,
+        };
+        let span = (now - self.born).min(2 * self.post.guard.fall_time.max(SEC)).max(SEC / 4);
+        let rate = f64::from(self.served.last(now, 17).sum::<u32>()) / span as f64;
+        let worth = |row: usize| self.post.methods[row].utility / self.means[row].max(MS as f64);
+        let most = (0..self.means.len()).map(worth).fold(0.0, f64::max);
+        let yields = worth(method) / most * if over { self.post.over_share_utility } else { 1.0 };
+        // From half of the shortest soft deadline for the least to all of it for the most useful.
+        let limit = rate * self.soft as f64 * (0.5 + 0.5 * yields);
+        let up = self.machines.iter().filter(|m| m.up()).count();
+        f64::from(self.open) > limit.max(2.0 * up as f64)
+    }
+
     /// The first pick: the build on trial while the cap has room, else the earlier one.
     fn first(&mut self, ctl: &mut dyn Ctl, rpc: usize) {
         let now = ctl.now();
-        let (method, key) = self.rpcs[rpc].as_ref().map_or((0, None), |r| (r.method, r.key));
-        let build = self.watched;
+        let (method, key, build) = (self.rpcs[rpc].method, self.rpcs[rpc].key, self.watched);
         let bound = key.is_some_and(|key| self.bound.contains(&key));
-        let trial = (self.room(method, now, 1.0) && (bound || self.may_bind(key, now)))
-            .then(|| self.best(now, |m| m.member.build == build))
-            .flatten();
-        let earlier = if bound { None } else { self.best(now, |m| m.member.build < build) };
+        let room = self.room(method, now) && (bound || self.may_bind(key, now));
+        let trial = if room { self.best(now, |m| m.build == build) } else { None };
+        let earlier = if bound { None } else { self.best(now, |m| m.build < build) };
         let machine = match (trial, earlier) {
-            (Some(t), Some(e)) => {
-                // Full, but not past what its machines can hold: twice the load elsewhere is slack enough
-                // for a cap above their share of the fleet.
-                if self.cost(t, now, true) <= 1.6 * self.cost(e, now, true) {
-                    Some(t)
-                } else {
-                    Some(e)
-                }
-            }
-            (t, e) => t.or(e),
+            // Full, but not past what its machines hold: a cap is up to 1.7 times their share of the fleet.
+            (Some(t), Some(e)) if self.cost(t, now, true) > 1.6 * self.cost(e, now, true) => Some(e),
+            (trial, earlier) => trial.or(earlier),
         };
         match machine {
             Some(machine) => self.pick(ctl, rpc, machine),
@@ -508,28 +520,27 @@
     }
 
     fn pick(&mut self, ctl: &mut dyn Ctl, rpc: usize, machine: usize) {
-        let now = ctl.now();
-        let step = self.post.step;
-        let Some(r) = self.rpcs[rpc].as_mut() else { return };
-        let method = &self.post.methods[r.method];
+        let (now, step) = (ctl.now(), self.post.step);
+        let r = &mut self.rpcs[rpc];
+        let row = r.method;
+        let method = &self.post.methods[row];
         let left = r.deadline - now - step;
-        // An idempotent RPC's pick is given up in time for another one, if the budget of repeats has room
-        // and the pick is far later than usual.
-        let usual = (6.0 * self.means[r.method]) as Ns;
-        let again = method.repeat == Repeat::Idempotent && r.picks + 1 < self.post.rights.most_picks;
-        let patience = (method.soft_deadline * 6 / 10).max(usual);
-        let time_out = if again && r.picks == 0 && self.budget >= 1.0 { patience.min(left) } else { left };
-        let (number, row) = (r.picks, r.method);
-        r.picks += 1;
+        // An idempotent RPC's first pick is given up in time for another, once it is far later than usual.
+        let again = method.repeat == Repeat::Idempotent && r.then.is_empty();
+        let patience = (method.soft_deadline * 6 / 10).max(6 * self.means[row] as Ns);
+        let time_out = if again && self.post.rights.most_picks > 1 && self.budget >= 1.0 {
+            patience.min(left)
+        } else {
+            left
+        };
         r.flying += 1;
         r.last = machine;
         let m = &mut self.machines[machine];
         let mark = (m.member.zone, m.member.cell, now);
         // Other fronts' picks there are told, or taken to be like ours.
-        let held = if self.post.report_held.is_some() {
-            m.held + m.others.0
-        } else {
-            m.held * f64::from(self.post.fronts)
+        let held = match self.post.report_held {
+            Some(_) => m.held + m.others.0,
+            None => m.held * f64::from(self.post.fronts),
         };
         let (build, load) = (m.member.build, held / m.member.weight.max(1e-6));
         if m.held < 1.0 {
@@ -539,73 +550,51 @@
         *m.picked.at(now) += 1;
         if self.on_trial(build).is_some() {
             let scope = self.scope(row);
-            *self.exposed[scope].at(now) += 1;
+            self.exposure[scope].at(now)[1] += 1;
         }
-        let then: Then = Box::new(move |front, ctl, ended| {
-            let now = ctl.now();
-            front.learn(now, machine, build, row, load, now - ended.elapsed, &ended);
-            let Some(r) = front.rpcs[rpc].as_mut() else { return };
+        self.rpcs[rpc].then.push(Some(Box::new(move |front, ctl, ended| {
+            front.learn(ctl.now(), machine, build, row, load, &ended);
+            let r = &mut front.rpcs[rpc];
             r.flying -= 1;
-            let ran = !matches!(ended.outcome, Outcome::Full | Outcome::Unreachable | Outcome::Void);
-            if ran && r.mark.is_none() {
-                r.mark = Some(mark);
-            }
-            if ended.outcome == Outcome::Ok {
-                if let Some(key) = r.key {
-                    if front.post.rollout.one_way && build == front.watched {
-                        front.bound.insert(key);
-                    }
-                }
-            }
-            if r.open && ended.last {
-                r.open = false;
-                front.open -= 1;
-            }
-            if r.open && r.flying == 0 {
+            if !matches!(ended.outcome, Outcome::Full | Outcome::Unreachable | Outcome::Void) {
+                r.mark = r.mark.or(Some(mark));
+            }
+            let answered = ended.outcome == Outcome::Ok && build == front.watched;
+            front.bound.extend(r.key.filter(|_| answered && front.post.rollout.one_way));
+            if ended.last {
+                front.close(rpc);
+            } else if r.open && r.flying == 0 {
                 front.repeat(ctl, rpc);
             }
-            if front.rpcs[rpc].as_ref().is_some_and(|r| !r.open && r.flying == 0) {
-                front.rpcs[rpc] = None;
-            }
-        });
-        if let Some(r) = self.rpcs[rpc].as_mut() {
-            debug_assert_eq!(r.then.len(), number as usize);
-            r.then.push(Some(then));
-        }
+        })));
         ctl.pick(rpc, machine, time_out.max(step));
     }
 
     /// Another pick, if the method, the time left and the budget of repeats allow one.
     fn repeat(&mut self, ctl: &mut dyn Ctl, rpc: usize) {
         let now = ctl.now();
-        let Some(r) = self.rpcs[rpc].as_ref() else { return };
-        let (row, mark, last, key) = (r.method, r.mark, r.last, r.key);
-        let method = &self.post.methods[row];
-        let group = method.group;
-        let allowed = match method.repeat {
-            _ if mark.is_none() => true,
-            Repeat::Idempotent => true,
-            Repeat::Tokened => mark.is_some_and(|m| now < m.2 + method.remembered - 2 * self.post.step),
-            Repeat::NonIdempotent => false,
-        };
-        let tokened = method.repeat == Repeat::Tokened;
+        let r = &self.rpcs[rpc];
+        let (row, mark, last, build) = (r.method, r.mark, r.last, self.watched);
+        let (repeat, group) = (self.post.methods[row].repeat, self.post.methods[row].group);
+        let until = r.deadline - self.post.step;
         // A repeat that cannot end in time only adds load.
-        let useful = now + self.means[row] as Ns / 2 < r.deadline - self.post.step;
-        if !allowed || !useful || r.picks >= self.post.rights.most_picks || self.budget < 1.0 {
+        let useful = now + self.means[row] as Ns / 2 <= until;
+        let allowed = useful && r.then.len() < self.post.rights.most_picks as usize && self.budget >= 1.0;
+        if !allowed || !self.may_repeat(rpc, now) {
             return self.give_up(ctl, rpc);
         }
-        let inside = move |m: &Machine| match (mark, group) {
-            (Some((zone, _, _)), Group::Zone) if tokened => m.member.zone == zone,
-            (Some((_, cell, _)), Group::Cell) if tokened => m.member.cell == cell,
-            _ => true,
+        let bound = r.key.is_some_and(|key| self.bound.contains(&key));
+        let other = move |m: &Member| {
+            let inside = match (repeat, group, mark) {
+                (Repeat::Tokened, Group::Zone, Some((zone, ..))) => m.zone == zone,
+                (Repeat::Tokened, Group::Cell, Some((_, cell, _))) => m.cell == cell,
+                _ => true,
+            };
+            m.machine != last && inside
         };
-        let build = self.watched;
-        let bound = key.is_some_and(|key| self.bound.contains(&key));
-        let room = self.room(row, now, 1.0);
-        let other = move |m: &Machine| m.member.machine != last && inside(m);
-        let earlier = if bound { None } else { self.best(now, |m| m.member.build < build && other(m)) };
+        let earlier = if bound { None } else { self.best(now, |m| m.build < build && other(m)) };
         let machine = match earlier {
-            None if room => self.best(now, |m| m.member.build == build && other(m)),
+            None if self.room(row, now) => self.best(now, |m| m.build == build && other(m)),
             earlier => earlier,
         };
         match machine {
@@ -617,95 +606,74 @@
         }
     }
 
+    /// Rule 2: after a pick that may have run, only what the method allows.
+    fn may_repeat(&self, rpc: usize, now: Ns) -> bool {
+        let r = &self.rpcs[rpc];
+        let method = &self.post.methods[r.method];
+        match (r.mark, method.repeat) {
+            (None, _) | (_, Repeat::Idempotent) => true,
+            (Some((_, _, sent)), Repeat::Tokened) => now < sent + method.remembered - 2 * self.post.step,
+            (_, Repeat::NonIdempotent) => false,
+        }
+    }
+
     /// The final answer at once: a pushback wherever it is harmless, with the time to come back.
     fn give_up(&mut self, ctl: &mut dyn Ctl, rpc: usize) {
-        let Some(r) = self.rpcs[rpc].as_mut() else { return };
+        let r = &self.rpcs[rpc];
         let method = &self.post.methods[r.method];
-        let harmless = r.mark.is_none() && r.flying == 0
-            || match method.repeat {
-                Repeat::Idempotent => true,
-                Repeat::Tokened => method.group == Group::All,
-                Repeat::NonIdempotent => false,
-            };
-        if r.open {
-            r.open = false;
-            self.open -= 1;
-        }
+        let harmless = match method.repeat {
+            Repeat::Idempotent => true,
+            Repeat::Tokened if method.group == Group::All => true,
+            _ => r.mark.is_none() && r.flying == 0,
+        };
         if harmless && r.deadline > ctl.now() {
             ctl.push_back(rpc, (method.soft_deadline / 2).min(self.post.rights.longest_wait));
         } else {
             ctl.abort(rpc);
         }
-        if r.flying == 0 {
-            self.rpcs[rpc] = None;
+        self.close(rpc);
+    }
+
+    fn close(&mut self, rpc: usize) {
+        if std::mem::take(&mut self.rpcs[rpc].open) {
+            self.open -= 1;
         }
     }
 
+    /// A pick has ended: what its step left is told how.
     pub fn ended(
-        &mut self, ctl: &mut dyn Ctl, rpc: usize, pick: u32, outcome: Outcome, elapsed: Ns, last: bool,
+        &mut self, ctl: &mut dyn Ctl, rpc: usize, pick: usize, outcome: Outcome, elapsed: Ns, last: bool,
         report: Option<&[f64]>,
     ) {
         let held = self.post.report_held.and_then(|at| report?.get(at).copied()).filter(|x| x.is_finite());
-        let then = self
-            .rpcs
-            .get_mut(rpc)
-            .and_then(Option::as_mut)
-            .and_then(|r| r.then.get_mut(pick as usize).and_then(Option::take));
-        if let Some(then) = then {
+        if let Some(then) = self.rpcs[rpc].then.get_mut(pick).and_then(Option::take) {
             then(self, ctl, Ended { outcome, elapsed, last, held });
         }
     }
 
-    /// A streamed answer has begun: the client owns it, its end closes the RPC.
-    pub fn begun(&mut self, _ctl: &mut dyn Ctl, rpc: usize, _pick: u32) {
-        if let Some(r) = self.rpcs.get_mut(rpc).and_then(Option::as_mut) {
-            self.open -= u32::from(r.open);
-            r.open = false;
-        }
-    }
-
-    /// The client has gone: nothing is owed, what is out still ends.
-    pub fn left(&mut self, _ctl: &mut dyn Ctl, rpc: usize) {
-        if let Some(slot) = self.rpcs.get_mut(rpc) {
-            if let Some(r) = slot.as_mut() {
-                self.open -= u32::from(r.open);
-                r.open = false;
-            }
-            if slot.as_ref().is_some_and(|r| r.flying == 0) {
-                *slot = None;
-            }
-        }
-    }
-
-    pub fn probed(
-        &mut self, _ctl: &mut dyn Ctl, _machine: usize, _how: Outcome, _took: Ns, _report: Option<&[f64]>,
-    ) {
+    /// The client has gone, or owns the streamed answer that has begun: nothing is owed any more.
+    pub fn left(&mut self, rpc: usize) {
+        self.close(rpc);
     }
 
     // ---- exposure
 
     fn scope(&self, method: usize) -> usize {
-        if self.post.rollout.cap_per_method {
-            method
-        } else {
-            0
-        }
+        method.min(self.exposure.len() - 1)
     }
 
     /// The stage and cap of a build on trial; one not yet announced counts as in the first stage.
     fn on_trial(&self, build: u32) -> Option<(u32, f64)> {
-        let first = self.post.rollout.caps.first().copied().unwrap_or(0.0);
         match self.told {
-            Some(t) if build < t.build => None,
-            Some(t) if build == t.build && t.phase == Phase::Released => None,
+            Some(t) if build < t.build || build == t.build && t.phase == Phase::Released => None,
             Some(t) if build == t.build && t.phase == Phase::OnTrial => Some((t.stage, t.cap)),
             Some(t) if build == t.build => Some((t.stage, 0.0)),
-            _ => Some((0, first)),
+            _ => Some((0, self.post.rollout.caps.first().copied().unwrap_or(0.0))),
         }
     }
 
-    /// Rule 5: may this method have one more pick at the watched build within `share` of the cap?
-    fn room(&mut self, method: usize, now: Ns, share: f64) -> bool {
+    /// Rule 5: may this method have one more pick at the watched build?
+    fn room(&mut self, method: usize, now: Ns) -> bool {
         let rollout = &self.post.rollout;
         let Some((stage, cap)) = self.on_trial(self.watched) else { return true };
         let guarded = (stage as usize) < rollout.guarded_stages;
@@ -713,34 +681,33 @@
             return false;
         }
         let (scope, free) = (self.scope(method), rollout.free);
-        let taken: u32 = self.taken[scope].last(now, 32).sum();
-        let exposed: u32 = self.exposed[scope].last(now, 33).sum();
-        f64::from(exposed) + 1.0 <= free + share * cap * f64::from(taken) + 1e-9
+        let taken: u32 = self.exposure[scope].last(now, 32).map(|c| c[0]).sum();
+        let exposed: u32 = self.exposure[scope].last(now, 33).map(|c| c[1]).sum();
+        f64::from(exposed) + 1.0 <= free + cap * f64::from(taken) + 1e-9
     }
 
     /// One-way keys must come back to the build on trial: a new one is bound only while the keys bound so
-    /// far, and this one, leave the cap some room; else their own traffic would break it or be pushed back.
+    /// far, and this one, leave the cap some room; else their own traffic would fill it and be pushed back.
     fn may_bind(&mut self, key: Option<u64>, now: Ns) -> bool {
         let (Some(key), true) = (key, self.post.rollout.one_way) else { return true };
-        let Some((_, cap)) = self.on_trial(self.watched) else { return true };
-        if cap >= 1.0 {
-            return true;
-        }
-        let share = |c: Count| f64::from(c[1]) / f64::from(c[0].max(1));
+        let Some((_, cap)) = self.on_trial(self.watched).filter(|(_, cap)| *cap < 1.0) else { return true };
         let bound = share(self.bound_taken.last(now, 8).fold([0, 0], |sum, c| add(sum, *c)));
         let here = self.keys.last(now, 3).fold([0, 0], |sum, cells| {
-            let all = cells.iter().map(|c| u32::from(*c)).sum();
-            add(sum, [all, cells.get(slot(key)).map_or(0, |c| u32::from(*c))])
+            add(sum, [cells.iter().sum(), cells.get(slot(key)).map_or(0, |c| c.saturating_sub(1))])
         });
         // Seven tenths: keys come unevenly, and those on their first visit take room as well.
-        bound + share(here) - 1.0 / f64::from(here[0].max(1)) < 0.7 * cap
+        bound + share(here) < 0.7 * cap
     }
 
     // ---- evidence
 
+    fn side(&self, build: u32) -> usize {
+        usize::from(build < self.watched)
+    }
+
     /// What a pick's end tells of its machine and its build.
-    fn learn(&mut self, now: Ns, machine: usize, build: u32, row: usize, load: f64, sent: Ns, ended: &Ended) {
-        let warmth = self.warmth(&self.machines[machine], now);
+    fn learn(&mut self, now: Ns, machine: usize, build: u32, row: usize, load: f64, ended: &Ended) {
+        let side = self.side(build);
         let m = &mut self.machines[machine];
         m.held = (m.held - 1.0).max(0.0);
         if let Some(held) = ended.held {
@@ -749,213 +716,173 @@
         if matches!(ended.outcome, Outcome::Cancelled | Outcome::Void) || m.member.build != build {
             return;
         }
-        let failed = ended.outcome != Outcome::Ok;
+        let ok = ended.outcome == Outcome::Ok;
         let error = matches!(ended.outcome, Outcome::Error | Outcome::Broken);
-        if !failed || error {
+        if ok || error {
             m.heard = now;
         }
-        // Each machine's first second is left out of what is held against a build.
-        let young = m.member.started.is_some_and(|at| sent < at + SEC);
-        if !young {
-            let count = &mut m.counts.at(now)[row.min(ROWS - 1)];
-            *count = add(*count, [1, u32::from(error)]);
-        }
         // A pick that timed out tells of a slow machine, not of an error.
-        if !failed || ended.outcome == Outcome::TimedOut {
-            let took = ended.elapsed as f64;
-            let mean = &mut self.means[row];
+        if ok || ended.outcome == Outcome::TimedOut {
+            let (took, mean) = (ended.elapsed as f64, &mut self.means[row]);
             if *mean == 0.0 {
                 *mean = took;
-            } else if !failed {
+            } else if ok {
                 *mean += 0.02 * (took - *mean);
             }
-            let ratio = (took / *mean).min(8.0);
-            m.slow += 0.1 * (ratio - m.slow);
+            m.slow += 0.1 * ((took / *mean).min(8.0) - m.slow);
         }
-        if !young && !matches!(ended.outcome, Outcome::Full | Outcome::Unreachable) {
-            // A cold machine's times are told as if it were warm: like with like.
-            let took = (!failed).then_some((ended.elapsed as f64 * warmth) as Ns);
-            let side = usize::from(build < self.watched);
-            self.samples[row][side].at(now).add(took, load);
-        }
-        if !failed {
-            let side = usize::from(build < self.watched);
-            let count = &mut self.disputes.at(now)[side];
-            *count = add(*count, [1, 0]);
+        if ok {
             *self.served.at(now) += 1;
         }
+        // Each machine's first second is left out of what is held against a build.
+        if m.member.started.is_some_and(|at| now - ended.elapsed < at + SEC) {
+            return;
+        }
+        let counts = m.counts.at(now);
+        for (row, count) in [(ALL, u32::from(error)), (row_of(row), u32::from(error)), (DISPUTES, 0)] {
+            counts[row] = add(counts[row], [1, count]);
+        }
+        if !matches!(ended.outcome, Outcome::Full | Outcome::Unreachable) {
+            // A cold machine's times are told as if it were warm: like with like.
+            let took = ended.elapsed as f64 * m.warmth(now, &self.post.guard);
+            self.samples[row][side].at(now).add(ok.then_some(took as Ns), load);
+        }
     }
 
     /// A client found an answer wrong: a failure like others, seen late.
-    pub fn disputed(&mut self, ctl: &mut dyn Ctl, machine: usize, _method: usize) {
-        let side = self.machines.get(machine).map_or(1, |m| usize::from(m.member.build < self.watched));
-        let count = &mut self.disputes.at(ctl.now())[side];
-        *count = add(*count, [0, 1]);
-    }
-
-    pub fn tally(
-        &mut self, ctl: &mut dyn Ctl, build: u32, method: usize, picks: u32, failed: u32, _mean: Option<Ns>,
-        _age: Ns,
-    ) {
-        if build <= self.watched {
-            let count =
-                &mut self.tallies.at(ctl.now())[usize::from(build < self.watched)][method.min(ROWS - 1)];
-            *count = add(*count, [picks, failed]);
+    pub fn disputed(&mut self, ctl: &mut dyn Ctl, machine: usize) {
+        if let Some(m) = self.machines.get_mut(machine) {
+            m.counts.at(ctl.now())[DISPUTES][1] += 1;
         }
     }
 
-    /// Picks and failures of a side (0 new, 1 earlier), the worst third of its machines left out: a sick
-    /// machine is not a sick build, and the earlier ones must not hide a bad one.
-    fn counted(&mut self, now: Ns, side: usize, rows: std::ops::Range<usize>) -> Count {
-        let watched = self.watched;
-        let mut each: Vec<Count> = Vec::new();
-        for m in self.machines.iter_mut().filter(|m| usize::from(m.member.build < watched) == side) {
-            let count =
-                m.counts.last(now, KEPT).fold([0, 0], |sum, counts| add(sum, total(counts, rows.clone())));
-            if count[0] > 0 {
-                each.push(count);
-            }
+    pub fn tally(&mut self, ctl: &mut dyn Ctl, build: u32, method: usize, picks: u32, failed: u32) {
+        let counts = self.tallies[self.side(build)].at(ctl.now());
+        for row in [ALL, row_of(method)] {
+            counts[row] = add(counts[row], [picks, failed]);
         }
-        let rate = |c: &Count| f64::from(c[1]) / f64::from(c[0]);
-        each.sort_by(|a, b| rate(a).total_cmp(&rate(b)));
-        let kept = each.len() - each.len() / 3;
-        each[..kept].iter().fold([0, 0], |sum, c| add(sum, *c))
     }
 
-    pub fn heard(&mut self, ctl: &mut dyn Ctl, from: u32, note: &[u8]) {
+    /// A peer's note: its counts of both sides, if they are of the same build.
+    pub fn heard(&mut self, ctl: &mut dyn Ctl, from: usize, note: &[u8]) {
         let words: Vec<u32> = note.chunks_exact(2).map(|b| u32::from(b[0]) << 8 | u32::from(b[1])).collect();
-        if let (Some(slot), Some((&build, counts))) = (self.heard.get_mut(from as usize), words.split_first())
-        {
-            let mut sides = [Counts::default(); 2];
-            for (i, pair) in counts.chunks_exact(2).enumerate().take(2 * ROWS) {
-                sides[i % 2][i / 2] = [pair[0], pair[1]];
-            }
-            *slot = (ctl.now(), build, sides);
+        if from < self.notes.len() && words.len() == 1 + 4 * ROWS {
+            let at = |side: usize, row: usize| 1 + 2 * (side * ROWS + row);
+            let sides = [0, 1]
+                .map(|side| std::array::from_fn(|row| [words[at(side, row)], words[at(side, row) + 1]]));
+            self.notes[from] = (ctl.now(), words[0], sides);
         }
     }
 
+    /// Counts of a side, row by row without the worst third of its machines: a sick machine is not a sick
+    /// build, and sick earlier ones must not hide a bad one.
+    fn counted(&mut self, now: Ns, side: usize) -> Counts {
+        let watched = self.watched;
+        let ours = self.machines.iter_mut().filter(|m| usize::from(m.member.build < watched) == side);
+        let kept = ours.map(|m| m.counts.last(now, KEPT).fold(Default::default(), merge));
+        let each: Vec<Counts> = kept.collect();
+        std::array::from_fn(|row| {
+            let mut seen: Vec<Count> = each.iter().map(|c| c[row]).filter(|c| c[0] > 0).collect();
+            seen.sort_by(|a, b| share(*a).total_cmp(&share(*b)));
+            seen[..seen.len() - seen.len() / 3].iter().fold([0, 0], |sum, c| add(sum, *c))
+        })
+    }
+
     // ---- the beat: tests and votes
 
     fn beat(&mut self, ctl: &mut dyn Ctl) {
         let now = ctl.now();
-        let rows = self.post.methods.len().min(ROWS);
-        let mut own = [Counts::default(); 2];
-        for row in 0..rows {
-            for (side, counts) in own.iter_mut().enumerate() {
-                counts[row] = self.counted(now, side, row..row + 1);
-            }
-        }
+        let sizes: f64 = self.machines.iter().filter(|m| m.up()).map(|m| m.size(now, &self.post.guard)).sum();
+        let rate = f64::from(self.served.last(now, 17).sum::<u32>())
+            / (2 * self.post.guard.fall_time.max(SEC)) as f64
+            * SEC as f64;
+        // What machines once carried they can carry again; forgotten by half in half a minute.
+        self.carry = (0.99 * self.carry).max(rate / sizes.max(1e-6));
         let Some(told) = self.told else { return };
-        let live = told.build == self.watched && matches!(told.phase, Phase::OnTrial | Phase::Released);
-        if self.post.rights.notes && live && told.phase == Phase::OnTrial {
-            let counts = (0..rows).flat_map(|row| [own[0][row], own[1][row]]).flatten();
-            let words = std::iter::once(self.watched).chain(counts);
-            let note: Vec<u8> = words.flat_map(|word| (word.min(65535) as u16).to_be_bytes()).collect();
-            ctl.tell(None, &note);
-        }
-        if !live {
+        let trial = told.phase == Phase::OnTrial;
+        if told.build != self.watched || !trial && told.phase != Phase::Released {
             self.ballot = None;
             return;
         }
-        let mut pooled = own;
-        for (at, build, counts) in &self.heard {
-            // Notes older than three intervals say nothing of now.
-            if *build == self.watched && now - at < 3 * INTERVAL {
-                for (side, rows) in counts.iter().enumerate() {
-                    (0..ROWS).for_each(|row| pooled[side][row] = add(pooled[side][row], rows[row]));
-                }
-            }
-        }
-        if let Some(why) = self.harm(now, &own, &pooled) {
-            if !self.ballot.as_ref().is_some_and(|b| b.verdict == Verdict::Back) {
-                ctl.note(&format!("back {}: {why}", told.build));
-            }
-            return self.cast(ctl, told, Verdict::Back);
-        }
-        if self.ballot.as_ref().is_some_and(|b| b.verdict == Verdict::Back && b.build == told.build) {
-            return self.cast(ctl, told, Verdict::Back);
-        }
-        if told.phase == Phase::OnTrial {
-            let seen: u32 = pooled[0].iter().map(|c| c[0]).sum();
-            let baked = self.baked(now, told, seen);
-            match self.post.rollout.control {
-                Control::Automatic if !baked => self.cast(ctl, told, Verdict::Hold),
-                Control::Automatic => self.cast(ctl, told, Verdict::NoVote),
-                _ if baked => self.cast(ctl, told, Verdict::On),
-                _ => {}
+        let own = [0, 1].map(|side| self.counted(now, side));
+        if self.post.rights.notes && trial {
+            let words = own.iter().flatten().flatten().map(|n| *n.min(&65535) as u16);
+            let words = std::iter::once(told.build as u16).chain(words);
+            ctl.tell(None, &words.flat_map(u16::to_be_bytes).collect::<Vec<u8>>());
+        }
+        // Notes older than three intervals say nothing of now.
+        let fresh = |n: &&(Ns, u32, [Counts; 2])| n.1 == told.build && now - n.0 < 3 * INTERVAL;
+        let notes = self.notes.iter().filter(fresh);
+        let pooled = notes.fold(own, |sum, (_, _, n)| [merge(sum[0], &n[0]), merge(sum[1], &n[1])]);
+        let judged = |b: &Ballot| (b.vote.0, b.vote.2) == (told.build, Verdict::Back);
+        let went_back = self.ballot.as_ref().is_some_and(judged);
+        if went_back {
+            self.cast(ctl, told, Verdict::Back);
+        } else if let Some(why) = self.harm(now, own, pooled) {
+            ctl.note(&format!("back {}: {why}", told.build));
+            self.cast(ctl, told, Verdict::Back);
+        } else if trial {
+            let baked = self.baked(now, told, pooled[0][ALL][0]);
+            match (self.post.rollout.control, baked) {
+                (Control::Automatic, true) => self.cast(ctl, told, Verdict::NoVote),
+                (Control::Automatic, false) => self.cast(ctl, told, Verdict::Hold),
+                (_, true) => self.cast(ctl, told, Verdict::On),
+                (_, false) => {}
             }
         }
     }
 
     /// A harmful deviation of the watched build, in words.
-    fn harm(&mut self, now: Ns, own: &[Counts; 2], pooled: &[Counts; 2]) -> Option<String> {
+    fn harm(&mut self, now: Ns, own: [Counts; 2], pooled: [Counts; 2]) -> Option<String> {
         let rows = self.post.methods.len();
-        // The chance of a false alarm, one in a thousand for the whole tier, shared by its fronts and methods.
+        // The chance of a false alarm, one in a thousand for the tier, shared by its fronts and methods.
         let odds = 1e-3 / f64::from(self.post.fronts.max(1)) / (rows + 1) as f64;
-        let mut sides = [*own, *pooled].to_vec();
-        sides.push(self.tallies.last(now, KEPT).fold(Default::default(), |mut sum: [Counts; 2], t| {
-            for side in 0..2 {
-                (0..ROWS).for_each(|row| sum[side][row] = add(sum[side][row], t[side][row]));
-            }
-            sum
-        }));
-        for (which, [new, mut old]) in sides.into_iter().enumerate() {
-            // Tallies do not tell errors from time-outs: they count where an error was seen here too.
-            if which == 2 && total(&pooled[0], 0..ROWS)[1] == 0 {
-                continue;
-            }
-            if total(&old, 0..ROWS)[0] < 30 {
-                old = self.before;
-            }
-            if total(&old, 0..ROWS)[0] < 30 {
-                continue;
-            }
-            if deviates(total(&new, 0..ROWS), total(&old, 0..ROWS), odds) {
-                return Some(format!(
-                    "failures {which} {:?} {:?}",
-                    total(&new, 0..ROWS),
-                    total(&old, 0..ROWS)
-                ));
-            }
-            if let Some(row) = (0..ROWS).find(|&row| deviates(new[row], old[row], odds)) {
-                return Some(format!("failures {which} of method {row} {:?} {:?}", new[row], old[row]));
-            }
+        let mut sources = vec![("own", own), ("pooled", pooled)];
+        // Tallies do not tell errors from time-outs: they count where an error was seen here too.
+        if own[0][ALL][1] > 0 {
+            let sides = [0, 1].map(|s| self.tallies[s].last(now, KEPT).fold(Default::default(), merge));
+            sources.push(("tallied", sides));
         }
-        let [new, old] =
-            self.disputes.last(now, KEPT).fold([[0; 2]; 2], |sum, c| [add(sum[0], c[0]), add(sum[1], c[1])]);
-        if old[0] >= 30 && deviates(new, old, odds) {
-            return Some(format!("disputes {new:?} {old:?}"));
-        }
-        for row in 0..rows {
-            let [new, old] = [0, 1]
-                .map(|side| self.samples[row][side].last(now, KEPT).fold(Sample::default(), Sample::merge));
-            if new.n < 20 || old.n < 20 {
-                continue;
-            }
-            // Like with like: a machine that holds more answers later, whatever its build.
-            let load = |s: &Sample| 1.0 + s.load / f64::from(s.n);
-            let lean = (load(&new) / load(&old)).max(1.0);
-            let slower = median(&new) > 1.25 * lean * median(&old);
-            // Slower, but within the soft deadline, harms nobody; sending a good build back does.
-            let soft = self.post.methods[row].soft_deadline;
-            let slower = slower && new.late(soft) > old.late(soft) + 0.1;
-            let z = rank_z(&new, &old);
-            // 2.6 for one test; 3.4 grants the same odds to some dozen methods and fronts.
-            if z > 3.4 && slower {
-                return Some(format!("method {row} z {z:.1} {:.1} {:.1}", median(&new), median(&old)));
+        for (source, [new, old]) in sources {
+            // Where earlier machines are gone, the reference is what was seen before the trial.
+            let old = if old[ALL][0] < 30 { self.before } else { old };
+            let bad = (0..ROWS).find(|&row| old[ALL][0] >= 30 && deviates(new[row], old[row], odds));
+            if let Some(row) = bad {
+                return Some(format!("{source} failures, row {row}: {:?} against {:?}", new[row], old[row]));
             }
         }
-        None
+        let slow = (0..rows).find_map(|row| self.slow(row, now));
+        // Once may be a queue that passes: it must last for two intervals.
+        self.slower = if slow.is_some() { self.slower + 1 } else { 0 };
+        slow.filter(|_| self.slower > 1)
+    }
+
+    /// The rank test of a method's times.
+    fn slow(&mut self, row: usize, now: Ns) -> Option<String> {
+        let [new, old] =
+            [0, 1].map(|s| self.samples[row][s].last(now, KEPT).fold(Sample::default(), Sample::merge));
+        // Like with like: a machine that holds more answers later, whatever its build.
+        let load = |s: &Sample| 1.0 + s.load / f64::from(s.n.max(1));
+        let lean = (load(&new) / load(&old)).max(1.0);
+        let slower = median(&new) > 1.25 * lean * median(&old);
+        // Slower, but within the soft deadline, harms nobody; sending a good build back does.
+        let soft = self.post.methods[row].soft_deadline;
+        let late = new.late(soft) > old.late(soft) + 0.1;
+        let z = rank_z(&new, &old);
+        // 2.6 for one test, 3.4 for a dozen methods and fronts; times that queue together count for half
+        // as many, so 4.8.
+        let harm = new.n >= 20 && old.n >= 20 && z > 4.8 && slower && late;
+        harm.then(|| {
+            format!("method {row}, z {z:.1}, median {:.1} against {:.1}", median(&new), median(&old))
+        })
     }
 
     /// Clean long enough: the newest machine of this stage has run for the bake, and outcomes were seen.
     fn baked(&self, now: Ns, told: Told, seen: u32) -> bool {
-        let dwell = self.post.rollout.dwell;
-        let bake = (dwell + SEC).max(2 * SEC);
-        let ours =
-            self.machines.iter().filter(|m| m.member.build == told.build && m.member.state == State::Up);
+        let bake = (self.post.rollout.dwell + SEC).max(2 * SEC);
+        let ours = self.machines.iter().filter(|m| m.member.build == told.build && m.up());
         let newest = ours.filter_map(|m| m.member.started).max().unwrap_or(i64::MIN / 2);
-        // A stage's machines start after it began; where none seems to, it has run for as long as one may take.
+        // A stage's machines start after it began; where none seems to, it has had time enough by now.
         let fresh = newest > told.since || now - told.since > 8 * SEC;
         let waited = now - newest.max(told.since);
         fresh && waited >= bake && (seen >= 20 || waited >= 2 * bake)
@@ -964,43 +891,21 @@
     /// Keeps this front's vote standing: cast again once half its life is over or no answer came.
     fn cast(&mut self, ctl: &mut dyn Ctl, told: Told, verdict: Verdict) {
         let (now, rollout) = (ctl.now(), &self.post.rollout);
+        let vote = (told.build, told.stage, verdict);
         let stands = self.ballot.as_ref().is_some_and(|b| {
             let life = if b.counted { rollout.vote_life / 2 } else { rollout.call_timeout + INTERVAL };
-            (b.build, b.stage, b.verdict) == (told.build, told.stage, verdict) && now - b.cast < life
+            b.vote == vote && now - b.cast < life
         });
         if !stands {
             ctl.vote(told.build, told.stage, verdict);
-            let (build, stage) = (told.build, told.stage);
-            self.ballot = Some(Ballot { build, stage, verdict, cast: now, counted: false });
-        }
-    }
-}
-
-impl Machine {
-    fn new(member: Member, now: Ns, guard: &Guard) -> Machine {
-        Machine {
-            member,
-            held: 0.0,
-            others: (0.0, now),
-            heard: now,
-            slow: 1.0,
-            counts: Ring::new(BUCKET, KEPT),
-            picked: Ring::new(guard.fall_time / 8, 9),
+            self.ballot = Some(Ballot { vote, cast: now, counted: false });
         }
     }
 }
 
-/// Cells of the key counts: many more than keys that matter, so that few hot ones share one.
+/// Cells of the key counts: many more than the keys that matter, so that few hot ones share one.
 const KEYS: usize = 1024;
 
 fn slot(key: u64) -> usize {
     (key.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 54) as usize
 }
-
-fn add(a: Count, b: Count) -> Count {
-    [a[0] + b[0], a[1] + b[1]]
-}
-
-fn total(counts: &Counts, rows: std::ops::Range<usize>) -> Count {
-    counts[rows].iter().fold([0, 0], |sum, c| add(sum, *c))
-}
