Rank test bucket by bucket of time, on most of three machines; tighter limit on open RPCs

Cause: times were pooled over 12 s, so load that moved while the mix of builds moved read as slowness; a sick machine or two read as a slow build. Each half-second is now ranked by itself (U and variances add up), and most of at least three machines must be slower. Harm: a slow build on fewer than three machines is not seen by its times.

--- a/adapter/src/seat.rs
+++ b/adapter/src/seat.rs
@@ -2,7 +2,7 @@
 use crate::read::{armour, bytes, nanos, number, Bad, Line, Pairs};
 use rockpick::{
     Control, Ctl, Front, Group, Guard, Member, Method, Ns, Outcome, Phase, Post, Repeat, Reply, Rights, Roll,
-    Rollout, State, Tenant, Verdict,
+    Rollout, Standing, State, Tenant, Verdict,
 };
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write;
@@ -357,7 +357,7 @@
             "RESULT" => {
                 if let Some(&rpc) = self.door.rpcs.get(&line.hex("req")?) {
                     let pick = line.int::<usize>("try")?;
-                    line.word("machine")?;
+                    let machine = self.door.machine(line.word("machine")?);
                     let how = line.must("how", outcome)?;
                     let elapsed = line.time("elapsedMs")?;
                     let last = line.flag("last")?;
@@ -365,7 +365,10 @@
                     let slot = &mut self.door.slots[rpc];
                     slot.1 = slot.1.saturating_sub(1);
                     slot.2 |= last;
-                    go!(ended(rpc, pick, how, elapsed, last, figures.as_deref()));
+                    if let Some(figures) = figures {
+                        go!(reported(machine, &figures));
+                    }
+                    go!(ended(rpc, pick, how, elapsed, last));
                     self.door.sweep(rpc);
                 }
             }
@@ -412,7 +415,7 @@
                     _ => Reply::Refused,
                 };
                 let news = phase.filter(|_| status == Outcome::Ok);
-                go!(told(reply, news.map(|phase| (build, stage, phase, cap, age))));
+                go!(told(reply, news.map(|phase| Standing { build, stage, phase, cap, since: now - age })));
             }
             "PLATFORM_SAW" => {
                 let build = line.int("buildNo")?;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -163,6 +163,16 @@
     Withdrawn,
 }
 
+/// Where the newest build stands, as the platform last told.
+#[derive(Clone, Copy, Debug)]
+pub struct Standing {
+    pub build: u32,
+    pub stage: u32,
+    pub phase: Phase,
+    pub cap: f64,
+    pub since: Ns,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
     NoVote,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,7 +9,7 @@
 //!     old.add(Some((50 + ms) * 1_000_000), 0.0);
 //!     new.add(Some((90 + ms) * 1_000_000), 0.0);
 //! }
-//! assert!(rank_z(&new, &old) > 2.6 && median(&new) > median(&old));
+//! assert!(rank_z([(&new, &old)].into_iter()) > 2.6 && median(&new) > median(&old));
 //! ```
 mod interface;
 mod logic;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -100,20 +100,24 @@
     }
 }
 
-/// Mann–Whitney: z of the new side's rank sum, ties at their middle rank; 0 where a side is empty.
-pub fn rank_z(new: &Sample, old: &Sample) -> f64 {
-    let (n, m) = (f64::from(new.n), f64::from(old.n));
-    if n * m == 0.0 {
-        return 0.0;
-    }
-    let (mut below, mut ranks) = (0.0, 0.0);
-    for (a, b) in new.bins.iter().zip(&old.bins) {
-        let tied = f64::from(a + b);
-        ranks += f64::from(*a) * (below + (tied + 1.0) / 2.0);
-        below += tied;
-    }
-    let u = ranks - n * (n + 1.0) / 2.0;
-    (u - n * m / 2.0) / (n * m * (n + m + 1.0) / 12.0).sqrt()
+/// Mann–Whitney: z of the new side's rank sum, ties at their middle rank. Each pair of samples is ranked by
+/// itself and their U are added, so that outcomes are held only against those of the same time; 0 where no
+/// pair has both sides.
+pub fn rank_z<'a>(pairs: impl Iterator<Item = (&'a Sample, &'a Sample)>) -> f64 {
+    let (mut beyond, mut variance) = (0.0, 0.0);
+    for (new, old) in pairs.filter(|(new, old)| new.n * old.n > 0) {
+        let (n, m) = (f64::from(new.n), f64::from(old.n));
+        let (mut below, mut ranks) = (0.0, 0.0);
+        for (a, b) in new.bins.iter().zip(&old.bins) {
+            let tied = f64::from(a + b);
+            ranks += f64::from(*a) * (below + (tied + 1.0) / 2.0);
+            below += tied;
+        }
+        let u = ranks - n * (n + 1.0) / 2.0;
+        beyond += u - n * m / 2.0;
+        variance += n * m * (n + m + 1.0) / 12.0;
+    }
+    beyond / f64::max(variance, 1e-9).sqrt()
 }
 
 /// The median's bucket, as a time in units of 4 ms.
@@ -208,15 +212,8 @@
     }
 }
 
-/// What to do with a pick's end.
-type Then = Box<dyn FnOnce(&mut Front, &mut dyn Ctl, Ended)>;
-
-struct Ended {
-    outcome: Outcome,
-    elapsed: Ns,
-    last: bool,
-    held: Option<f64>,
-}
+/// What to do with a pick's end: its outcome, the time it took, whether it closed the RPC.
+type Then = Box<dyn FnOnce(&mut Front, &mut dyn Ctl, Outcome, Ns, bool)>;
 
 #[derive(Default)]
 struct Rpc {
@@ -232,16 +229,6 @@
     then: Vec<Option<Then>>,
 }
 
-/// The platform's last word on the newest build.
-#[derive(Clone, Copy)]
-struct Told {
-    build: u32,
-    stage: u32,
-    phase: Phase,
-    cap: f64,
-    since: Ns,
-}
-
 struct Ballot {
     vote: (u32, u32, Verdict),
     cast: Ns,
@@ -264,7 +251,7 @@
     /// Mean time of a method's ok picks.
     means: Vec<f64>,
     tenants: Vec<Ring<u32>>,
-    told: Option<Told>,
+    told: Option<Standing>,
     watching: bool,
     /// RPCs taken and picks at builds on trial: a row a method, or one where the cap is for all.
     exposure: Vec<Ring<Count>>,
@@ -283,6 +270,10 @@
     slower: u32,
 }
 
+/// How much fuller than earlier machines first picks may keep those on trial: a cap above their share of the
+/// fleet asks for some; beyond it answers come late.
+const FILL: f64 = 1.6;
+
 const BEAT: u64 = 0;
 const WATCH: u64 = 1;
 
@@ -365,17 +356,17 @@
         self.watch_newest(now);
     }
 
-    pub fn told(&mut self, ctl: &mut dyn Ctl, reply: Reply, news: Option<(u32, u32, Phase, f64, Ns)>) {
+    pub fn told(&mut self, ctl: &mut dyn Ctl, reply: Reply, news: Option<Standing>) {
         match (reply, &mut self.ballot) {
             (Reply::Counted, Some(ballot)) => ballot.counted = true,
             // One that timed out may count: it is cast again all the same, which replaces it.
             (Reply::Refused | Reply::TimedOut, ballot) => *ballot = None,
             _ => {}
         }
-        if let Some((build, stage, phase, cap, age)) = news {
-            self.told = Some(Told { build, stage, phase, cap, since: ctl.now() - age });
+        if let Some(told) = news {
+            self.told = news;
             self.watch_newest(ctl.now());
-            if matches!(phase, Phase::GoingBack | Phase::Withdrawn) {
+            if matches!(told.phase, Phase::GoingBack | Phase::Withdrawn) {
                 self.bound.clear();
             }
         }
@@ -494,13 +485,13 @@
         let worth = |row: usize| self.post.methods[row].utility / self.means[row].max(MS as f64);
         let most = (0..self.means.len()).map(worth).fold(0.0, f64::max);
         let yields = worth(method) / most * if over { self.post.over_share_utility } else { 1.0 };
-        // From half of the shortest soft deadline for the least to all of it for the most useful.
-        let limit = rate * self.soft as f64 * (0.5 + 0.5 * yields);
+        // From four tenths of the shortest soft deadline for the least to eight for the most useful.
+        let limit = rate * self.soft as f64 * (0.4 + 0.4 * yields);
         let up = self.machines.iter().filter(|m| m.up()).count();
         f64::from(self.open) > limit.max(2.0 * up as f64)
     }
 
-    /// The first pick: the build on trial while the cap has room, else the earlier one.
+    /// The first pick: the build on trial while the cap has room and its machines hold it, else the earlier.
     fn first(&mut self, ctl: &mut dyn Ctl, rpc: usize) {
         let now = ctl.now();
         let (method, key, build) = (self.rpcs[rpc].method, self.rpcs[rpc].key, self.watched);
@@ -509,8 +500,7 @@
         let trial = if room { self.best(now, |m| m.build == build) } else { None };
         let earlier = if bound { None } else { self.best(now, |m| m.build < build) };
         let machine = match (trial, earlier) {
-            // Full, but not past what its machines hold: a cap is up to 1.7 times their share of the fleet.
-            (Some(t), Some(e)) if self.cost(t, now, true) > 1.6 * self.cost(e, now, true) => Some(e),
+            (Some(t), Some(e)) if self.cost(t, now, true) > FILL * self.cost(e, now, true) => Some(e),
             (trial, earlier) => trial.or(earlier),
         };
         match machine {
@@ -552,16 +542,16 @@
             let scope = self.scope(row);
             self.exposure[scope].at(now)[1] += 1;
         }
-        self.rpcs[rpc].then.push(Some(Box::new(move |front, ctl, ended| {
-            front.learn(ctl.now(), machine, build, row, load, &ended);
+        self.rpcs[rpc].then.push(Some(Box::new(move |front, ctl, outcome, took, last| {
+            front.learn(ctl.now(), machine, build, row, load, (outcome, took));
             let r = &mut front.rpcs[rpc];
             r.flying -= 1;
-            if !matches!(ended.outcome, Outcome::Full | Outcome::Unreachable | Outcome::Void) {
+            if !matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::Void) {
                 r.mark = r.mark.or(Some(mark));
             }
-            let answered = ended.outcome == Outcome::Ok && build == front.watched;
+            let answered = outcome == Outcome::Ok && build == front.watched;
             front.bound.extend(r.key.filter(|_| answered && front.post.rollout.one_way));
-            if ended.last {
+            if last {
                 front.close(rpc);
             } else if r.open && r.flying == 0 {
                 front.repeat(ctl, rpc);
@@ -641,13 +631,17 @@
     }
 
     /// A pick has ended: what its step left is told how.
-    pub fn ended(
-        &mut self, ctl: &mut dyn Ctl, rpc: usize, pick: usize, outcome: Outcome, elapsed: Ns, last: bool,
-        report: Option<&[f64]>,
-    ) {
-        let held = self.post.report_held.and_then(|at| report?.get(at).copied()).filter(|x| x.is_finite());
+    pub fn ended(&mut self, ctl: &mut dyn Ctl, rpc: usize, pick: usize, how: Outcome, took: Ns, last: bool) {
         if let Some(then) = self.rpcs[rpc].then.get_mut(pick).and_then(Option::take) {
-            then(self, ctl, Ended { outcome, elapsed, last, held });
+            then(self, ctl, how, took, last);
+        }
+    }
+
+    /// A machine's load report, where it tells the RPCs held.
+    pub fn reported(&mut self, ctl: &mut dyn Ctl, machine: usize, report: &[f64]) {
+        let held = self.post.report_held.and_then(|at| report.get(at)).filter(|x| x.is_finite());
+        if let (Some(held), Some(m)) = (held, self.machines.get_mut(machine)) {
+            m.others = ((held - (m.held - 1.0).max(0.0)).max(0.0), ctl.now());
         }
     }
 
@@ -706,24 +700,22 @@
     }
 
     /// What a pick's end tells of its machine and its build.
-    fn learn(&mut self, now: Ns, machine: usize, build: u32, row: usize, load: f64, ended: &Ended) {
+    fn learn(&mut self, now: Ns, machine: usize, build: u32, row: usize, load: f64, ended: (Outcome, Ns)) {
         let side = self.side(build);
         let m = &mut self.machines[machine];
         m.held = (m.held - 1.0).max(0.0);
-        if let Some(held) = ended.held {
-            m.others = ((held - m.held).max(0.0), now);
-        }
-        if matches!(ended.outcome, Outcome::Cancelled | Outcome::Void) || m.member.build != build {
+        let (outcome, took) = ended;
+        if matches!(outcome, Outcome::Cancelled | Outcome::Void) || m.member.build != build {
             return;
         }
-        let ok = ended.outcome == Outcome::Ok;
-        let error = matches!(ended.outcome, Outcome::Error | Outcome::Broken);
+        let ok = outcome == Outcome::Ok;
+        let error = matches!(outcome, Outcome::Error | Outcome::Broken);
         if ok || error {
             m.heard = now;
         }
         // A pick that timed out tells of a slow machine, not of an error.
-        if ok || ended.outcome == Outcome::TimedOut {
-            let (took, mean) = (ended.elapsed as f64, &mut self.means[row]);
+        if ok || outcome == Outcome::TimedOut {
+            let (took, mean) = (took as f64, &mut self.means[row]);
             if *mean == 0.0 {
                 *mean = took;
             } else if ok {
@@ -735,16 +727,16 @@
             *self.served.at(now) += 1;
         }
         // Each machine's first second is left out of what is held against a build.
-        if m.member.started.is_some_and(|at| now - ended.elapsed < at + SEC) {
+        if m.member.started.is_some_and(|at| now - took < at + SEC) {
             return;
         }
         let counts = m.counts.at(now);
         for (row, count) in [(ALL, u32::from(error)), (row_of(row), u32::from(error)), (DISPUTES, 0)] {
             counts[row] = add(counts[row], [1, count]);
         }
-        if !matches!(ended.outcome, Outcome::Full | Outcome::Unreachable) {
+        if !matches!(outcome, Outcome::Full | Outcome::Unreachable) {
             // A cold machine's times are told as if it were warm: like with like.
-            let took = ended.elapsed as f64 * m.warmth(now, &self.post.guard);
+            let took = took as f64 * m.warmth(now, &self.post.guard);
             self.samples[row][side].at(now).add(ok.then_some(took as Ns), load);
         }
     }
@@ -857,18 +849,31 @@
         slow.filter(|_| self.slower > 1)
     }
 
-    /// The rank test of a method's times.
+    /// The rank test of a method's times, bucket by bucket of time.
     fn slow(&mut self, row: usize, now: Ns) -> Option<String> {
-        let [new, old] =
-            [0, 1].map(|s| self.samples[row][s].last(now, KEPT).fold(Sample::default(), Sample::merge));
-        // Like with like: a machine that holds more answers later, whatever its build.
+        let [new, old] = &mut self.samples[row];
+        let pairs: Vec<_> = new.last(now, KEPT).zip(old.last(now, KEPT)).collect();
+        let both = pairs.into_iter().filter(|(new, old)| new.n * old.n > 0);
+        let z = rank_z(both.clone());
+        let [new, old] = both
+            .fold([Sample::default(), Sample::default()], |[a, b], (new, old)| [a.merge(new), b.merge(old)]);
+        // Like with like: a machine that holds more answers later, whatever its build; by no more than
+        // first picks may load it.
         let load = |s: &Sample| 1.0 + s.load / f64::from(s.n.max(1));
-        let lean = (load(&new) / load(&old)).max(1.0);
-        let slower = median(&new) > 1.25 * lean * median(&old);
+        let lean = (load(&new) / load(&old)).clamp(1.0, FILL);
+        // Most of its machines must be slower, three at the least: a sick machine is not a sick build.
+        let typical = |side: usize| {
+            let ours =
+                self.machines.iter().filter(|m| m.up() && usize::from(m.member.build < self.watched) == side);
+            let mut slow: Vec<f64> = ours.map(|m| m.slow).collect();
+            slow.sort_by(f64::total_cmp);
+            (slow.len(), slow.get(slow.len() / 2).copied().unwrap_or(1.0))
+        };
+        let ((many, ours), (_, theirs)) = (typical(0), typical(1));
+        let slower = median(&new) > 1.25 * lean * median(&old) && many >= 3 && ours > 1.25 * theirs;
         // Slower, but within the soft deadline, harms nobody; sending a good build back does.
         let soft = self.post.methods[row].soft_deadline;
         let late = new.late(soft) > old.late(soft) + 0.1;
-        let z = rank_z(&new, &old);
         // 2.6 for one test, 3.4 for a dozen methods and fronts; times that queue together count for half
         // as many, so 4.8.
         let harm = new.n >= 20 && old.n >= 20 && z > 4.8 && slower && late;
@@ -878,7 +883,7 @@
     }
 
     /// Clean long enough: the newest machine of this stage has run for the bake, and outcomes were seen.
-    fn baked(&self, now: Ns, told: Told, seen: u32) -> bool {
+    fn baked(&self, now: Ns, told: Standing, seen: u32) -> bool {
         let bake = (self.post.rollout.dwell + SEC).max(2 * SEC);
         let ours = self.machines.iter().filter(|m| m.member.build == told.build && m.up());
         let newest = ours.filter_map(|m| m.member.started).max().unwrap_or(i64::MIN / 2);
@@ -889,7 +894,7 @@
     }
 
     /// Keeps this front's vote standing: cast again once half its life is over or no answer came.
-    fn cast(&mut self, ctl: &mut dyn Ctl, told: Told, verdict: Verdict) {
+    fn cast(&mut self, ctl: &mut dyn Ctl, told: Standing, verdict: Verdict) {
         let (now, rollout) = (ctl.now(), &self.post.rollout);
         let vote = (told.build, told.stage, verdict);
         let stands = self.ballot.as_ref().is_some_and(|b| {
