--- a/adapter/src/seat.rs
+++ b/adapter/src/seat.rs
@@ -200,7 +200,6 @@
         Ok(Method {
             soft_deadline: conf.time(&at("aimMs"))?,
             utility: conf.num(&at("importance"))?,
-            late_utility: conf.num(&at("lateWorth"))?,
             repeat: conf.get(&at("idempotency"), Repeat::NonIdempotent, |word| match word {
                 "free" => Some(Repeat::Idempotent),
                 "guarded" => Some(Repeat::Tokened),
@@ -238,7 +237,6 @@
                 "automatic" => Some(Control::Automatic),
                 _ => None,
             })?,
-            parallel: conf.word("extra.layout") != "replace",
             caps: conf.list("extra.exposureCaps")?,
             free: conf.num("extra.free")?,
             window: conf.time("extra.windowMs")?,
@@ -248,12 +246,8 @@
             dwell: conf.time("extra.minDwellMs")?,
             vote_life: conf.time("extra.ballotTtlMs")?,
             call_timeout: conf.time("extra.apiTimeoutMs")?,
-            tally_every: conf.time("extra.tallyEveryMs")?,
-            staleness_price: conf.num("extra.staleBuildPrice")?,
-            harm_price: conf.num("extra.harmFee")?,
         },
         guard: Guard {
-            drain_grace: conf.time("invariants.drainGraceMs")?,
             ask_within: conf.time("invariants.askWithinMs")?,
             cold_from: conf.get("invariants.coldFrom", 1.0, number)?,
             cold_time: conf.time("invariants.coldMs")?,
@@ -262,9 +256,6 @@
         },
         rights: Rights {
             most_picks: conf.get("permissions.attemptsCap", 1, |w| number(w).map(|x| x as u32))?,
-            cancel: conf.flag("permissions.cancel")?,
-            overlap: conf.flag("permissions.parallelTries")?,
-            probing: conf.flag("permissions.probing")?,
             notes: conf.flag("permissions.peers")?,
             longest_wait: if conf.flag("permissions.retryAfter")? {
                 conf.time("permissions.maxRetryAfterMs")?
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -4,28 +4,29 @@
 pub type Ns = i64;
 
 /// May an RPC of this method run again?
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Repeat {
     Idempotent,
     /// Repeats are recognised, inside a group of machines and for a time.
     Tokened,
+    #[default]
     NonIdempotent,
 }
 
 /// The machines that recognise each other's repeats of a tokened RPC.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Group {
     All,
     Zone,
+    #[default]
     Cell,
 }
 
 /// One row a method.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Method {
     pub soft_deadline: Ns,
     pub utility: f64,
-    pub late_utility: f64,
     pub repeat: Repeat,
     pub group: Group,
     /// How long a repeat of a tokened RPC is recognised.
@@ -33,25 +34,24 @@
 }
 
 /// One row a tenant.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Tenant {
     /// RPCs a second over all fronts that count as within its share.
     pub quota: f64,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Control {
+    #[default]
     FirstVoice,
     ByCount,
     Automatic,
 }
 
 /// How a build comes in, as told at start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Rollout {
     pub control: Control,
-    /// Earlier machines stay until the release.
-    pub parallel: bool,
     /// The cap of each stage.
     pub caps: Vec<f64>,
     pub free: f64,
@@ -63,15 +63,11 @@
     pub dwell: Ns,
     pub vote_life: Ns,
     pub call_timeout: Ns,
-    pub tally_every: Ns,
-    pub staleness_price: f64,
-    pub harm_price: f64,
 }
 
 /// The figures of the five rules.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Guard {
-    pub drain_grace: Ns,
     /// Without a watch, news must be asked for this often.
     pub ask_within: Ns,
     pub cold_from: f64,
@@ -81,19 +77,16 @@
 }
 
 /// What this front may do.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Rights {
     pub most_picks: u32,
-    pub cancel: bool,
-    pub overlap: bool,
-    pub probing: bool,
     pub notes: bool,
     /// Longest wait that a client obeys after a pushback; 0: none is told.
     pub longest_wait: Ns,
 }
 
 /// All that a front is told at start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Post {
     pub number: u32,
     pub fronts: u32,
@@ -113,15 +106,16 @@
     pub rights: Rights,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum State {
     Up,
     Draining,
+    #[default]
     Gone,
 }
 
 /// One line of the roster.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Member {
     pub machine: usize,
     pub zone: u32,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,8 +6,8 @@
 //! use rockpick::{median, rank_z, Sample};
 //! let (mut new, mut old) = (Sample::default(), Sample::default());
 //! for ms in 0..30 {
-//!     old.add(Some((50 + ms) * 1_000_000), 0.0);
-//!     new.add(Some((90 + ms) * 1_000_000), 0.0);
+//!     old.add(Some((50 + ms) * 1_000_000));
+//!     new.add(Some((90 + ms) * 1_000_000));
 //! }
 //! assert!(rank_z([(&new, &old)].into_iter()) > 2.6 && median(&new) > median(&old));
 //! ```
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -13,6 +13,7 @@
 const SEC: Ns = 1_000 * MS;
 
 /// Multiply-with-carry.
+#[derive(Default)]
 struct Chance(u64);
 
 impl Chance {
@@ -50,9 +51,16 @@
         let (cells, newest, size) = (&self.cells, self.newest, self.cells.len() as i64);
         (0..size.min(n as i64)).map(move |back| &cells[(newest - back).rem_euclid(size) as usize])
     }
+}
 
-    fn clear(&mut self) {
-        self.cells.fill(T::default());
+/// Evidence is kept for 12 s: long enough for a quiet front, short enough for late badness to show.
+const KEPT: usize = 24;
+/// Its buckets, and the interval of the tests: the shortest that still gathers outcomes on a quiet front.
+const INTERVAL: Ns = SEC / 2;
+
+impl<T: Clone + Default> Default for Ring<T> {
+    fn default() -> Self {
+        Ring::new(INTERVAL, KEPT)
     }
 }
 
@@ -64,23 +72,19 @@
 pub struct Sample {
     bins: [u32; BINS],
     n: u32,
-    /// What the machines already held at the picks, summed.
-    load: f64,
 }
 
 impl Default for Sample {
     fn default() -> Self {
-        Sample { bins: [0; BINS], n: 0, load: 0.0 }
+        Sample { bins: [0; BINS], n: 0 }
     }
 }
 
 impl Sample {
     /// Adds an outcome: the time it took, or none for a failure.
-    pub fn add(&mut self, took: Option<Ns>, load: f64) {
-        let bin = took.map_or(BINS - 1, Self::bin);
-        self.bins[bin] += 1;
+    pub fn add(&mut self, took: Option<Ns>) {
+        self.bins[took.map_or(BINS - 1, Self::bin)] += 1;
         self.n += 1;
-        self.load += load;
     }
 
     fn bin(time: Ns) -> usize {
@@ -90,7 +94,6 @@
     fn merge(mut self, other: &Sample) -> Sample {
         self.bins.iter_mut().zip(&other.bins).for_each(|(a, b)| *a += b);
         self.n += other.n;
-        self.load += other.load;
         self
     }
 
@@ -173,11 +176,7 @@
     std::array::from_fn(|row| add(a[row], b[row]))
 }
 
-/// Evidence is kept for 12 s: long enough for a quiet front, short enough for late badness to show.
-const KEPT: usize = 24;
-/// Its buckets, and the interval of the tests: the shortest that still gathers outcomes on a quiet front.
-const INTERVAL: Ns = SEC / 2;
-
+#[derive(Default)]
 struct Machine {
     member: Member,
     /// RPCs of this front that it holds; what its last report said that it held besides, and when.
@@ -193,8 +192,8 @@
 
 impl Machine {
     fn new(member: Member, now: Ns, guard: &Guard) -> Machine {
-        let (counts, picked) = (Ring::new(INTERVAL, KEPT), Ring::new(guard.fall_time / 8, 9));
-        Machine { member, held: 0.0, others: (0.0, now), heard: now, slow: 1.0, counts, picked }
+        let picked = Ring::new(guard.fall_time / 8, 9);
+        Machine { member, others: (0.0, now), heard: now, slow: 1.0, picked, ..Machine::default() }
     }
 
     fn up(&self) -> bool {
@@ -229,12 +228,7 @@
     then: Vec<Option<Then>>,
 }
 
-struct Ballot {
-    vote: (u32, u32, Verdict),
-    cast: Ns,
-    counted: bool,
-}
-
+#[derive(Default)]
 pub struct Front {
     post: Post,
     chance: Chance,
@@ -266,7 +260,8 @@
     /// All counts before this trial, and the last note of each peer: when, build, sides.
     before: Counts,
     notes: Vec<(Ns, u32, [Counts; 2])>,
-    ballot: Option<Ballot>,
+    /// This front's vote, when it was cast, whether it counts.
+    ballot: Option<((u32, u32, Verdict), Ns, bool)>,
     slower: u32,
 }
 
@@ -274,45 +269,35 @@
 /// fleet asks for some; beyond it answers come late.
 const FILL: f64 = 1.6;
 
+/// Rates are taken over 4 s: some dozens of RPCs on a quiet front.
+const SPAN: Ns = 4 * SEC;
+
 const BEAT: u64 = 0;
 const WATCH: u64 = 1;
 
 impl Front {
     pub fn start(post: Post, ctl: &mut dyn Ctl) -> Front {
-        let (rows, guard) = (post.methods.len(), &post.guard);
+        let rows = post.methods.len();
         let scopes = if post.rollout.cap_per_method { rows } else { 1 };
         // 32 whole buckets of the cap's window count as taken, one more as exposed: never too many.
-        let exposure = (0..scopes).map(|_| Ring::new(post.rollout.window / 32, 33)).collect();
         if post.ask_roster {
             ctl.watch(true);
         }
         ctl.wake_at(ctl.now() + INTERVAL, BEAT);
+        let exposure = (0..scopes).map(|_| Ring::new(post.rollout.window / 32, 33)).collect();
+        let soft = post.methods.iter().map(|m| m.soft_deadline).min().unwrap_or(SEC).max(MS);
         Front {
             chance: Chance(post.seed | 1),
             born: ctl.now(),
-            soft: post.methods.iter().map(|m| m.soft_deadline).min().unwrap_or(SEC).max(MS),
-            machines: Vec::new(),
-            rpcs: Vec::new(),
-            open: 0,
-            budget: 5.0,
-            served: Ring::new(guard.fall_time.max(SEC) / 8, 17),
-            carry: 0.0,
-            means: vec![0.0; rows],
-            tenants: post.tenants.iter().map(|_| Ring::new(INTERVAL, 4)).collect(),
-            told: None,
-            watching: false,
             exposure,
-            bound: BTreeSet::new(),
-            keys: Ring::new(2 * SEC, 3),
-            bound_taken: Ring::new(INTERVAL, 8),
-            watched: 0,
-            samples: (0..rows).map(|_| [0, 1].map(|_| Ring::new(INTERVAL, KEPT))).collect(),
-            tallies: [0, 1].map(|_| Ring::new(INTERVAL, KEPT)),
-            before: Counts::default(),
-            notes: vec![(i64::MIN / 2, 0, Default::default()); post.fronts as usize],
-            ballot: None,
-            slower: 0,
+            soft,
+            served: Ring::new(SPAN / 16, 17),
+            means: vec![0.0; rows],
+            tenants: post.tenants.iter().map(|_| Ring::default()).collect(),
+            samples: (0..rows).map(|_| Default::default()).collect(),
+            notes: vec![Default::default(); post.fronts as usize],
             post,
+            ..Front::default()
         }
     }
 
@@ -358,7 +343,7 @@
 
     pub fn told(&mut self, ctl: &mut dyn Ctl, reply: Reply, news: Option<Standing>) {
         match (reply, &mut self.ballot) {
-            (Reply::Counted, Some(ballot)) => ballot.counted = true,
+            (Reply::Counted, Some(ballot)) => ballot.2 = true,
             // One that timed out may count: it is cast again all the same, which replaces it.
             (Reply::Refused | Reply::TimedOut, ballot) => *ballot = None,
             _ => {}
@@ -380,8 +365,8 @@
             self.before = merge(self.counted(now, 0), &self.counted(now, 1));
             self.watched = newest;
             self.bound.clear();
-            self.samples.iter_mut().flatten().for_each(Ring::clear);
-            self.tallies.iter_mut().for_each(Ring::clear);
+            self.samples.iter_mut().for_each(|sides| *sides = Default::default());
+            self.tallies = Default::default();
         }
     }
 
@@ -468,27 +453,28 @@
         self.first(ctl, rpc);
     }
 
+    /// Ok answers a second.
+    fn rate(&mut self, now: Ns) -> f64 {
+        let span = (now - self.born).clamp(SEC / 4, SPAN) as f64 / SEC as f64;
+        f64::from(self.served.last(now, 16).sum::<u32>()) / span
+    }
+
     /// More open RPCs than are served within the shortest soft deadline would all be served late. Those of
     /// the least utility for their work, and beyond a tenant's share, are turned away first.
     fn overfull(&mut self, now: Ns, method: usize, tenant: usize) -> bool {
-        let over = match (self.tenants.get_mut(tenant), self.post.tenants.get(tenant)) {
-            (Some(ring), Some(tenant)) => {
-                *ring.at(now) += 1;
-                // Over 2 s; fronts see even parts of a tenant, more or less.
-                let taken = ring.last(now, 4).sum::<u32>() * self.post.fronts;
-                f64::from(taken) > 2.0 * tenant.quota
-            }
-            _ => false,
-        };
-        let span = (now - self.born).min(2 * self.post.guard.fall_time.max(SEC)).max(SEC / 4);
-        let rate = f64::from(self.served.last(now, 17).sum::<u32>()) / span as f64;
+        let over = self.post.tenants.get(tenant).is_some_and(|t| {
+            *self.tenants[tenant].at(now) += 1;
+            // Over 2 s; fronts see even parts of a tenant, more or less.
+            let taken = self.tenants[tenant].last(now, 4).sum::<u32>() * self.post.fronts;
+            f64::from(taken) > 2.0 * t.quota
+        });
+        let rate = self.rate(now);
         let worth = |row: usize| self.post.methods[row].utility / self.means[row].max(MS as f64);
         let most = (0..self.means.len()).map(worth).fold(0.0, f64::max);
         let yields = worth(method) / most * if over { self.post.over_share_utility } else { 1.0 };
         // From four tenths of the shortest soft deadline for the least to eight for the most useful.
-        let limit = rate * self.soft as f64 * (0.4 + 0.4 * yields);
-        let up = self.machines.iter().filter(|m| m.up()).count();
-        f64::from(self.open) > limit.max(2.0 * up as f64)
+        let limit = rate * self.soft as f64 / SEC as f64 * (0.4 + 0.4 * yields);
+        f64::from(self.open) > limit.max(2.0 * self.machines.iter().filter(|m| m.up()).count() as f64)
     }
 
     /// The first pick: the build on trial while the cap has room and its machines hold it, else the earlier.
@@ -503,36 +489,28 @@
             (Some(t), Some(e)) if self.cost(t, now, true) > FILL * self.cost(e, now, true) => Some(e),
             (trial, earlier) => trial.or(earlier),
         };
-        match machine {
-            Some(machine) => self.pick(ctl, rpc, machine),
-            None => self.give_up(ctl, rpc),
-        }
+        self.pick(ctl, rpc, machine);
     }
 
-    fn pick(&mut self, ctl: &mut dyn Ctl, rpc: usize, machine: usize) {
+    fn pick(&mut self, ctl: &mut dyn Ctl, rpc: usize, machine: Option<usize>) {
         let (now, step) = (ctl.now(), self.post.step);
+        let Some(machine) = machine else { return self.give_up(ctl, rpc) };
         let r = &mut self.rpcs[rpc];
         let row = r.method;
         let method = &self.post.methods[row];
         let left = r.deadline - now - step;
         // An idempotent RPC's first pick is given up in time for another, once it is far later than usual.
-        let again = method.repeat == Repeat::Idempotent && r.then.is_empty();
-        let patience = (method.soft_deadline * 6 / 10).max(6 * self.means[row] as Ns);
-        let time_out = if again && self.post.rights.most_picks > 1 && self.budget >= 1.0 {
-            patience.min(left)
-        } else {
-            left
+        let patience = match method.repeat {
+            Repeat::Idempotent if r.then.is_empty() && self.budget >= 1.0 => {
+                (method.soft_deadline * 6 / 10).max(6 * self.means[row] as Ns)
+            }
+            _ => left,
         };
         r.flying += 1;
         r.last = machine;
         let m = &mut self.machines[machine];
         let mark = (m.member.zone, m.member.cell, now);
-        // Other fronts' picks there are told, or taken to be like ours.
-        let held = match self.post.report_held {
-            Some(_) => m.held + m.others.0,
-            None => m.held * f64::from(self.post.fronts),
-        };
-        let (build, load) = (m.member.build, held / m.member.weight.max(1e-6));
+        let build = m.member.build;
         if m.held < 1.0 {
             m.heard = now;
         }
@@ -543,7 +521,7 @@
             self.exposure[scope].at(now)[1] += 1;
         }
         self.rpcs[rpc].then.push(Some(Box::new(move |front, ctl, outcome, took, last| {
-            front.learn(ctl.now(), machine, build, row, load, (outcome, took));
+            front.learn(ctl.now(), machine, build, row, outcome, took);
             let r = &mut front.rpcs[rpc];
             r.flying -= 1;
             if !matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::Void) {
@@ -557,7 +535,7 @@
                 front.repeat(ctl, rpc);
             }
         })));
-        ctl.pick(rpc, machine, time_out.max(step));
+        ctl.pick(rpc, machine, patience.min(left).max(step));
     }
 
     /// Another pick, if the method, the time left and the budget of repeats allow one.
@@ -587,13 +565,8 @@
             None if self.room(row, now) => self.best(now, |m| m.build == build && other(m)),
             earlier => earlier,
         };
-        match machine {
-            Some(machine) => {
-                self.budget -= 1.0;
-                self.pick(ctl, rpc, machine);
-            }
-            None => self.give_up(ctl, rpc),
-        }
+        self.budget -= 1.0;
+        self.pick(ctl, rpc, machine);
     }
 
     /// Rule 2: after a pick that may have run, only what the method allows.
@@ -700,11 +673,10 @@
     }
 
     /// What a pick's end tells of its machine and its build.
-    fn learn(&mut self, now: Ns, machine: usize, build: u32, row: usize, load: f64, ended: (Outcome, Ns)) {
+    fn learn(&mut self, now: Ns, machine: usize, build: u32, row: usize, outcome: Outcome, took: Ns) {
         let side = self.side(build);
         let m = &mut self.machines[machine];
         m.held = (m.held - 1.0).max(0.0);
-        let (outcome, took) = ended;
         if matches!(outcome, Outcome::Cancelled | Outcome::Void) || m.member.build != build {
             return;
         }
@@ -737,7 +709,7 @@
         if !matches!(outcome, Outcome::Full | Outcome::Unreachable) {
             // A cold machine's times are told as if it were warm: like with like.
             let took = took as f64 * m.warmth(now, &self.post.guard);
-            self.samples[row][side].at(now).add(ok.then_some(took as Ns), load);
+            self.samples[row][side].at(now).add(ok.then_some(took as Ns));
         }
     }
 
@@ -785,9 +757,7 @@
     fn beat(&mut self, ctl: &mut dyn Ctl) {
         let now = ctl.now();
         let sizes: f64 = self.machines.iter().filter(|m| m.up()).map(|m| m.size(now, &self.post.guard)).sum();
-        let rate = f64::from(self.served.last(now, 17).sum::<u32>())
-            / (2 * self.post.guard.fall_time.max(SEC)) as f64
-            * SEC as f64;
+        let rate = self.rate(now) * (now - self.born).min(SPAN) as f64 / SPAN as f64;
         // What machines once carried they can carry again; forgotten by half in half a minute.
         self.carry = (0.99 * self.carry).max(rate / sizes.max(1e-6));
         let Some(told) = self.told else { return };
@@ -806,9 +776,10 @@
         let fresh = |n: &&(Ns, u32, [Counts; 2])| n.1 == told.build && now - n.0 < 3 * INTERVAL;
         let notes = self.notes.iter().filter(fresh);
         let pooled = notes.fold(own, |sum, (_, _, n)| [merge(sum[0], &n[0]), merge(sum[1], &n[1])]);
-        let judged = |b: &Ballot| (b.vote.0, b.vote.2) == (told.build, Verdict::Back);
-        let went_back = self.ballot.as_ref().is_some_and(judged);
-        if went_back {
+        if self
+            .ballot
+            .is_some_and(|((build, _, verdict), ..)| (build, verdict) == (told.build, Verdict::Back))
+        {
             self.cast(ctl, told, Verdict::Back);
         } else if let Some(why) = self.harm(now, own, pooled) {
             ctl.note(&format!("back {}: {why}", told.build));
@@ -857,10 +828,6 @@
         let z = rank_z(both.clone());
         let [new, old] = both
             .fold([Sample::default(), Sample::default()], |[a, b], (new, old)| [a.merge(new), b.merge(old)]);
-        // Like with like: a machine that holds more answers later, whatever its build; by no more than
-        // first picks may load it.
-        let load = |s: &Sample| 1.0 + s.load / f64::from(s.n.max(1));
-        let lean = (load(&new) / load(&old)).clamp(1.0, FILL);
         // Most of its machines must be slower, three at the least: a sick machine is not a sick build.
         let typical = |side: usize| {
             let ours =
@@ -870,7 +837,8 @@
             (slow.len(), slow.get(slow.len() / 2).copied().unwrap_or(1.0))
         };
         let ((many, ours), (_, theirs)) = (typical(0), typical(1));
-        let slower = median(&new) > 1.25 * lean * median(&old) && many >= 3 && ours > 1.25 * theirs;
+        // Like with like: first picks may keep its machines fuller, and fuller ones answer later.
+        let slower = median(&new) > 1.25 * FILL * median(&old) && many >= 3 && ours > 1.25 * theirs;
         // Slower, but within the soft deadline, harms nobody; sending a good build back does.
         let soft = self.post.methods[row].soft_deadline;
         let late = new.late(soft) > old.late(soft) + 0.1;
@@ -897,13 +865,13 @@
     fn cast(&mut self, ctl: &mut dyn Ctl, told: Standing, verdict: Verdict) {
         let (now, rollout) = (ctl.now(), &self.post.rollout);
         let vote = (told.build, told.stage, verdict);
-        let stands = self.ballot.as_ref().is_some_and(|b| {
-            let life = if b.counted { rollout.vote_life / 2 } else { rollout.call_timeout + INTERVAL };
-            b.vote == vote && now - b.cast < life
+        let stands = self.ballot.is_some_and(|(standing, cast, counted)| {
+            let life = if counted { rollout.vote_life / 2 } else { rollout.call_timeout + INTERVAL };
+            standing == vote && now - cast < life
         });
         if !stands {
             ctl.vote(told.build, told.stage, verdict);
-            self.ballot = Some(Ballot { vote, cast: now, counted: false });
+            self.ballot = Some((vote, now, false));
         }
     }
 }
