--- a/adapter/src/seat.rs
+++ b/adapter/src/seat.rs
@@ -378,8 +378,8 @@
                 let tag = line.int("tag")?;
                 go!(woke(tag));
             }
-            // The module asks for no probe, so no answer to one concerns it.
-            "HEALTH" => {}
+            // The module asks for no probe, and its rounds showed no use for the platform's tallies.
+            "HEALTH" | "PLATFORM_SAW" => {}
             "INBOX" => {
                 let from = line.int("srcPeer")?;
                 let note = line.may("content", bytes)?.unwrap_or_default();
@@ -408,15 +408,6 @@
                 let news = phase.filter(|_| status == Outcome::Ok);
                 go!(told(reply, news.map(|phase| Standing { build, stage, phase, cap, since: now - age })));
             }
-            "PLATFORM_SAW" => {
-                let build = line.int("buildNo")?;
-                let method = line.int::<usize>("service")?;
-                let picks = line.int("attempts")?;
-                line.may("elapsedMs", nanos)?;
-                let failed = line.int("notOk")?;
-                line.may("oldMs", nanos)?;
-                go!(tally(build, method, picks, failed));
-            }
             "DISPUTED" => {
                 line.may("oldMs", nanos)?;
                 let machine = self.door.machine(line.word("machine")?);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -64,22 +64,16 @@
     }
 }
 
-/// Log buckets of time, eight to the doubling (a step of 9%: finer than any margin used) from 4 ms up to
-/// 15 s; the last one holds the failures, so they rank slowest.
-const BINS: usize = 97;
+/// Log buckets of time, three to the doubling from 4 ms up to 5 s: steps of 26%, as fine as the margins ask.
+/// The last one holds the failures, so they rank slowest.
+const BINS: usize = 32;
 
-#[derive(Clone)]
+#[derive(Clone, Default)]
 pub struct Sample {
     bins: [u32; BINS],
     n: u32,
 }
 
-impl Default for Sample {
-    fn default() -> Self {
-        Sample { bins: [0; BINS], n: 0 }
-    }
-}
-
 impl Sample {
     /// Adds an outcome: the time it took, or none for a failure.
     pub fn add(&mut self, took: Option<Ns>) {
@@ -88,7 +82,7 @@
     }
 
     fn bin(time: Ns) -> usize {
-        ((time.max(1) as f64 / (4 * MS) as f64).log2() * 8.0).clamp(0.0, (BINS - 2) as f64) as usize
+        ((time.max(1) as f64 / (4 * MS) as f64).log2() * 3.0).clamp(0.0, (BINS - 2) as f64) as usize
     }
 
     fn merge(mut self, other: &Sample) -> Sample {
@@ -125,13 +119,11 @@
 
 /// The median's bucket, as a time in units of 4 ms.
 pub fn median(sample: &Sample) -> f64 {
-    let mut left = sample.n / 2;
-    let bin = sample.bins.iter().position(|&count| {
-        let here = left < count;
-        left = left.saturating_sub(count);
-        here
+    let sums = sample.bins.iter().scan(0, |sum, count| {
+        *sum += count;
+        Some(*sum)
     });
-    (bin.unwrap_or(0) as f64 / 8.0).exp2()
+    (sums.take_while(|sum| *sum <= sample.n / 2).count() as f64 / 3.0).exp2()
 }
 
 /// Picks and failures.
@@ -196,6 +188,11 @@
         Machine { member, others: (0.0, now), heard: now, slow: 1.0, picked, ..Machine::default() }
     }
 
+    /// A report is forgotten within seconds, or a machine would be shunned for what it once said.
+    fn reported(&self, now: Ns) -> f64 {
+        self.others.0 * (-((now - self.others.1) as f64) / SEC as f64).exp()
+    }
+
     fn up(&self) -> bool {
         self.member.state == State::Up
     }
@@ -253,16 +250,18 @@
     bound: BTreeSet<u64>,
     keys: Ring<Vec<u32>>,
     bound_taken: Ring<Count>,
-    /// The newest build; its times and the earlier ones' (sides 0 and 1), by method; tallies by side.
+    /// The newest build; its times and the earlier ones' (sides 0 and 1), by method and load.
     watched: u32,
     samples: Vec<[Ring<Sample>; 2]>,
-    tallies: [Ring<Counts>; 2],
     /// All counts before this trial, and the last note of each peer: when, build, sides.
     before: Counts,
     notes: Vec<(Ns, u32, [Counts; 2])>,
+    /// The earlier build's times before this trial, by method and load.
+    past: Vec<Sample>,
     /// This front's vote, when it was cast, whether it counts.
     ballot: Option<((u32, u32, Verdict), Ns, bool)>,
-    slower: u32,
+    /// For how many intervals each test of times has found harm.
+    lasts: [u32; 2],
 }
 
 /// How much fuller than earlier machines first picks may keep those on trial: a cap above their share of the
@@ -272,6 +271,9 @@
 /// Rates are taken over 4 s: some dozens of RPCs on a quiet front.
 const SPAN: Ns = 4 * SEC;
 
+/// Times are held only against those of picks at like load: 0, 1, 2, or more RPCs on the machine.
+const LOADS: usize = 4;
+
 const BEAT: u64 = 0;
 const WATCH: u64 = 1;
 
@@ -294,7 +296,7 @@
             served: Ring::new(SPAN / 16, 17),
             means: vec![0.0; rows],
             tenants: post.tenants.iter().map(|_| Ring::default()).collect(),
-            samples: (0..rows).map(|_| Default::default()).collect(),
+            samples: (0..rows * LOADS).map(|_| Default::default()).collect(),
             notes: vec![Default::default(); post.fronts as usize],
             post,
             ..Front::default()
@@ -365,8 +367,11 @@
             self.before = merge(self.counted(now, 0), &self.counted(now, 1));
             self.watched = newest;
             self.bound.clear();
-            self.samples.iter_mut().for_each(|sides| *sides = Default::default());
-            self.tallies = Default::default();
+            let both = |sides: &mut [Ring<Sample>; 2]| {
+                let [new, old] = std::mem::take(sides);
+                new.cells.iter().chain(&old.cells).fold(Sample::default(), Sample::merge)
+            };
+            self.past = self.samples.iter_mut().map(both).collect();
         }
     }
 
@@ -389,9 +394,8 @@
     /// What a pick there is expected to cost: its load and speed, and, beyond `bare`, its sickness.
     fn cost(&mut self, machine: usize, now: Ns, bare: bool) -> f64 {
         let m = &mut self.machines[machine];
-        // A report is forgotten within seconds, or a machine would be shunned for what it once said.
-        let others = m.others.0 * (-((now - m.others.1) as f64) / SEC as f64).exp();
-        let mut cost = (m.held + others + 1.0) / m.size(now, &self.post.guard) * m.slow.max(0.1).sqrt();
+        let mut cost =
+            (m.held + m.reported(now) + 1.0) / m.size(now, &self.post.guard) * m.slow.max(0.1).sqrt();
         if !bare {
             // A machine that fails draws fewer picks, not none: it must be seen to recover.
             let count = m.counts.last(now, 8).fold([0, 0], |sum, counts| add(sum, counts[ALL]));
@@ -510,7 +514,8 @@
         r.last = machine;
         let m = &mut self.machines[machine];
         let mark = (m.member.zone, m.member.cell, now);
-        let build = m.member.build;
+        let (build, load) = (m.member.build, (m.held + m.reported(now)) as usize);
+        let cell = row * LOADS + load.min(LOADS - 1);
         if m.held < 1.0 {
             m.heard = now;
         }
@@ -521,7 +526,7 @@
             self.exposure[scope].at(now)[1] += 1;
         }
         self.rpcs[rpc].then.push(Some(Box::new(move |front, ctl, outcome, took, last| {
-            front.learn(ctl.now(), machine, build, row, outcome, took);
+            front.learn(ctl.now(), machine, build, cell, outcome, took);
             let r = &mut front.rpcs[rpc];
             r.flying -= 1;
             if !matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::Void) {
@@ -530,7 +535,7 @@
             let answered = outcome == Outcome::Ok && build == front.watched;
             front.bound.extend(r.key.filter(|_| answered && front.post.rollout.one_way));
             if last {
-                front.close(rpc);
+                front.left(rpc);
             } else if r.open && r.flying == 0 {
                 front.repeat(ctl, rpc);
             }
@@ -543,12 +548,18 @@
         let now = ctl.now();
         let r = &self.rpcs[rpc];
         let (row, mark, last, build) = (r.method, r.mark, r.last, self.watched);
-        let (repeat, group) = (self.post.methods[row].repeat, self.post.methods[row].group);
+        let Method { repeat, group, remembered, .. } = self.post.methods[row];
         let until = r.deadline - self.post.step;
         // A repeat that cannot end in time only adds load.
         let useful = now + self.means[row] as Ns / 2 <= until;
         let allowed = useful && r.then.len() < self.post.rights.most_picks as usize && self.budget >= 1.0;
-        if !allowed || !self.may_repeat(rpc, now) {
+        // Rule 2: after a pick that may have run, only what the method allows.
+        let harmless = match (mark, repeat) {
+            (None, _) | (_, Repeat::Idempotent) => true,
+            (Some((.., sent)), Repeat::Tokened) => now < sent + remembered - 2 * self.post.step,
+            (_, Repeat::NonIdempotent) => false,
+        };
+        if !allowed || !harmless {
             return self.give_up(ctl, rpc);
         }
         let bound = r.key.is_some_and(|key| self.bound.contains(&key));
@@ -569,17 +580,6 @@
         self.pick(ctl, rpc, machine);
     }
 
-    /// Rule 2: after a pick that may have run, only what the method allows.
-    fn may_repeat(&self, rpc: usize, now: Ns) -> bool {
-        let r = &self.rpcs[rpc];
-        let method = &self.post.methods[r.method];
-        match (r.mark, method.repeat) {
-            (None, _) | (_, Repeat::Idempotent) => true,
-            (Some((_, _, sent)), Repeat::Tokened) => now < sent + method.remembered - 2 * self.post.step,
-            (_, Repeat::NonIdempotent) => false,
-        }
-    }
-
     /// The final answer at once: a pushback wherever it is harmless, with the time to come back.
     fn give_up(&mut self, ctl: &mut dyn Ctl, rpc: usize) {
         let r = &self.rpcs[rpc];
@@ -594,13 +594,7 @@
         } else {
             ctl.abort(rpc);
         }
-        self.close(rpc);
-    }
-
-    fn close(&mut self, rpc: usize) {
-        if std::mem::take(&mut self.rpcs[rpc].open) {
-            self.open -= 1;
-        }
+        self.left(rpc);
     }
 
     /// A pick has ended: what its step left is told how.
@@ -618,9 +612,11 @@
         }
     }
 
-    /// The client has gone, or owns the streamed answer that has begun: nothing is owed any more.
+    /// Answered, or the client has gone, or owns a streamed answer that has begun: nothing is owed now.
     pub fn left(&mut self, rpc: usize) {
-        self.close(rpc);
+        if std::mem::take(&mut self.rpcs[rpc].open) {
+            self.open -= 1;
+        }
     }
 
     // ---- exposure
@@ -673,7 +669,8 @@
     }
 
     /// What a pick's end tells of its machine and its build.
-    fn learn(&mut self, now: Ns, machine: usize, build: u32, row: usize, outcome: Outcome, took: Ns) {
+    fn learn(&mut self, now: Ns, machine: usize, build: u32, cell: usize, outcome: Outcome, took: Ns) {
+        let row = cell / LOADS;
         let side = self.side(build);
         let m = &mut self.machines[machine];
         m.held = (m.held - 1.0).max(0.0);
@@ -709,7 +706,8 @@
         if !matches!(outcome, Outcome::Full | Outcome::Unreachable) {
             // A cold machine's times are told as if it were warm: like with like.
             let took = took as f64 * m.warmth(now, &self.post.guard);
-            self.samples[row][side].at(now).add(ok.then_some(took as Ns));
+            let took = ok.then_some(took as Ns);
+            self.samples[cell][side].at(now).add(took);
         }
     }
 
@@ -720,13 +718,6 @@
         }
     }
 
-    pub fn tally(&mut self, ctl: &mut dyn Ctl, build: u32, method: usize, picks: u32, failed: u32) {
-        let counts = self.tallies[self.side(build)].at(ctl.now());
-        for row in [ALL, row_of(method)] {
-            counts[row] = add(counts[row], [picks, failed]);
-        }
-    }
-
     /// A peer's note: its counts of both sides, if they are of the same build.
     pub fn heard(&mut self, ctl: &mut dyn Ctl, from: usize, note: &[u8]) {
         let words: Vec<u32> = note.chunks_exact(2).map(|b| u32::from(b[0]) << 8 | u32::from(b[1])).collect();
@@ -776,10 +767,8 @@
         let fresh = |n: &&(Ns, u32, [Counts; 2])| n.1 == told.build && now - n.0 < 3 * INTERVAL;
         let notes = self.notes.iter().filter(fresh);
         let pooled = notes.fold(own, |sum, (_, _, n)| [merge(sum[0], &n[0]), merge(sum[1], &n[1])]);
-        if self
-            .ballot
-            .is_some_and(|((build, _, verdict), ..)| (build, verdict) == (told.build, Verdict::Back))
-        {
+        let back = |vote: (u32, u32, Verdict)| (vote.0, vote.2) == (told.build, Verdict::Back);
+        if self.ballot.is_some_and(|(vote, ..)| back(vote)) {
             self.cast(ctl, told, Verdict::Back);
         } else if let Some(why) = self.harm(now, own, pooled) {
             ctl.note(&format!("back {}: {why}", told.build));
@@ -800,13 +789,7 @@
         let rows = self.post.methods.len();
         // The chance of a false alarm, one in a thousand for the tier, shared by its fronts and methods.
         let odds = 1e-3 / f64::from(self.post.fronts.max(1)) / (rows + 1) as f64;
-        let mut sources = vec![("own", own), ("pooled", pooled)];
-        // Tallies do not tell errors from time-outs: they count where an error was seen here too.
-        if own[0][ALL][1] > 0 {
-            let sides = [0, 1].map(|s| self.tallies[s].last(now, KEPT).fold(Default::default(), merge));
-            sources.push(("tallied", sides));
-        }
-        for (source, [new, old]) in sources {
+        for (source, [new, old]) in [("own", own), ("pooled", pooled)] {
             // Where earlier machines are gone, the reference is what was seen before the trial.
             let old = if old[ALL][0] < 30 { self.before } else { old };
             let bad = (0..ROWS).find(|&row| old[ALL][0] >= 30 && deviates(new[row], old[row], odds));
@@ -815,23 +798,40 @@
             }
         }
         let slow = (0..rows).find_map(|row| self.slow(row, now));
-        // Once may be a queue that passes: it must last for two intervals.
-        self.slower = if slow.is_some() { self.slower + 1 } else { 0 };
-        slow.filter(|_| self.slower > 1)
-    }
-
-    /// The rank test of a method's times, bucket by bucket of time.
+        let worse = if self.on_trial(self.watched).is_some() { self.worse(now) } else { None };
+        // A queue may pass within two intervals, most bursts within eight.
+        self.lasts = [(&slow, 0), (&worse, 1)].map(|(why, i)| why.as_ref().map_or(0, |_| self.lasts[i] + 1));
+        slow.filter(|_| self.lasts[0] > 1).or(worse.filter(|_| self.lasts[1] > 7))
+    }
+
+    /// A build that slows every machine hides from a test against the earlier one: so the earlier one's times
+    /// are ranked against its own from before the trial, at like load, all methods together.
+    fn worse(&mut self, now: Ns) -> Option<String> {
+        let recent =
+            |sides: &mut [Ring<Sample>; 2]| sides[1].last(now, 6).fold(Sample::default(), Sample::merge);
+        let olds: Vec<Sample> = self.samples.iter_mut().map(recent).collect();
+        let z = rank_z(olds.iter().zip(&self.past));
+        let sum = |s: &[Sample]| s.iter().fold(Sample::default(), Sample::merge);
+        let (old, past) = (sum(&olds), sum(&self.past));
+        let slower = old.late(self.soft) > past.late(self.soft) + 0.1 && median(&old) > 1.25 * median(&past);
+        let harm = old.n >= 20 && past.n >= 20 && slower && z > 4.8;
+        harm.then(|| format!("earlier build's times against those before: z {z:.1}"))
+    }
+
+    /// The rank test of a method's times, by buckets of time and load.
     fn slow(&mut self, row: usize, now: Ns) -> Option<String> {
-        let [new, old] = &mut self.samples[row];
-        let pairs: Vec<_> = new.last(now, KEPT).zip(old.last(now, KEPT)).collect();
-        let both = pairs.into_iter().filter(|(new, old)| new.n * old.n > 0);
-        let z = rank_z(both.clone());
-        let [new, old] = both
-            .fold([Sample::default(), Sample::default()], |[a, b], (new, old)| [a.merge(new), b.merge(old)]);
+        let mut z = Vec::new();
+        let [mut new, mut old] = [Sample::default(), Sample::default()];
+        for [a, b] in &mut self.samples[row * LOADS..(row + 1) * LOADS] {
+            for pair in a.last(now, KEPT).zip(b.last(now, KEPT)).filter(|(a, b)| a.n * b.n > 0) {
+                z.push(pair);
+                (new, old) = (new.merge(pair.0), old.merge(pair.1));
+            }
+        }
+        let z = rank_z(z.into_iter());
         // Most of its machines must be slower, three at the least: a sick machine is not a sick build.
         let typical = |side: usize| {
-            let ours =
-                self.machines.iter().filter(|m| m.up() && usize::from(m.member.build < self.watched) == side);
+            let ours = self.machines.iter().filter(|m| m.up() && self.side(m.member.build) == side);
             let mut slow: Vec<f64> = ours.map(|m| m.slow).collect();
             slow.sort_by(f64::total_cmp);
             (slow.len(), slow.get(slow.len() / 2).copied().unwrap_or(1.0))
