One-way keys stay bound until told; times judged only on trial, moving with its share

Keys now carry the build that answered them, and only the platform's word frees them; picks at a build still on trial beside a newer one count against its cap.

--- a/adapter/src/seat.rs
+++ b/adapter/src/seat.rs
@@ -2,7 +2,7 @@
 use crate::read::{armour, bytes, nanos, number, Bad, Line, Pairs};
 use rockpick::{
     Control, Ctl, Front, Group, Guard, Member, Method, Ns, Outcome, Phase, Post, Repeat, Reply, Rights, Roll,
-    Rollout, Standing, State, Tenant, Verdict,
+    Rollout, Standing, State, Verdict,
 };
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write;
@@ -215,8 +215,6 @@
             remembered: conf.time(&at("windowMs"))?,
         })
     });
-    let tenants = (0..conf.int("tenants.count")?)
-        .map(|row| Ok(Tenant { quota: conf.num(&format!("tenants.{row}.quotaPerS"))? }));
     let columns = conf.word("reporting.columns");
     Ok(Post {
         number: conf.int("rank")?,
@@ -226,10 +224,8 @@
         ask_roster: conf.word("discovery") == "subscribe",
         step: conf.time("stepMs")?,
         cross_zone_price: conf.num("charges.crossZone")?,
-        over_share_utility: conf.get("overShareWorth", 1.0, number)?,
         report_held: columns.split(',').position(|name| name == "concurrent"),
         methods: methods.collect::<Result<_, Bad>>()?,
-        tenants: tenants.collect::<Result<_, Bad>>()?,
         rollout: Rollout {
             control: conf.get("extra.control", Control::FirstVoice, |word| match word {
                 "first_voice" => Some(Control::FirstVoice),
@@ -328,12 +324,12 @@
             "REQ" => {
                 let id = line.hex("req")?;
                 let method = line.int::<usize>("service")?;
-                let tenant = line.may("party", |w| w.parse::<usize>().ok())?.unwrap_or(0);
+                line.may("party", |w| w.parse::<usize>().ok())?;
                 let key = line.may("subject", |w| w.parse::<u64>().ok())?;
                 let deadline = line.time("deadlineMs")?;
                 line.may("workHintMs", number)?;
                 let rpc = self.door.rpc(id);
-                go!(taken(rpc, method, tenant, key, deadline));
+                go!(taken(rpc, method, key, deadline));
                 self.door.sweep(rpc);
             }
             "ACCEPTED" => {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -33,13 +33,6 @@
     pub remembered: Ns,
 }
 
-/// One row a tenant.
-#[derive(Clone, Debug, Default)]
-pub struct Tenant {
-    /// RPCs a second over all fronts that count as within its share.
-    pub quota: f64,
-}
-
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Control {
     #[default]
@@ -96,11 +89,9 @@
     pub ask_roster: bool,
     pub step: Ns,
     pub cross_zone_price: f64,
-    pub over_share_utility: f64,
     /// Which figure of a load report tells the RPCs a machine holds.
     pub report_held: Option<usize>,
     pub methods: Vec<Method>,
-    pub tenants: Vec<Tenant>,
     pub rollout: Rollout,
     pub guard: Guard,
     pub rights: Rights,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -7,7 +7,7 @@
 //! From top to bottom: chance and rings, the rank test, machines and routing, the steps of an RPC,
 //! exposure, evidence on the watched build, votes.
 use crate::interface::*;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 const MS: Ns = 1_000_000;
 const SEC: Ns = 1_000 * MS;
@@ -143,8 +143,8 @@
 pub fn deviates(new: Count, old: Count, odds: f64) -> bool {
     // One failure in 150 is granted beyond what the earlier build shows, so little is not none.
     let rate = (f64::from(old[1]) + 1.0) / (f64::from(old[0]) + 150.0);
-    // The margin: one failure, or under 2 points of difference, is not worth a rollback's staleness.
-    if new[1] < 2 || share(new) < rate + 0.02 {
+    // The margin: one failure, or under a point of difference, is not worth a rollback's staleness.
+    if new[1] < 2 || share(new) < rate + 0.01 {
         return false;
     }
     let mean = f64::from(new[0]) * rate;
@@ -245,13 +245,12 @@
     carry: f64,
     /// Mean time of a method's ok picks.
     means: Vec<f64>,
-    tenants: Vec<Ring<u32>>,
     told: Option<Standing>,
     watching: bool,
     /// RPCs taken and picks at builds on trial: a row a method, or one where the cap is for all.
     exposure: Vec<Ring<Count>>,
-    /// One-way keys that the build on trial has answered; how often keys come; RPCs with a bound key.
-    bound: BTreeSet<u64>,
+    /// One-way keys and the newest build that answered them; how often keys come; RPCs with a bound key.
+    bound: BTreeMap<u64, u32>,
     keys: Ring<BTreeMap<u64, u32>>,
     bound_taken: Ring<Count>,
     /// The newest build; its times and the earlier ones' (sides 0 and 1), by method and load.
@@ -265,8 +264,8 @@
     /// This front's vote, when it was cast, whether it counts.
     ballot: Option<((u32, u32, Verdict), Ns, bool)>,
     condemned: u32,
-    /// For how many intervals each test of times has found harm.
-    lasts: [u32; 2],
+    /// For how many intervals times have shown harm.
+    lasts: u32,
 }
 
 /// How much fuller first picks may keep machines on trial: a cap above their share asks for some.
@@ -299,7 +298,6 @@
             exposure,
             soft,
             means: vec![0.0; rows],
-            tenants: post.tenants.iter().map(|_| Ring::default()).collect(),
             samples: (0..rows * LOADS).map(|_| Default::default()).collect(),
             notes: vec![Default::default(); post.fronts as usize],
             post,
@@ -354,8 +352,10 @@
         }
         self.told = news.or(self.told);
         self.watch_newest(ctl.now());
-        if self.told.is_some_and(|t| matches!(t.phase, Phase::GoingBack | Phase::Withdrawn)) {
-            self.bound.clear();
+        if let Some(t) = news {
+            // Only this word frees the keys of a build; that a newer one is listed does not.
+            let stays = matches!(t.phase, Phase::OnTrial | Phase::Released);
+            self.bound.retain(|_, build| *build > t.build || *build == t.build && stays);
         }
     }
 
@@ -366,7 +366,6 @@
         if newest > self.watched {
             self.before = merge(self.counted(now, 0), &self.counted(now, 1));
             self.watched = newest;
-            self.bound.clear();
             let both = |[new, old]: [Ring<Sample>; 2]| Sample::sum(new.cells.iter().chain(&old.cells));
             self.past = self.samples.iter_mut().map(|sides| both(std::mem::take(sides))).collect();
         }
@@ -416,17 +415,14 @@
 
     // ---- the steps of an RPC
 
-    pub fn taken(
-        &mut self, ctl: &mut dyn Ctl, rpc: usize, method: usize, tenant: usize, key: Option<u64>,
-        deadline: Ns,
-    ) {
+    pub fn taken(&mut self, ctl: &mut dyn Ctl, rpc: usize, method: usize, key: Option<u64>, deadline: Ns) {
         let now = ctl.now();
         let scope = self.scope(method);
         self.exposure[scope].at(now)[0] += 1;
         self.budget = (self.budget + 0.2).min(20.0);
         if let Some(key) = key {
             let count = self.bound_taken.at(now);
-            *count = add(*count, [1, u32::from(self.bound.contains(&key))]);
+            *count = add(*count, [1, u32::from(self.bound.get(&key) == Some(&self.watched))]);
             *self.keys.at(now).entry(key).or_default() += 1;
         }
         if self.rpcs.len() <= rpc {
@@ -434,7 +430,7 @@
         }
         self.rpcs[rpc] = Rpc { method, key, deadline, open: true, last: usize::MAX, ..Rpc::default() };
         self.open += 1;
-        if self.overfull(now, method, tenant) {
+        if self.overfull(now, method) {
             return self.give_up(ctl, rpc);
         }
         self.first(ctl, rpc);
@@ -447,17 +443,11 @@
     }
 
     /// More open RPCs than are served within the shortest soft deadline would all be served late. Those of
-    /// the least utility for their work, and beyond a tenant's share, are turned away first.
-    fn overfull(&mut self, now: Ns, method: usize, tenant: usize) -> bool {
-        let over = self.post.tenants.get(tenant).is_some_and(|t| {
-            *self.tenants[tenant].at(now) += 1;
-            // Over 2 s; fronts see even parts of a tenant, more or less.
-            let taken = self.tenants[tenant].last(now, 4).sum::<u32>() * self.post.fronts;
-            f64::from(taken) > 2.0 * t.quota
-        });
+    /// the least utility for their work are turned away first.
+    fn overfull(&self, now: Ns, method: usize) -> bool {
         let worth = |row: usize| self.post.methods[row].utility / self.means[row].max(MS as f64);
         let most = (0..self.means.len()).map(worth).fold(0.0, f64::max);
-        let yields = worth(method) / most * if over { self.post.over_share_utility } else { 1.0 };
+        let yields = worth(method) / most;
         // From four tenths of the shortest soft deadline for the least to eight for the most useful.
         let limit = self.rate(now) * self.soft as f64 / SEC as f64 * (0.4 + 0.4 * yields);
         f64::from(self.open) > limit.max(2.0 * self.machines.iter().filter(|m| m.up()).count() as f64)
@@ -467,15 +457,29 @@
     fn first(&mut self, ctl: &mut dyn Ctl, rpc: usize) {
         let now = ctl.now();
         let (method, key, build) = (self.rpcs[rpc].method, self.rpcs[rpc].key, self.watched);
-        let bound = key.is_some_and(|key| self.bound.contains(&key));
-        let room = self.room(method, now) && (bound || self.may_bind(key, now));
+        let bound = self.bound_to(key) == build;
+        let room = self.room(build, method, now) && (bound || self.may_bind(key, now));
         let trial = if room { self.best(now, |m| m.build == build) } else { None };
-        let earlier = if bound { None } else { self.best(now, |m| m.build < build) };
+        let earlier = self.earlier(rpc, now, |_| true);
         let busy = |i: usize| self.machines[i].busy(now, &self.post.guard);
         let full = trial.zip(earlier).is_some_and(|(t, e)| busy(t) > FILL * busy(e));
         self.pick(ctl, rpc, if full { earlier } else { trial.or(earlier) });
     }
 
+    /// The build that a one-way key is bound to; it goes to no earlier one.
+    fn bound_to(&self, key: Option<u64>) -> u32 {
+        key.and_then(|key| self.bound.get(&key)).copied().unwrap_or(0)
+    }
+
+    /// The best machine of builds before the newest: those past their trial, and the one on trial within
+    /// its cap where a newer one is listed already.
+    fn earlier(&mut self, rpc: usize, now: Ns, fits: impl Fn(&Member) -> bool) -> Option<usize> {
+        let (method, least) = (self.rpcs[rpc].method, self.bound_to(self.rpcs[rpc].key));
+        let (newest, told) = (self.watched, self.told.map_or(0, |t| t.build));
+        let most = if self.room(told, method, now) { told + 1 } else { told };
+        self.best(now, |m| (least..newest.min(most)).contains(&m.build) && fits(m))
+    }
+
     fn pick(&mut self, ctl: &mut dyn Ctl, rpc: usize, machine: Option<usize>) {
         let (now, step) = (ctl.now(), self.post.step);
         let Some(machine) = machine else { return self.give_up(ctl, rpc) };
@@ -510,8 +514,10 @@
             if !matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::Void) {
                 r.mark = r.mark.or(Some(mark));
             }
-            let answered = outcome == Outcome::Ok && build == front.watched;
-            front.bound.extend(r.key.filter(|_| answered && front.post.rollout.one_way));
+            let answered = outcome == Outcome::Ok && front.post.rollout.one_way;
+            if let Some(key) = r.key.filter(|_| answered) {
+                front.bound.entry(key).and_modify(|b| *b = build.max(*b)).or_insert(build);
+            }
             if last {
                 front.left(rpc);
             } else if r.open {
@@ -540,7 +546,6 @@
         if !allowed || !harmless {
             return self.give_up(ctl, rpc);
         }
-        let bound = r.key.is_some_and(|key| self.bound.contains(&key));
         let other = move |m: &Member| {
             let inside = match (repeat, group, mark) {
                 (Repeat::Tokened, Group::Zone, Some((zone, ..))) => m.zone == zone,
@@ -549,8 +554,8 @@
             };
             m.machine != last && inside
         };
-        let mut machine = if bound { None } else { self.best(now, |m| m.build < build && other(m)) };
-        if machine.is_none() && self.room(row, now) {
+        let mut machine = self.earlier(rpc, now, other);
+        if machine.is_none() && self.room(build, row, now) {
             machine = self.best(now, |m| m.build == build && other(m));
         }
         self.budget -= 1.0;
@@ -610,10 +615,10 @@
         }
     }
 
-    /// Rule 5: may this method have one more pick at the watched build?
-    fn room(&self, method: usize, now: Ns) -> bool {
+    /// Rule 5: may this method have one more pick at this build?
+    fn room(&self, build: u32, method: usize, now: Ns) -> bool {
         let rollout = &self.post.rollout;
-        let Some((stage, cap)) = self.on_trial(self.watched) else { return true };
+        let Some((stage, cap)) = self.on_trial(build) else { return true };
         let guarded = (stage as usize) < rollout.guarded_stages;
         if cap <= 0.0 || guarded && self.post.methods[method].repeat != Repeat::Idempotent {
             return false;
@@ -764,22 +769,37 @@
                 return Some(format!("{source} failures, row {row}: {:?} against {:?}", new[row], old[row]));
             }
         }
-        let slow = (0..rows).find_map(|row| self.slow(row, now));
-        let worse = if self.on_trial(self.watched).is_some() { self.worse(now) } else { None };
-        // A queue may pass within two intervals, most bursts within eight.
-        self.lasts = [(&slow, 0), (&worse, 1)].map(|(why, i)| why.as_ref().map_or(0, |_| self.lasts[i] + 1));
-        slow.filter(|_| self.lasts[0] > 1).or(worse.filter(|_| self.lasts[1] > 7))
+        // After a release no earlier machine serves at the same time: failures alone judge.
+        self.on_trial(self.watched)?;
+        let slow = (0..rows).find_map(|row| self.slow(row, now)).or_else(|| self.worse(now));
+        // A queue may pass: the harm must last for two intervals.
+        self.lasts = slow.as_ref().map_or(0, |_| self.lasts + 1);
+        slow.filter(|_| self.lasts > 1)
     }
 
     /// A build that slows every machine hides from a test against the earlier one: so the earlier one's times
-    /// are ranked against its own from before the trial, at like load, all methods together.
+    /// are ranked against its own before the trial, at like load, and against those of when the trial had
+    /// less than half of today's share of picks; a burst or a shared slowness does not move with that share.
     fn worse(&self, now: Ns) -> Option<String> {
-        let olds: Vec<Sample> = self.samples.iter().map(|s| Sample::sum(s[1].last(now, 6))).collect();
-        let z = rank_z(olds.iter().zip(&self.past));
+        let mut seen = [[0; 2]; KEPT as usize];
+        for (side, ring) in self.samples.iter().flat_map(|sides| sides.iter().enumerate()) {
+            ring.last(now, KEPT).zip(&mut seen).for_each(|(sample, seen)| seen[side] += sample.n);
+        }
+        // The picks of new and earlier builds, by bucket; the last six are today's.
+        let part = |[new, old]: Count| f64::from(new) / f64::from((new + old).max(1));
+        let today = part(seen[18..].iter().fold([0, 0], |sum, c| add(sum, *c)));
+        let times = |kept: &dyn Fn(usize) -> bool| -> Vec<Sample> {
+            let of = |ring: &Ring<Sample>| {
+                Sample::sum(ring.last(now, KEPT).enumerate().filter(|s| kept(s.0)).map(|s| s.1))
+            };
+            self.samples.iter().map(|sides| of(&sides[1])).collect()
+        };
+        let (olds, less) = (times(&|i| i >= 18), times(&|i| i < 18 && part(seen[i]) < 0.5 * today));
+        let (z, moves) = (rank_z(olds.iter().zip(&self.past)), rank_z(olds.iter().zip(&less)));
         let (old, past) = (Sample::sum(olds.iter()), Sample::sum(self.past.iter()));
         let slower = old.late(self.soft) > past.late(self.soft) + 0.1 && median(&old) > 1.25 * median(&past);
-        let harm = old.n >= 20 && past.n >= 20 && slower && z > 4.8;
-        harm.then(|| format!("earlier build's times against those before: z {z:.1}"))
+        let harm = old.n >= 20 && past.n >= 20 && slower && z > 4.8 && moves > 2.6;
+        harm.then(|| format!("earlier build's times against those before: z {z:.1}, moving {moves:.1}"))
     }
 
     /// The rank test of a method's times, by buckets of time and load.
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -57,7 +57,6 @@
         fronts: 1,
         step: 5 * MS,
         methods: vec![method(Repeat::Idempotent), method(Repeat::Tokened), method(Repeat::NonIdempotent)],
-        over_share_utility: 1.0,
         rollout: Rollout {
             caps: vec![0.1, 1.0],
             free: 2.0,
@@ -97,7 +96,7 @@
 
 fn take(front: &mut Front, desk: &mut Desk, rpc: usize, method: usize) {
     let deadline = desk.now + SEC;
-    front.taken(desk, rpc, method, 0, None, deadline);
+    front.taken(desk, rpc, method, None, deadline);
 }
 
 fn sample(times: &[Option<Ns>]) -> Sample {
@@ -194,13 +193,13 @@
     post.rollout.one_way = true;
     let mut front = front(post, &[member(0, 1, None), member(1, 2, None)], &mut desk);
     for rpc in 0..20 {
-        front.taken(&mut desk, rpc, 0, 0, Some(rpc as u64), 101 * SEC);
+        front.taken(&mut desk, rpc, 0, Some(rpc as u64), 101 * SEC);
         front.ended(&mut desk, rpc, 0, Outcome::Ok, MS, true);
     }
     let (bound, _) = *desk.picks.iter().find(|p| p.1 == 1).expect("a key on trial");
     desk.picks.clear();
     for rpc in 20..40 {
-        front.taken(&mut desk, rpc, 0, 0, Some(bound as u64), 101 * SEC);
+        front.taken(&mut desk, rpc, 0, Some(bound as u64), 101 * SEC);
     }
     assert!(desk.picks.iter().all(|p| p.1 == 1));
     assert!(!desk.pushed_back.is_empty());
@@ -242,7 +241,7 @@
 fn a_tokened_rpc_is_not_sent_after_its_repeat_would_be_forgotten() {
     let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
     let mut front = front(post(), &[member(0, 1, None), member(1, 1, None)], &mut desk);
-    front.taken(&mut desk, 0, 1, 0, None, 105 * SEC);
+    front.taken(&mut desk, 0, 1, None, 105 * SEC);
     desk.now += SEC;
     front.ended(&mut desk, 0, 0, Outcome::Broken, SEC, false);
     assert_eq!((desk.picks.len(), desk.pushed_back.len()), (1, 1));
