Times of warm machines alone; slowness of all lasts eight seconds; disputes by start

Causes: stages at full cap put all traffic on cold machines, whose times read as slowness; a dispute of an answer from before a restart was held against the new build (in place, names are used again); in place, each stage takes capacity away, which moves with the trial's share as a shared fault would.

--- a/adapter/src/seat.rs
+++ b/adapter/src/seat.rs
@@ -233,6 +233,7 @@
                 "automatic" => Some(Control::Automatic),
                 _ => None,
             })?,
+            parallel: conf.word("extra.layout") != "replace",
             caps: conf.list("extra.exposureCaps")?,
             free: conf.num("extra.free")?,
             window: conf.time("extra.windowMs")?,
@@ -405,9 +406,9 @@
                 go!(told(reply, news.map(|phase| Standing { build, stage, phase, cap, since: now - age })));
             }
             "DISPUTED" => {
-                line.may("oldMs", nanos)?;
+                let age = line.may("oldMs", nanos)?.unwrap_or(0);
                 let machine = self.door.machine(line.word("machine")?);
-                go!(disputed(machine));
+                go!(disputed(machine, now - age));
             }
             _ => {}
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -45,6 +45,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Rollout {
     pub control: Control,
+    /// Earlier machines stay until the release.
+    pub parallel: bool,
     /// The cap of each stage.
     pub caps: Vec<f64>,
     pub free: f64,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -264,8 +264,8 @@
     /// This front's vote, when it was cast, whether it counts.
     ballot: Option<((u32, u32, Verdict), Ns, bool)>,
     condemned: u32,
-    /// For how many intervals times have shown harm.
-    lasts: u32,
+    /// For how many intervals each test of times has shown harm.
+    lasts: [u32; 2],
 }
 
 /// How much fuller first picks may keep machines on trial: a cap above their share asks for some.
@@ -678,17 +678,18 @@
         for (row, failed) in [(ALL, error), (row_of(row), error), (DISPUTES, false)] {
             counts[row] = add(counts[row], [1, u32::from(failed)]);
         }
-        if !matches!(outcome, Outcome::Full | Outcome::Unreachable) {
-            // A cold machine's times are told as if it were warm: like with like.
-            let took = took as f64 * m.warmth(now, &self.post.guard);
-            let took = ok.then_some(took as Ns);
-            self.samples[cell][side].at(now).add(took);
+        // Times count from warm machines alone, like with like; refusals are no times.
+        let cold = m.member.started.is_some_and(|at| now - took < at + self.post.guard.cold_time);
+        if !cold && !matches!(outcome, Outcome::Full | Outcome::Unreachable) {
+            self.samples[cell][side].at(now).add(ok.then_some(took));
         }
     }
 
-    /// A client found an answer wrong: a failure like others, seen late.
-    pub fn disputed(&mut self, ctl: &mut dyn Ctl, machine: usize) {
-        if let Some(m) = self.machines.get_mut(machine) {
+    /// A client found an answer wrong: a failure like others, seen late; not the fault of a later start.
+    pub fn disputed(&mut self, ctl: &mut dyn Ctl, machine: usize, sent: Ns) {
+        if let Some(m) =
+            self.machines.get_mut(machine).filter(|m| m.member.started.is_none_or(|at| at < sent))
+        {
             m.counts.at(ctl.now())[DISPUTES][1] += 1;
         }
     }
@@ -771,15 +772,17 @@
         }
         // After a release no earlier machine serves at the same time: failures alone judge.
         self.on_trial(self.watched)?;
-        let slow = (0..rows).find_map(|row| self.slow(row, now)).or_else(|| self.worse(now));
-        // A queue may pass: the harm must last for two intervals.
-        self.lasts = slow.as_ref().map_or(0, |_| self.lasts + 1);
-        slow.filter(|_| self.lasts > 1)
+        let slow = (0..rows).find_map(|row| self.slow(row, now));
+        let worse = if self.post.rollout.parallel { self.worse(now) } else { None };
+        // A queue passes within two intervals, most bursts within sixteen; on votes wait as long.
+        self.lasts = [(&slow, 0), (&worse, 1)].map(|(why, i)| why.as_ref().map_or(0, |_| self.lasts[i] + 1));
+        slow.filter(|_| self.lasts[0] > 1).or(worse.filter(|_| self.lasts[1] > 15))
     }
 
     /// A build that slows every machine hides from a test against the earlier one: so the earlier one's times
     /// are ranked against its own before the trial, at like load, and against those of when the trial had
     /// less than half of today's share of picks; a burst or a shared slowness does not move with that share.
+    /// Only where earlier machines stay: in place, each stage takes capacity away as well.
     fn worse(&self, now: Ns) -> Option<String> {
         let mut seen = [[0; 2]; KEPT as usize];
         for (side, ring) in self.samples.iter().flat_map(|sides| sides.iter().enumerate()) {
@@ -837,7 +840,7 @@
         // A stage's machines start after it began; where none seems to, it has had time enough by now.
         let fresh = newest > told.since || now - told.since > 8 * SEC;
         let waited = now - newest.max(told.since);
-        fresh && waited >= bake && (seen >= 20 || waited >= 2 * bake)
+        fresh && self.lasts == [0, 0] && waited >= bake && (seen >= 20 || waited >= 2 * bake)
     }
 
     /// Keeps this front's vote standing: cast again once half its life is over or no answer came.
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -61,6 +61,7 @@
             caps: vec![0.1, 1.0],
             free: 2.0,
             window: 4 * SEC,
+            parallel: true,
             dwell: SEC,
             vote_life: 4 * SEC,
             call_timeout: SEC,
@@ -343,7 +344,7 @@
         take(&mut front, &mut desk, rpc, 0);
         front.ended(&mut desk, rpc, 0, Outcome::Ok, 30 * MS, true);
         if rpc % 5 == 0 && desk.picks[rpc].1 == 1 {
-            front.disputed(&mut desk, 1);
+            front.disputed(&mut desk, 1, 100 * SEC);
         }
     }
     front.woke(&mut desk, 0);
@@ -355,14 +356,14 @@
 fn earlier_machines_that_slow_down_with_the_trial_send_it_back() {
     let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
     let mut front = front(post(), &[member(0, 1, None)], &mut desk);
-    for rpc in 0..800 {
+    for rpc in 0..900 {
         if rpc == 300 {
             front.members(&mut desk, Roll::Changes, &[member(1, 2, None)]);
             front.told(&mut desk, Reply::News, standing(2, 0, Phase::OnTrial, 0.2, 106 * SEC));
         }
         desk.now += 20 * MS;
         take(&mut front, &mut desk, rpc, 2);
-        let took = if rpc < 400 { 30 * MS } else { 900 * MS };
+        let took = if rpc < 320 { 30 * MS } else { 900 * MS };
         front.ended(&mut desk, rpc, 0, Outcome::Ok, took, true);
         if rpc % 25 == 24 {
             front.woke(&mut desk, 0);
