Fullness counted in RPCs, not as a ratio; slowness fades where a machine is not heard

A machine once found slow got no picks and stayed 'slow' (found by a test); it now fades after four seconds unheard.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -268,7 +268,8 @@
     lasts: [u32; 2],
 }
 
-/// How much fuller first picks may keep machines on trial: a cap above their share asks for some.
+/// How much fuller than an idle one first picks may keep machines on trial: caps above their share ask for
+/// some; where all are busy it comes to nothing, or the trial's would jam first.
 const FILL: f64 = 1.6;
 
 /// Rates are taken over 4 s: some dozens of RPCs on a quiet front.
@@ -461,8 +462,10 @@
         let room = self.room(build, method, now) && (bound || self.may_bind(key, now));
         let trial = if room { self.best(now, |m| m.build == build) } else { None };
         let earlier = self.earlier(rpc, now, |_| true);
-        let busy = |i: usize| self.machines[i].busy(now, &self.post.guard);
-        let full = trial.zip(earlier).is_some_and(|(t, e)| busy(t) > FILL * busy(e));
+        let full = trial.zip(earlier).is_some_and(|(t, e)| {
+            let ([t, e], guard) = ([t, e].map(|i| &self.machines[i]), &self.post.guard);
+            t.busy(now, guard) > e.busy(now, guard) + (FILL - 1.0) / e.size(now, guard)
+        });
         self.pick(ctl, rpc, if full { earlier } else { trial.or(earlier) });
     }
 
@@ -721,6 +724,9 @@
 
     fn beat(&mut self, ctl: &mut dyn Ctl) {
         let now = ctl.now();
+        // What seemed slow is tried again: without picks the measure would never mend.
+        let unheard = self.machines.iter_mut().filter(|m| now - m.heard > SPAN);
+        unheard.for_each(|m| m.slow += 0.1 * (1.0 - m.slow));
         let sizes: f64 = self.machines.iter().filter(|m| m.up()).map(|m| m.size(now, &self.post.guard)).sum();
         if now - self.born > SPAN {
             // What machines once carried they can carry again; forgotten by half in half a minute.
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -363,7 +363,7 @@
         }
         desk.now += 20 * MS;
         take(&mut front, &mut desk, rpc, 2);
-        let took = if rpc < 320 { 30 * MS } else { 900 * MS };
+        let took = if rpc < 320 || desk.picks[rpc].1 == 1 { 30 * MS } else { 900 * MS };
         front.ended(&mut desk, rpc, 0, Outcome::Ok, took, true);
         if rpc % 25 == 24 {
             front.woke(&mut desk, 0);
