--- a/src/tests.rs
+++ b/src/tests.rs
@@ -356,14 +356,16 @@
 fn earlier_machines_that_slow_down_with_the_trial_send_it_back() {
     let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
     let mut front = front(post(), &[member(0, 1, None)], &mut desk);
-    for rpc in 0..900 {
-        if rpc == 300 {
+    for rpc in 0..1000 {
+        // A first stage that changes little, then one that slows the earlier machine down.
+        if rpc == 300 || rpc == 500 {
+            let (stage, cap) = if rpc == 300 { (0, 0.05) } else { (1, 0.4) };
             front.members(&mut desk, Roll::Changes, &[member(1, 2, None)]);
-            front.told(&mut desk, Reply::News, standing(2, 0, Phase::OnTrial, 0.2, 106 * SEC));
+            front.told(&mut desk, Reply::News, standing(2, stage, Phase::OnTrial, cap, 106 * SEC));
         }
         desk.now += 20 * MS;
         take(&mut front, &mut desk, rpc, 2);
-        let took = if rpc < 320 || desk.picks[rpc].1 == 1 { 30 * MS } else { 900 * MS };
+        let took = if rpc < 510 || desk.picks[rpc].1 == 1 { 30 * MS } else { 900 * MS };
         front.ended(&mut desk, rpc, 0, Outcome::Ok, took, true);
         if rpc % 25 == 24 {
             front.woke(&mut desk, 0);
