Load reports out of routing

Own RPCs held and times seen say more. Harm: a front sees nothing of others' load but their slowness.

--- a/adapter/src/seat.rs
+++ b/adapter/src/seat.rs
@@ -215,7 +215,6 @@
             remembered: conf.time(&at("windowMs"))?,
         })
     });
-    let columns = conf.word("reporting.columns");
     Ok(Post {
         number: conf.int("rank")?,
         fronts: conf.int("balancers")?,
@@ -224,7 +223,6 @@
         ask_roster: conf.word("discovery") == "subscribe",
         step: conf.time("stepMs")?,
         cross_zone_price: conf.num("charges.crossZone")?,
-        report_held: columns.split(',').position(|name| name == "concurrent"),
         methods: methods.collect::<Result<_, Bad>>()?,
         rollout: Rollout {
             control: conf.get("extra.control", Control::FirstVoice, |word| match word {
@@ -345,17 +343,14 @@
             "RESULT" => {
                 if let Some(&rpc) = self.door.rpcs.get(&line.hex("req")?) {
                     let pick = line.int::<usize>("try")?;
-                    let machine = self.door.machine(line.word("machine")?);
+                    line.word("machine")?;
                     let how = line.must("how", outcome)?;
                     let elapsed = line.time("elapsedMs")?;
                     let last = line.flag("last")?;
-                    let figures = line.may("report", report)?;
+                    line.may("report", report)?;
                     let slot = &mut self.door.slots[rpc];
                     slot.1 = slot.1.saturating_sub(1);
                     slot.2 |= last;
-                    if let Some(figures) = figures {
-                        go!(reported(machine, &figures));
-                    }
                     go!(ended(rpc, pick, how, elapsed, last));
                     self.door.sweep(rpc);
                 }
@@ -375,7 +370,7 @@
                 let tag = line.int("tag")?;
                 go!(woke(tag));
             }
-            // The module asks for no probe, and its rounds showed no use for the platform's tallies.
+            // The module asks for no probe, and rounds showed that tallies do not help it.
             "HEALTH" | "PLATFORM_SAW" => {}
             "INBOX" => {
                 let from = line.int("srcPeer")?;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -91,8 +91,6 @@
     pub ask_roster: bool,
     pub step: Ns,
     pub cross_zone_price: f64,
-    /// Which figure of a load report tells the RPCs a machine holds.
-    pub report_held: Option<usize>,
     pub methods: Vec<Method>,
     pub rollout: Rollout,
     pub guard: Guard,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -173,9 +173,8 @@
 #[derive(Default)]
 struct Machine {
     member: Member,
-    /// RPCs of this front that it holds; what else its last report said that it held, and when.
+    /// RPCs of this front that it holds.
     held: f64,
-    others: (f64, Ns),
     /// Its last answer, or the pick that found it idle.
     heard: Ns,
     /// How slow it is against the fleet, 1 as usual.
@@ -187,16 +186,11 @@
 impl Machine {
     fn new(member: Member, now: Ns, guard: &Guard) -> Machine {
         let picked = Ring::new(guard.fall_time / 8, 9);
-        Machine { member, others: (0.0, now), heard: now, slow: 1.0, picked, ..Machine::default() }
-    }
-
-    /// A report is forgotten within seconds, or a machine would be shunned for what it once said.
-    fn reported(&self, now: Ns) -> f64 {
-        self.others.0 * (-((now - self.others.1) as f64) / SEC as f64).exp()
+        Machine { member, heard: now, slow: 1.0, picked, ..Machine::default() }
     }
 
     fn busy(&self, now: Ns, guard: &Guard) -> f64 {
-        (self.held + self.reported(now) + 1.0) / self.size(now, guard) * self.slow.max(0.1).sqrt()
+        (self.held + 1.0) / self.size(now, guard) * self.slow.max(0.1).sqrt()
     }
 
     fn up(&self) -> bool {
@@ -275,7 +269,7 @@
 /// Rates are taken over 4 s: some dozens of RPCs on a quiet front.
 const SPAN: Ns = 8 * INTERVAL;
 
-/// Times are held only against those of picks at like load: 0, 1, 2, or more RPCs on the machine.
+/// Times are held only against those of picks at like load: 0, 1, 2, or more of our RPCs on the machine.
 const LOADS: usize = 4;
 
 /// The timer of the beat; any other asks for the roster.
@@ -500,8 +494,7 @@
         r.last = machine;
         let m = &mut self.machines[machine];
         let mark = (m.member.zone, m.member.cell, now);
-        let (build, load) = (m.member.build, (m.held + m.reported(now)) as usize);
-        let cell = row * LOADS + load.min(LOADS - 1);
+        let (build, cell) = (m.member.build, row * LOADS + (m.held as usize).min(LOADS - 1));
         if m.held < 1.0 {
             m.heard = now;
         }
@@ -589,14 +582,6 @@
         }
     }
 
-    /// A machine's load report, where it tells the RPCs held.
-    pub fn reported(&mut self, ctl: &mut dyn Ctl, machine: usize, report: &[f64]) {
-        let held = self.post.report_held.and_then(|at| report.get(at)).filter(|x| x.is_finite());
-        if let (Some(held), Some(m)) = (held, self.machines.get_mut(machine)) {
-            m.others = ((held - (m.held - 1.0).max(0.0)).max(0.0), ctl.now());
-        }
-    }
-
     /// Answered, or the client has gone, or owns a streamed answer that has begun: nothing is owed now.
     pub fn left(&mut self, rpc: usize) {
         self.open -= u32::from(std::mem::take(&mut self.rpcs[rpc].open));
