--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,8 +4,7 @@
 //! the name of what happened (`members`, `told`, `taken`, `ended`, `woke`, ...), in the order of events.
 //! Each call gets a [`Ctl`], through which the decisions act; types and `Ctl` are in `interface.rs`.
 //!
-//! From top to bottom: chance and rings, the rank test, machines and routing, the steps of an RPC,
-//! exposure, evidence on the watched build, votes.
+//! Top down: chance and rings, the rank test, the steps of an RPC, exposure, evidence, votes.
 use crate::interface::*;
 use std::collections::BTreeMap;
 
@@ -100,8 +99,7 @@
 }
 
 /// Mann–Whitney: z of the new side's rank sum, ties at their middle rank. Each pair of samples is ranked by
-/// itself and their U are added, so that outcomes are held only against those of the same time; 0 where no
-/// pair has both sides.
+/// itself, and U and variances add up, so that like is held against like; 0 where no pair has both sides.
 pub fn rank_z<'a>(pairs: impl Iterator<Item = (&'a Sample, &'a Sample)>) -> f64 {
     let (mut beyond, mut variance) = (0.0, 0.0);
     for (new, old) in pairs.filter(|(new, old)| new.n * old.n > 0) {
@@ -258,12 +256,11 @@
     /// This front's vote, when it was cast, whether it counts.
     ballot: Option<((u32, u32, Verdict), Ns, bool)>,
     condemned: u32,
-    /// For how many intervals each test of times has shown harm.
+    /// Intervals that each test of times has shown harm.
     lasts: [u32; 2],
 }
 
-/// How much fuller than an idle one first picks may keep machines on trial: caps above their share ask for
-/// some; where all are busy it comes to nothing, or the trial's would jam first.
+/// How much fuller first picks may keep machines on trial than an idle one: enough to fill caps.
 const FILL: f64 = 1.6;
 
 /// Rates are taken over 4 s: some dozens of RPCs on a quiet front.
@@ -315,9 +312,8 @@
         if roll == Roll::Failed {
             // A lost watch makes the list count as known all the same: ask again, spread over a while.
             self.watching = false;
-            let within = self.post.guard.ask_within;
-            let spread = self.chance.below((within / 8).max(1) as usize) as Ns;
-            return ctl.wake_at(now + within / 16 + spread, BEAT + 1);
+            let spread = self.chance.below((self.post.guard.ask_within / 8).max(1) as usize) as Ns;
+            return ctl.wake_at(now + INTERVAL + spread, BEAT + 1);
         }
         self.watching |= roll != Roll::Saved;
         for m in self.machines.iter_mut().filter(|_| roll != Roll::Changes) {
@@ -366,8 +362,6 @@
         }
     }
 
-    // ---- machines and routing
-
     /// Rule 4: a cold machine gets from this front no more than this front's machines have been seen to
     /// serve, by size and warmth, times six tenths of the multiple that it stands: the rest is slack for
     /// uneven work. What is served is never above capacity, so when every front does so the sum holds.
@@ -408,8 +402,6 @@
         fit.map(|i| (self.cost(&self.machines[i], now), i)).min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, i)| i)
     }
 
-    // ---- the steps of an RPC
-
     pub fn taken(&mut self, ctl: &mut dyn Ctl, rpc: usize, method: usize, key: Option<u64>, deadline: Ns) {
         let now = ctl.now();
         let scope = self.scope(method);
@@ -431,7 +423,6 @@
         self.first(ctl, rpc);
     }
 
-    /// Ok answers a second.
     fn rate(&self, now: Ns) -> f64 {
         let span = (now - self.born).clamp(SEC / 4, SPAN) as f64 / SEC as f64;
         f64::from(self.served.last(now, SPAN / INTERVAL).sum::<u32>()) / span
@@ -468,8 +459,7 @@
         key.and_then(|key| self.bound.get(&key)).copied().unwrap_or(0)
     }
 
-    /// The best machine of builds before the newest: those past their trial, and the one on trial within
-    /// its cap where a newer one is listed already.
+    /// The best machine of earlier builds, also of one on trial within its cap where a newer one is listed.
     fn earlier(&mut self, rpc: usize, now: Ns, fits: impl Fn(&Member) -> bool) -> Option<usize> {
         let (method, least) = (self.rpcs[rpc].method, self.bound_to(self.rpcs[rpc].key));
         let (newest, told) = (self.watched, self.told.map_or(0, |t| t.build));
@@ -587,8 +577,6 @@
         self.open -= u32::from(std::mem::take(&mut self.rpcs[rpc].open));
     }
 
-    // ---- exposure
-
     fn scope(&self, method: usize) -> usize {
         method.min(self.exposure.len() - 1)
     }
@@ -631,8 +619,6 @@
         bound + share([here[0], here[1].saturating_sub(1)]) < 0.7 * cap
     }
 
-    // ---- evidence
-
     /// 0 for the build under watch, 1 for the earlier ones.
     fn side(&self, build: u32) -> usize {
         usize::from(build < self.watched)
@@ -705,8 +691,6 @@
         })
     }
 
-    // ---- the beat: tests and votes
-
     fn beat(&mut self, ctl: &mut dyn Ctl) {
         let now = ctl.now();
         // What seemed slow is tried again: without picks the measure would never mend.
@@ -771,24 +755,24 @@
     }
 
     /// A build that slows every machine hides from a test against the earlier one: so the earlier one's times
-    /// are ranked against its own before the trial, at like load, and against those of when the trial had
-    /// less than half of today's share of picks; a burst or a shared slowness does not move with that share.
-    /// Only where earlier machines stay: in place, each stage takes capacity away as well.
+    /// are ranked, at like load, against those before the trial, and against those of when the trial had less
+    /// than half of its present share: a burst does not move with that. In place, capacity does; not there.
     fn worse(&self, now: Ns) -> Option<String> {
         let mut seen = [[0; 2]; KEPT as usize];
         for (side, ring) in self.samples.iter().flat_map(|sides| sides.iter().enumerate()) {
-            ring.last(now, KEPT).zip(&mut seen).for_each(|(sample, seen)| seen[side] += sample.n);
+            // All picks and those at the new build, by bucket; the last six are the present.
+            ring.last(now, KEPT)
+                .zip(&mut seen)
+                .for_each(|(s, c)| *c = add(*c, [s.n, s.n * (1 - side as u32)]));
         }
-        // The picks of new and earlier builds, by bucket; the last six are today's.
-        let part = |[new, old]: Count| f64::from(new) / f64::from((new + old).max(1));
-        let today = part(seen[18..].iter().fold([0, 0], |sum, c| add(sum, *c)));
+        let today = share(seen[18..].iter().fold([0, 0], |sum, c| add(sum, *c)));
         let times = |kept: &dyn Fn(usize) -> bool| -> Vec<Sample> {
             let of = |ring: &Ring<Sample>| {
                 Sample::sum(ring.last(now, KEPT).enumerate().filter(|s| kept(s.0)).map(|s| s.1))
             };
             self.samples.iter().map(|sides| of(&sides[1])).collect()
         };
-        let (olds, less) = (times(&|i| i >= 18), times(&|i| i < 18 && part(seen[i]) < 0.5 * today));
+        let (olds, less) = (times(&|i| i >= 18), times(&|i| i < 18 && share(seen[i]) < 0.5 * today));
         let (z, moves) = (rank_z(olds.iter().zip(&self.past)), rank_z(olds.iter().zip(&less)));
         let (old, past) = (Sample::sum(olds.iter()), Sample::sum(self.past.iter()));
         let slower = old.late(self.soft) > past.late(self.soft) + 0.1 && median(&old) > 1.25 * median(&past);
@@ -815,12 +799,9 @@
         let slower = median(&new) > 1.25 * FILL * median(&old) && most;
         // Slower, but within the soft deadline, harms nobody; sending a good build back does.
         let soft = self.post.methods[row].soft_deadline;
-        let late = new.late(soft) > old.late(soft) + 0.1;
+        let late = new.late(soft) > old.late(soft) + 0.1 && new.n >= 20 && old.n >= 20;
         // 2.6 for one test, 3.4 for a dozen; times that queue together count for half as many, so 4.8.
-        let harm = new.n >= 20 && old.n >= 20 && z > 4.8 && slower && late;
-        harm.then(|| {
-            format!("method {row}, z {z:.1}, median {:.1} against {:.1}", median(&new), median(&old))
-        })
+        (z > 4.8 && slower && late).then(|| format!("times of method {row}, z {z:.1}"))
     }
 
     /// Clean long enough: the newest machine of this stage has run for the bake, and outcomes were seen.
