Broken connections are no errors; the worst of two machines is left out

The reference now takes in the counts from before the trial where earlier machines get few picks. Harm: a build that fails on one of two machines only passes a stage.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -139,8 +139,8 @@
 
 /// Are `new`'s failures too many to be chance at `old`'s rate? `odds` is the chance allowed.
 pub fn deviates(new: Count, old: Count, odds: f64) -> bool {
-    // One failure in 150 is granted beyond what the earlier build shows, so little is not none.
-    let rate = (f64::from(old[1]) + 1.0) / (f64::from(old[0]) + 150.0);
+    // One failure in 300 is granted where the earlier build shows nothing, so little is not none.
+    let rate = (f64::from(old[1]) + 0.5) / (f64::from(old[0]) + 150.0);
     // The margin: one failure, or under a point of difference, is not worth a rollback's staleness.
     if new[1] < 2 || share(new) < rate + 0.01 {
         return false;
@@ -633,11 +633,11 @@
             return;
         }
         let ok = outcome == Outcome::Ok;
-        let error = matches!(outcome, Outcome::Error | Outcome::Broken);
+        // Time-outs and broken connections tell of a machine or the net, not of what the build answers.
+        let error = outcome == Outcome::Error;
         if ok || error {
             m.heard = now;
         }
-        // A pick that timed out tells of a slow machine, not of an error.
         if ok || outcome == Outcome::TimedOut {
             let (took, mean) = (took as f64, &mut self.means[row]);
             *mean += if *mean == 0.0 { took } else { 0.02 * f64::from(u8::from(ok)) * (took - *mean) };
@@ -687,7 +687,7 @@
         std::array::from_fn(|row| {
             let mut seen: Vec<Count> = each.iter().map(|c| c[row]).filter(|c| c[0] > 0).collect();
             seen.sort_by(|a, b| share(*a).total_cmp(&share(*b)));
-            seen[..seen.len() - seen.len() / 3].iter().fold([0, 0], |sum, c| add(sum, *c))
+            seen[..seen.len() - (seen.len() + 1) / 3].iter().fold([0, 0], |sum, c| add(sum, *c))
         })
     }
 
@@ -738,8 +738,8 @@
         // The chance of a false alarm, one in a thousand for the tier, shared by its fronts and methods.
         let odds = 1e-3 / f64::from(self.post.fronts.max(1)) / (rows + 1) as f64;
         for (source, [new, old]) in [("own", own), ("pooled", pooled)] {
-            // Where earlier machines are gone, the reference is what was seen before the trial.
-            let old = if old[ALL][0] < 30 { self.before } else { old };
+            // Where earlier machines get few, the reference takes in what was seen before the trial.
+            let old = if old[ALL][0] < self.before[ALL][0] { merge(old, &self.before) } else { old };
             let bad = (0..ROWS).find(|&row| old[ALL][0] >= 30 && deviates(new[row], old[row], odds));
             if let Some(row) = bad {
                 return Some(format!("{source} failures, row {row}: {:?} against {:?}", new[row], old[row]));
