--- a/src/logic.rs
+++ b/src/logic.rs
@@ -751,7 +751,7 @@
         let worse = if self.post.rollout.parallel { self.worse(now) } else { None };
         // A queue passes within two intervals, most bursts within sixteen; on votes wait as long.
         self.lasts = [(&slow, 0), (&worse, 1)].map(|(why, i)| why.as_ref().map_or(0, |_| self.lasts[i] + 1));
-        slow.filter(|_| self.lasts[0] > 1).or(worse.filter(|_| self.lasts[1] > 15))
+        slow.filter(|_| self.lasts[0] > 1).or(worse.filter(|_| self.lasts[1] > 7))
     }
 
     /// A build that slows every machine hides from a test against the earlier one: so the earlier one's times
@@ -776,7 +776,7 @@
         let (z, moves) = (rank_z(olds.iter().zip(&self.past)), rank_z(olds.iter().zip(&less)));
         let (old, past) = (Sample::sum(olds.iter()), Sample::sum(self.past.iter()));
         let slower = old.late(self.soft) > past.late(self.soft) + 0.1 && median(&old) > 1.25 * median(&past);
-        let harm = old.n >= 20 && past.n >= 20 && slower && z > 4.8 && moves > 2.6;
+        let harm = old.n >= 20 && past.n >= 20 && slower && z > 7.0 && moves > 2.6;
         harm.then(|| format!("earlier build's times against those before: z {z:.1}, moving {moves:.1}"))
     }
 
