--- a/src/logic.rs
+++ b/src/logic.rs
@@ -432,8 +432,7 @@
     /// the least utility for their work are turned away first.
     fn overfull(&self, now: Ns, method: usize) -> bool {
         let worth = |row: usize| self.post.methods[row].utility / self.means[row].max(MS as f64);
-        let most = (0..self.means.len()).map(worth).fold(0.0, f64::max);
-        let yields = worth(method) / most;
+        let yields = worth(method) / (0..self.means.len()).map(worth).fold(0.0, f64::max);
         // From four tenths of the shortest soft deadline for the least to eight for the most useful.
         let limit = self.rate(now) * self.soft as f64 / SEC as f64 * (0.4 + 0.4 * yields);
         f64::from(self.open) > limit.max(2.0 * self.machines.iter().filter(|m| m.up()).count() as f64)
@@ -740,18 +739,17 @@
         for (source, [new, old]) in [("own", own), ("pooled", pooled)] {
             // Where earlier machines get few, the reference takes in what was seen before the trial.
             let old = if old[ALL][0] < self.before[ALL][0] { merge(old, &self.before) } else { old };
-            let bad = (0..ROWS).find(|&row| old[ALL][0] >= 30 && deviates(new[row], old[row], odds));
-            if let Some(row) = bad {
+            if let Some(row) = (0..ROWS).find(|&r| old[ALL][0] >= 30 && deviates(new[r], old[r], odds)) {
                 return Some(format!("{source} failures, row {row}: {:?} against {:?}", new[row], old[row]));
             }
         }
-        // After a release no earlier machine serves at the same time: failures alone judge.
+        // After a release nothing serves beside it: failures alone judge.
         self.on_trial(self.watched)?;
         let slow = (0..rows).find_map(|row| self.slow(row, now));
         let worse = if self.post.rollout.parallel { self.worse(now) } else { None };
-        // A queue passes within two intervals, most bursts within sixteen; on votes wait as long.
+        // A queue passes within two intervals, most shared slowness within twenty; on votes wait as long.
         self.lasts = [(&slow, 0), (&worse, 1)].map(|(why, i)| why.as_ref().map_or(0, |_| self.lasts[i] + 1));
-        slow.filter(|_| self.lasts[0] > 1).or(worse.filter(|_| self.lasts[1] > 7))
+        slow.filter(|_| self.lasts[0] > 1).or(worse.filter(|_| self.lasts[1] > 19))
     }
 
     /// A build that slows every machine hides from a test against the earlier one: so the earlier one's times
@@ -776,7 +774,9 @@
         let (z, moves) = (rank_z(olds.iter().zip(&self.past)), rank_z(olds.iter().zip(&less)));
         let (old, past) = (Sample::sum(olds.iter()), Sample::sum(self.past.iter()));
         let slower = old.late(self.soft) > past.late(self.soft) + 0.1 && median(&old) > 1.25 * median(&past);
-        let harm = old.n >= 20 && past.n >= 20 && slower && z > 7.0 && moves > 2.6;
+        // At the onset times must move with the share; from then on they must not ease.
+        let moved = moves > if self.lasts[1] > 0 { -1e-9 } else { 2.6 };
+        let harm = old.n >= 20 && past.n >= 20 && slower && z > 7.0 && moved;
         harm.then(|| format!("earlier build's times against those before: z {z:.1}, moving {moves:.1}"))
     }
 
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -356,7 +356,7 @@
 fn earlier_machines_that_slow_down_with_the_trial_send_it_back() {
     let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
     let mut front = front(post(), &[member(0, 1, None)], &mut desk);
-    for rpc in 0..1000 {
+    for rpc in 0..1200 {
         // A first stage that changes little, then one that slows the earlier machine down.
         if rpc == 300 || rpc == 500 {
             let (stage, cap) = if rpc == 300 { (0, 0.05) } else { (1, 0.4) };
