--- a/src/logic.rs
+++ b/src/logic.rs
@@ -773,7 +773,8 @@
         let (olds, less) = (times(&|i| i >= 18), times(&|i| i < 18 && share(seen[i]) < 0.5 * today));
         let (z, moves) = (rank_z(olds.iter().zip(&self.past)), rank_z(olds.iter().zip(&less)));
         let (old, past) = (Sample::sum(olds.iter()), Sample::sum(self.past.iter()));
-        let slower = old.late(self.soft) > past.late(self.soft) + 0.1 && median(&old) > 1.25 * median(&past);
+        // Late answers come with the share that later stages give it: half slower now is harm enough.
+        let slower = median(&old) > 1.5 * median(&past);
         // At the onset times must move with the share; from then on they must not ease.
         let moved = moves > if self.lasts[1] > 0 { -1e-9 } else { 2.6 };
         let harm = old.n >= 20 && past.n >= 20 && slower && z > 7.0 && moved;
