A released build goes back on times far worse than before for sixteen seconds; tests

Nine seconds of times against those before the trial, twice the median, z over 4.8, for 32 intervals. Should also catch a build that wears out; harm: sixteen seconds of any shared slowness after a release. Tests for what the incidents taught: broken connections, the worst of two machines, keys and a newer listed build, disputes from before a restart, slowness after a release.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -390,7 +390,6 @@
         cost * m.busy(now, &self.post.guard)
     }
 
-    /// The cheapest machine that `fits`, ties by chance.
     fn best(&mut self, now: Ns, fits: impl Fn(&Member) -> bool) -> Option<usize> {
         let size = self.machines.len();
         let from = self.chance.below(size.max(1));
@@ -434,7 +433,6 @@
         let yields = worth(method) / (0..self.means.len()).map(worth).fold(0.0, f64::max);
         // From four tenths of the shortest soft deadline for the least to eight for the most useful.
         let limit = self.rate(now) * self.soft as f64 / SEC as f64 * (0.4 + 0.4 * yields);
-        // One a machine from a front is no jam.
         f64::from(self.open) / limit.max(self.machines.iter().filter(|m| m.up()).count() as f64)
     }
 
@@ -547,7 +545,7 @@
         self.pick(ctl, rpc, machine);
     }
 
-    /// The final answer at once: a pushback wherever it is harmless, with the time to come back.
+    /// The final answer at once: a pushback where harmless, with the time to come back.
     fn give_up(&mut self, ctl: &mut dyn Ctl, rpc: usize) {
         let r = &self.rpcs[rpc];
         let method = &self.post.methods[r.method];
@@ -667,7 +665,6 @@
         }
     }
 
-    /// A peer's note: its counts of both sides, if they are of the same build.
     pub fn heard(&mut self, ctl: &mut dyn Ctl, from: usize, note: &[u8]) {
         let words: Vec<u32> = note.chunks_exact(2).map(|b| u32::from(b[0]) << 8 | u32::from(b[1])).collect();
         if from < self.notes.len() && words.len() == 1 + 4 * ROWS {
@@ -743,19 +740,20 @@
                 return Some(format!("{source} failures, row {row}: {:?} against {:?}", new[row], old[row]));
             }
         }
-        // After a release nothing serves beside it: failures alone judge.
-        self.on_trial(self.watched)?;
-        let slow = (0..rows).find_map(|row| self.slow(row, now));
-        let worse = if self.post.rollout.parallel { self.worse(now) } else { None };
+        // After a release nothing serves beside it: failures judge, and times that stay far worse.
+        let trial = self.on_trial(self.watched).is_some();
+        let slow = (0..rows).filter(|_| trial).find_map(|row| self.slow(row, now));
+        let worse = if self.post.rollout.parallel || !trial { self.worse(now, trial) } else { None };
+        let long = if trial { 20 } else { 32 };
         // A queue passes within two intervals, most shared slowness within twenty; on votes wait as long.
         self.lasts = [(&slow, 0), (&worse, 1)].map(|(why, i)| why.as_ref().map_or(0, |_| self.lasts[i] + 1));
-        slow.filter(|_| self.lasts[0] > 1).or(worse.filter(|_| self.lasts[1] > 19))
+        slow.filter(|_| self.lasts[0] > 1).or(worse.filter(|_| self.lasts[1] >= long))
     }
 
     /// A build that slows every machine hides from a test against the earlier one: so the earlier one's times
     /// are ranked, at like load, against those before the trial, and against those of when the trial had less
     /// than half of its present share: a burst does not move with that. In place, capacity does; not there.
-    fn worse(&self, now: Ns) -> Option<String> {
+    fn worse(&self, now: Ns, trial: bool) -> Option<String> {
         let mut seen = [[0; 2]; KEPT as usize];
         for (side, ring) in self.samples.iter().flat_map(|sides| sides.iter().enumerate()) {
             // All picks and those at the new build, by bucket; the last six are the present.
@@ -768,15 +766,17 @@
             let of = |ring: &Ring<Sample>| {
                 Sample::sum(ring.last(now, KEPT).enumerate().filter(|s| kept(s.0)).map(|s| s.1))
             };
-            self.samples.iter().map(|sides| of(&sides[1])).collect()
+            self.samples.iter().map(|sides| of(&sides[usize::from(trial)])).collect()
         };
-        let (olds, less) = (times(&|i| i >= 18), times(&|i| i < 18 && share(seen[i]) < 0.5 * today));
+        // On trial the last three seconds count; after it nine, less sure but for longer.
+        let (from, bar, margin) = if trial { (18, 7.0, 1.25) } else { (6, 4.8, 2.0) };
+        let (olds, less) = (times(&|i| i >= from), times(&|i| i < 18 && share(seen[i]) < 0.5 * today));
         let (z, moves) = (rank_z(olds.iter().zip(&self.past)), rank_z(olds.iter().zip(&less)));
         let (old, past) = (Sample::sum(olds.iter()), Sample::sum(self.past.iter()));
         // Late answers come with the share of later stages. It must move at its onset, then not ease.
-        let slower = median(&old) > 1.25 * median(&past);
-        let moved = moves > if self.lasts[1] > 0 { -1e-9 } else { 2.6 };
-        let harm = old.n >= 20 && past.n >= 20 && slower && z > 7.0 && moved;
+        let slower = median(&old) > margin * median(&past) && z > bar;
+        let moved = !trial || moves > if self.lasts[1] > 0 { -1e-9 } else { 2.6 };
+        let harm = old.n >= 20 && past.n >= 20 && slower && moved;
         harm.then(|| format!("earlier build's times against those before: z {z:.1}, moving {moves:.1}"))
     }
 
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -351,6 +351,75 @@
     assert_eq!(desk.votes, [(2, 0, Verdict::Back)]);
 }
 
+/// Guards against a net that resets connections being read as a failing build.
+#[test]
+fn broken_connections_are_not_errors() {
+    let both: Vec<Member> = (0..8).map(|i| member(i, if i < 4 { 1 } else { 2 }, None)).collect();
+    assert_ne!(vote_after(&both, 30 * MS, |m| m >= 4, Outcome::Broken), Some(Verdict::Back));
+}
+
+/// Guards against one sick machine of the two on trial sending a good build back.
+#[test]
+fn the_worst_of_two_machines_is_left_out() {
+    let both: Vec<Member> = (0..4).map(|i| member(i, if i < 2 { 1 } else { 2 }, None)).collect();
+    assert_ne!(vote_after(&both, 30 * MS, |m| m == 3, Outcome::Error), Some(Verdict::Back));
+}
+
+/// Guards against keys being forgotten when a newer build is listed before the word on the last one.
+#[test]
+fn a_listed_newer_build_frees_no_key() {
+    let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
+    let mut post = post();
+    post.rollout.one_way = true;
+    let mut front = front(post, &[member(0, 1, None), member(1, 2, None)], &mut desk);
+    front.told(&mut desk, Reply::News, standing(2, 0, Phase::Released, 1.0, 100 * SEC));
+    front.taken(&mut desk, 0, 0, Some(7), 101 * SEC);
+    front.ended(&mut desk, 0, 0, Outcome::Ok, MS, true);
+    assert_eq!(desk.picks, [(0, 1)]);
+    let draining = Member { state: State::Draining, ..member(1, 2, None) };
+    front.members(&mut desk, Roll::Changes, &[draining, member(2, 3, None)]);
+    (1..5).for_each(|rpc| front.taken(&mut desk, rpc, 0, Some(7), 101 * SEC));
+    assert!(desk.picks[1..].iter().all(|p| p.1 == 2));
+}
+
+/// Guards against a dispute of an answer from before a restart being held against the new build.
+#[test]
+fn a_dispute_from_before_a_restart_does_not_count() {
+    let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
+    let mut front = front(post(), &[member(0, 1, None), member(1, 2, Some(90 * SEC))], &mut desk);
+    front.told(&mut desk, Reply::News, standing(2, 0, Phase::OnTrial, 0.5, 95 * SEC));
+    for rpc in 0..100 {
+        take(&mut front, &mut desk, rpc, 0);
+        front.ended(&mut desk, rpc, 0, Outcome::Ok, 30 * MS, true);
+        front.disputed(&mut desk, 1, 89 * SEC);
+    }
+    front.woke(&mut desk, 0);
+    assert!(desk.votes.iter().all(|v| v.2 != Verdict::Back));
+}
+
+/// Guards against a build that turns slow as it is released, when no earlier machine is left to compare.
+#[test]
+fn times_far_worse_for_long_send_a_released_build_back() {
+    let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
+    let mut front = front(post(), &[member(0, 1, None)], &mut desk);
+    for rpc in 0..1800 {
+        if rpc == 300 {
+            let gone = Member { state: State::Gone, ..member(0, 1, None) };
+            front.members(&mut desk, Roll::Changes, &[gone, member(1, 2, None)]);
+            front.told(&mut desk, Reply::News, standing(2, 1, Phase::Released, 1.0, 106 * SEC));
+        }
+        desk.now += 20 * MS;
+        take(&mut front, &mut desk, rpc, 2);
+        front.ended(&mut desk, rpc, 0, Outcome::Ok, if rpc < 400 { 30 * MS } else { 300 * MS }, true);
+        if rpc % 25 == 24 {
+            front.woke(&mut desk, 0);
+        }
+        // Not within ten seconds: a shared slowness passes.
+        assert!(rpc > 900 || desk.votes.is_empty());
+    }
+    assert_eq!(desk.votes.last().map(|v| v.2), Some(Verdict::Back));
+}
+
 /// Guards against a build that slows every machine: old against old, before the trial and now.
 #[test]
 fn earlier_machines_that_slow_down_with_the_trial_send_it_back() {
