Where fronts can talk, times send a build back only if a peer sees it too

Notes now say whether a front finds the build slow. Harm: a slow build that only one busy front sees is not sent back by its times.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -250,7 +250,7 @@
     samples: Vec<[Ring<Sample>; 2]>,
     /// All counts before this trial, and the last note of each peer: when, build, sides.
     before: Counts,
-    notes: Vec<(Ns, u32, [Counts; 2])>,
+    notes: Vec<(Ns, u32, [Counts; 2], bool)>,
     /// The earlier build's times before this trial, by method and load.
     past: Vec<Sample>,
     /// This front's vote, when it was cast, whether it counts.
@@ -296,7 +296,6 @@
         }
     }
 
-    /// Timers: the beat of the tests, and asking for the roster again after a failure.
     pub fn woke(&mut self, ctl: &mut dyn Ctl, tag: u64) {
         if tag == BEAT {
             self.beat(ctl);
@@ -667,11 +666,11 @@
 
     pub fn heard(&mut self, ctl: &mut dyn Ctl, from: usize, note: &[u8]) {
         let words: Vec<u32> = note.chunks_exact(2).map(|b| u32::from(b[0]) << 8 | u32::from(b[1])).collect();
-        if from < self.notes.len() && words.len() == 1 + 4 * ROWS {
+        if from < self.notes.len() && words.len() == 2 + 4 * ROWS {
             let at = |side: usize, row: usize| 1 + 2 * (side * ROWS + row);
             let sides = [0, 1]
                 .map(|side| std::array::from_fn(|row| [words[at(side, row)], words[at(side, row) + 1]]));
-            self.notes[from] = (ctl.now(), words[0], sides);
+            self.notes[from] = (ctl.now(), words[0], sides, words[1 + 4 * ROWS] > 0);
         }
     }
 
@@ -706,13 +705,14 @@
         let own = [0, 1].map(|side| self.counted(now, side));
         if self.post.rights.notes && trial {
             let words = [told.build].into_iter().chain(own.into_iter().flatten().flatten());
-            let words = words.map(|n| n.min(65535) as u16);
+            let words = words.chain([self.lasts[0]]).map(|n| n.min(65535) as u16);
             ctl.tell(None, &words.flat_map(u16::to_be_bytes).collect::<Vec<u8>>());
         }
         // Notes older than three intervals say nothing of now.
         let notes = self.notes.iter().filter(|n| n.1 == told.build && now - n.0 < 3 * INTERVAL);
+        let seconded = !self.post.rights.notes || self.post.fronts < 2 || notes.clone().any(|n| n.3);
         let pooled = notes.fold(own, |sum, n| [merge(sum[0], &n.2[0]), merge(sum[1], &n.2[1])]);
-        let why = self.harm(now, own, pooled);
+        let why = self.harm(now, own, pooled, seconded);
         if why.is_some() && self.condemned != told.build {
             self.condemned = told.build;
             ctl.note(&format!("back {}: {}", told.build, why.unwrap_or_default()));
@@ -729,7 +729,7 @@
     }
 
     /// A harmful deviation of the watched build, in words.
-    fn harm(&mut self, now: Ns, own: [Counts; 2], pooled: [Counts; 2]) -> Option<String> {
+    fn harm(&mut self, now: Ns, own: [Counts; 2], pooled: [Counts; 2], seconded: bool) -> Option<String> {
         let rows = self.post.methods.len();
         // The chance of a false alarm, one in a thousand for the tier, shared by its fronts and methods.
         let odds = 1e-3 / f64::from(self.post.fronts.max(1)) / (rows + 1) as f64;
@@ -747,7 +747,8 @@
         let long = if trial { 20 } else { 32 };
         // A queue passes within two intervals, most shared slowness within twenty; on votes wait as long.
         self.lasts = [(&slow, 0), (&worse, 1)].map(|(why, i)| why.as_ref().map_or(0, |_| self.lasts[i] + 1));
-        slow.filter(|_| self.lasts[0] > 1).or(worse.filter(|_| self.lasts[1] >= long))
+        // Where fronts can talk, one front's times alone send nothing back: a peer must see it too.
+        slow.filter(|_| self.lasts[0] > 1 && seconded).or(worse.filter(|_| self.lasts[1] >= long))
     }
 
     /// A build that slows every machine hides from a test against the earlier one: so the earlier one's times
@@ -768,12 +769,11 @@
             };
             self.samples.iter().map(|sides| of(&sides[usize::from(trial)])).collect()
         };
-        // On trial the last three seconds count; after it nine, less sure but for longer.
+        // On trial three seconds that move at the onset and do not ease; after it nine, far worse.
         let (from, bar, margin) = if trial { (18, 7.0, 1.25) } else { (6, 4.8, 2.0) };
         let (olds, less) = (times(&|i| i >= from), times(&|i| i < 18 && share(seen[i]) < 0.5 * today));
         let (z, moves) = (rank_z(olds.iter().zip(&self.past)), rank_z(olds.iter().zip(&less)));
         let (old, past) = (Sample::sum(olds.iter()), Sample::sum(self.past.iter()));
-        // Late answers come with the share of later stages. It must move at its onset, then not ease.
         let slower = median(&old) > margin * median(&past) && z > bar;
         let moved = !trial || moves > if self.lasts[1] > 0 { -1e-9 } else { 2.6 };
         let harm = old.n >= 20 && past.n >= 20 && slower && moved;
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -351,6 +351,33 @@
     assert_eq!(desk.votes, [(2, 0, Verdict::Back)]);
 }
 
+/// Guards against one front's jam sending a good build back for all: where fronts talk, a peer must agree.
+#[test]
+fn times_need_a_peer_where_fronts_can_talk() {
+    for (agrees, expected) in [(0u8, false), (1, true)] {
+        let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
+        let mut post = post();
+        (post.fronts, post.rights.notes) = (2, true);
+        let machines: Vec<Member> = (0..8).map(|i| member(i, if i < 4 { 1 } else { 2 }, None)).collect();
+        let mut front = front(post, &machines, &mut desk);
+        front.told(&mut desk, Reply::News, standing(2, 1, Phase::OnTrial, 0.5, 100 * SEC));
+        // A note: the build, both sides' counts, whether the peer finds it slow.
+        let mut note = vec![0; 2 * (2 + 4 * 8)];
+        (note[1], note[2 * (1 + 4 * 8) + 1]) = (2, agrees);
+        for rpc in 0..400 {
+            desk.now += 20 * MS;
+            take(&mut front, &mut desk, rpc, 2);
+            let took = if desk.picks[rpc].1 >= 4 { 900 * MS } else { 30 * MS };
+            front.ended(&mut desk, rpc, 0, Outcome::Ok, took, true);
+            if rpc % 25 == 24 {
+                front.heard(&mut desk, 1, &note);
+                front.woke(&mut desk, 0);
+            }
+        }
+        assert_eq!(desk.votes.iter().any(|v| v.2 == Verdict::Back), expected, "{agrees}");
+    }
+}
+
 /// Guards against a net that resets connections being read as a failing build.
 #[test]
 fn broken_connections_are_not_errors() {
