--- a/src/logic.rs
+++ b/src/logic.rs
@@ -775,7 +775,7 @@
         let (z, moves) = (rank_z(olds.iter().zip(&self.past)), rank_z(olds.iter().zip(&less)));
         let (old, past) = (Sample::sum(olds.iter()), Sample::sum(self.past.iter()));
         let slower = median(&old) > margin * median(&past) && z > bar;
-        let moved = !trial || moves > if self.lasts[1] > 0 { -1e-9 } else { 2.6 };
+        let moved = !trial || moves > if self.lasts[1] > 0 { -2.6 } else { 2.6 };
         let harm = old.n >= 20 && past.n >= 20 && slower && moved;
         harm.then(|| format!("earlier build's times against those before: z {z:.1}, moving {moves:.1}"))
     }
