--- a/src/logic.rs
+++ b/src/logic.rs
@@ -20,6 +20,11 @@
         self.0 = 4_294_957_665 * (self.0 & 0xffff_ffff) + (self.0 >> 32);
         ((self.0 & 0xffff_ffff) as usize * n) >> 32
     }
+
+    /// Above 0, at most 1.
+    fn part(&mut self) -> f64 {
+        (self.below(1 << 20) + 1) as f64 / f64::from(1 << 20)
+    }
 }
 
 /// Buckets of time, used again in a ring; the newest one is still filling.
@@ -182,17 +187,18 @@
     /// How slow it is against the fleet, 1 as usual.
     slow: f64,
     counts: Ring<Counts>,
-    picked: Ring<u32>,
+    /// Picks that a cold one may still get from this front, as of a time.
+    credit: (f64, Ns),
 }
 
 impl Machine {
-    fn new(member: Member, now: Ns, guard: &Guard) -> Machine {
-        let picked = Ring::new(guard.fall_time / 8, 9);
-        Machine { member, heard: now, slow: 1.0, picked, ..Machine::default() }
+    fn new(member: Member, now: Ns, credit: f64) -> Machine {
+        Machine { member, heard: now, slow: 1.0, credit: (credit, now), ..Machine::default() }
     }
 
-    fn busy(&self, now: Ns, guard: &Guard) -> f64 {
-        (self.held + 1.0) / self.size(now, guard) * self.slow.max(0.1).sqrt()
+    /// How full it is for its size, with `more` RPCs.
+    fn busy(&self, more: f64, now: Ns, guard: &Guard) -> f64 {
+        (self.held + more) / self.size(now, guard) * self.slow.max(0.1).sqrt()
     }
 
     fn up(&self) -> bool {
@@ -232,6 +238,8 @@
     born: Ns,
     /// The shortest soft deadline.
     soft: Ns,
+    /// How far what this front holds tells of a machine's load: 1 when it is alone.
+    sight: f64,
     machines: Vec<Machine>,
     rpcs: Vec<Rpc>,
     open: u32,
@@ -285,6 +293,8 @@
         ctl.wake_at(ctl.now() + INTERVAL, BEAT);
         // 32 whole buckets of the cap's window count as taken, one more as exposed: never too many.
         let exposure = (0..scopes).map(|_| Ring::new(post.rollout.window / 32, 33)).collect();
+        // Up to five fronts route by what they hold; from some dozen on by chance.
+        let sight = 1.0 / (1.0 + (f64::from(post.fronts) - 1.0).powi(2) / 100.0);
         let soft = post.methods.iter().map(|m| m.soft_deadline).min().unwrap_or(SEC).max(MS);
         Front {
             chance: Chance(post.seed | 1),
@@ -292,6 +302,7 @@
             budget: 5.0,
             exposure,
             soft,
+            sight,
             means: vec![0.0; rows],
             samples: (0..rows * LOADS).map(|_| Default::default()).collect(),
             notes: vec![Default::default(); post.fronts as usize],
@@ -326,10 +337,12 @@
                 self.machines.resize_with(entry.machine + 1, Machine::default);
             }
             let known = &mut self.machines[entry.machine];
+            // Chance sets when a front may first pick a cold machine: hundreds of fronts must not at once.
+            let credit = self.chance.part();
             let known_run = (known.member.build, known.member.started);
             if known.slow == 0.0 || known_run != (entry.build, entry.started) {
                 // A restart, or another machine under this name: what was known of it is void.
-                *known = Machine { held: known.held, ..Machine::new(entry.clone(), now, &self.post.guard) };
+                *known = Machine { held: known.held, ..Machine::new(entry.clone(), now, credit) };
             }
             known.member = entry.clone();
         }
@@ -364,21 +377,23 @@
         }
     }
 
-    /// Rule 4: a cold machine gets from this front no more than this front's machines have been seen to
-    /// serve, by size and warmth, times six tenths of the multiple that it stands: the rest is slack for
-    /// uneven work. What is served is never above capacity, so when every front does so the sum holds.
-    fn cold_room(&self, m: &Machine, now: Ns) -> bool {
+    /// Rule 4: picks that a cold machine may get from this front: as many as this front's machines have been
+    /// seen to serve, by size and warmth, times half the multiple that it stands: the rest is slack for uneven
+    /// work. What is served is never above capacity, so when every front does so the sum holds, also where a
+    /// front has less than one pick to give in that time.
+    fn credit(&self, m: &Machine, now: Ns) -> f64 {
         let guard = &self.post.guard;
         if m.member.started.is_none_or(|at| now - at > guard.cold_time + guard.fall_time) {
-            return true;
+            return f64::INFINITY;
         }
-        let span = guard.fall_time as f64 / SEC as f64;
-        let most = 0.6 * guard.overload_factor * self.carry * span * m.size(now, guard);
-        f64::from(m.picked.last(now, 9).sum::<u32>()) < most.max(1.0)
+        let a_second = 0.5 * guard.overload_factor * self.carry * m.size(now, guard);
+        let since = (now - m.credit.1) as f64 / SEC as f64;
+        // A third of the span's picks may come at once.
+        (m.credit.0 + a_second * since).min((a_second * guard.fall_time as f64 / SEC as f64 / 3.0).max(1.0))
     }
 
     /// What a pick there is expected to cost: how busy it is, and how sick it seems.
-    fn cost(&self, m: &Machine, now: Ns) -> f64 {
+    fn cost(&self, m: &Machine, now: Ns, unseen: f64) -> f64 {
         // A machine that fails draws fewer picks, not none: it must be seen to recover.
         let count = sum(m.counts.last(now, 8).map(|counts| &counts[ALL]));
         let mut cost = 1.0 + 20.0 * f64::from(count[1]) / (f64::from(count[0]) + 3.0);
@@ -390,7 +405,7 @@
         if m.member.zone != self.post.zone {
             cost *= 1.0 + 10.0 * self.post.cross_zone_price;
         }
-        cost * m.busy(now, &self.post.guard)
+        cost * m.busy(self.sight + unseen, now, &self.post.guard)
     }
 
     fn up(&self) -> impl Iterator<Item = &Machine> {
@@ -402,9 +417,17 @@
         let from = self.chance.below(size.max(1));
         let fit = (0..size).map(|i| (from + i) % size).filter(|&i| {
             let m = &self.machines[i];
-            m.up() && fits(&m.member) && self.cold_room(m, now)
+            m.up() && fits(&m.member) && self.credit(m, now) >= 1.0
+        });
+        let fit: Vec<usize> = fit.collect();
+        // Chance stands for the load that other fronts bring: the less is seen of it, the more the choice
+        // falls by size alone, else all would crowd on the machines that look best.
+        let blind = 4.0 * (1.0 - self.sight) * size as f64;
+        let each = fit.into_iter().map(|i| {
+            let unseen = blind * -self.chance.part().ln();
+            (self.cost(&self.machines[i], now, unseen), i)
         });
-        fit.map(|i| (self.cost(&self.machines[i], now), i)).min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, i)| i)
+        each.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, i)| i)
     }
 
     pub fn taken(&mut self, ctl: &mut dyn Ctl, rpc: usize, method: usize, key: Option<u64>, deadline: Ns) {
@@ -448,12 +471,19 @@
         let now = ctl.now();
         let (method, key, build) = (self.rpcs[rpc].method, self.rpcs[rpc].key, self.watched);
         let bound = self.bound_to(key) == build;
-        let room = self.room(build, method, now) && (bound || self.may_bind(key, now));
+        let guard = &self.post.guard;
+        let (mut ours, mut theirs) = (0.0, 0.0);
+        for m in self.up() {
+            *(if m.member.build == build { &mut ours } else { &mut theirs }) += m.size(now, guard);
+        }
+        let kept = self.sight + (1.0 - self.sight) * FILL * ours / (FILL * ours + theirs).max(1e-6);
+        let fills = bound || self.chance.part() <= kept;
+        let room = fills && self.room(build, method, now) && (bound || self.may_bind(key, now));
         let trial = if room { self.best(now, |m| m.build == build) } else { None };
         let earlier = self.earlier(rpc, now, |_| true);
         let full = trial.zip(earlier).is_some_and(|(t, e)| {
             let ([t, e], guard) = ([t, e].map(|i| &self.machines[i]), &self.post.guard);
-            t.busy(now, guard) > e.busy(now, guard) + (FILL - 1.0) / e.size(now, guard)
+            t.busy(self.sight, now, guard) > e.busy(self.sight, now, guard) + (FILL - 1.0) / e.size(now, guard)
         });
         self.pick(ctl, rpc, if full { earlier } else { trial.or(earlier) });
     }
@@ -486,6 +516,7 @@
             _ => left,
         };
         r.last = machine;
+        let credit = self.credit(&self.machines[machine], now);
         let m = &mut self.machines[machine];
         let mark = (m.member.zone, m.member.cell, now);
         let (build, cell) = (m.member.build, row * LOADS + (m.held as usize).min(LOADS - 1));
@@ -493,7 +524,7 @@
             m.heard = now;
         }
         m.held += 1.0;
-        *m.picked.at(now) += 1;
+        m.credit = (credit - 1.0, now);
         if self.on_trial(build).is_some() {
             let scope = self.scope(row);
             self.exposure[scope].at(now)[1] += 1;
