Notes go to three hearers, with failures by machine; the bar is shared by back votes; tallies judge

Cause: notes from every front to every other grew with the square of fronts (prices, actions, CPU), and a quiet front's own few picks never reached the bar.

--- a/adapter/src/seat.rs
+++ b/adapter/src/seat.rs
@@ -29,7 +29,10 @@
         let cell = line.may("block", |w| w.parse().ok())?.unwrap_or(0);
         let weight = line.may("powerHint", number)?.unwrap_or(1.0);
         let name = line.word("machine")?.to_string();
-        Ok(Listed { name, entry: Member { machine: 0, zone, cell, build, state, weight, started } })
+        // FNV-1a, folded to 16 bits.
+        let hash = name.bytes().fold(0x811c_9dc5u32, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193));
+        let tag = (hash >> 16) ^ (hash & 0xffff);
+        Ok(Listed { name, entry: Member { machine: 0, tag, zone, cell, build, state, weight, started } })
     }
 }
 
@@ -218,6 +221,7 @@
     });
     Ok(Post {
         fronts: conf.int("balancers")?,
+        rank: conf.int("rank")?,
         zone: conf.int("locality")?,
         seed,
         ask_roster: conf.word("discovery") == "subscribe",
@@ -241,6 +245,7 @@
             dwell: conf.time("extra.minDwellMs")?,
             vote_life: conf.time("extra.ballotTtlMs")?,
             call_timeout: conf.time("extra.apiTimeoutMs")?,
+            back_votes: conf.int("extra.toAbort")?,
         },
         guard: Guard {
             ask_within: conf.time("invariants.askWithinMs")?,
@@ -361,8 +366,16 @@
                 let tag = line.int("tag")?;
                 go!(woke(tag));
             }
-            // The module asks for no probe, and rounds showed that tallies do not help it.
-            "HEALTH" | "PLATFORM_SAW" => {}
+            // The module asks for no probe.
+            "HEALTH" => {}
+            "PLATFORM_SAW" => {
+                let (build, method) = (line.int("buildNo")?, line.int("service")?);
+                let picks = line.int("attempts")?;
+                line.may("elapsedMs", number)?;
+                let not_ok = line.int("notOk")?;
+                line.may("oldMs", nanos)?;
+                go!(tallied(build, method, picks, not_ok));
+            }
             "INBOX" => {
                 let from = line.int("srcPeer")?;
                 let note = line.may("content", bytes)?.unwrap_or_default();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -58,6 +58,8 @@
     pub dwell: Ns,
     pub vote_life: Ns,
     pub call_timeout: Ns,
+    /// Fronts that send a build back together.
+    pub back_votes: u32,
 }
 
 /// The figures of the five rules.
@@ -84,6 +86,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Post {
     pub fronts: u32,
+    /// This front's place among them, from 0.
+    pub rank: u32,
     pub zone: u32,
     pub seed: u64,
     /// The roster answers only when asked.
@@ -108,6 +112,8 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Member {
     pub machine: usize,
+    /// The same at every front: 16 bits drawn from its name.
+    pub tag: u32,
     pub zone: u32,
     pub cell: u32,
     pub build: u32,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -177,6 +177,40 @@
     std::array::from_fn(|row| add(a[row], b[row]))
 }
 
+/// What one front or several have counted: picks by side and row, failures by a machine's tag and row.
+#[derive(Clone, Default)]
+struct Tally {
+    picks: [[u32; ROWS]; 2],
+    failed: BTreeMap<(u32, usize), u32>,
+}
+
+impl Tally {
+    fn add(&mut self, other: &Tally) {
+        for (a, b) in self.picks.iter_mut().flatten().zip(other.picks.iter().flatten()) {
+            *a += b;
+        }
+        other.failed.iter().for_each(|(at, n)| *self.failed.entry(*at).or_default() += n);
+    }
+
+    /// A note: build, whether it is found slow, picks by side and row, then machines that failed.
+    fn note(&self, build: u32, slow: bool) -> Vec<u8> {
+        let words = [build, u32::from(slow)].into_iter().chain(self.picks.into_iter().flatten());
+        let mut note: Vec<u8> = words.flat_map(|n| (n.min(65535) as u16).to_be_bytes()).collect();
+        for ((tag, row), n) in self.failed.iter().take((256 - note.len()) / 4) {
+            note.extend([(tag >> 8) as u8, *tag as u8, *row as u8, (*n).min(255) as u8]);
+        }
+        note
+    }
+
+    fn read(note: &[u8]) -> Option<(u32, Tally, bool)> {
+        let (head, tail) = note.split_at_checked(4 + 4 * ROWS)?;
+        let word = |i: usize| u32::from(head[2 * i]) << 8 | u32::from(head[2 * i + 1]);
+        let picks = [0, 1].map(|side| std::array::from_fn(|row| word(2 + side * ROWS + row)));
+        let failed = tail.chunks_exact(4).map(|b| ((u32::from(b[0]) << 8 | u32::from(b[1]), b[2].into()), b[3].into()));
+        Some((word(0), Tally { picks, failed: failed.collect() }, word(1) > 0))
+    }
+}
+
 #[derive(Default)]
 struct Machine {
     member: Member,
@@ -260,9 +294,11 @@
     /// The newest build; its times and the earlier ones' (sides 0 and 1), by method and load.
     watched: u32,
     samples: Vec<[Ring<Sample>; 2]>,
-    /// All counts before this trial, and each peer's last note: when, build, sides, whether it finds it slow.
+    /// All counts before this trial, the platform's tallies, and each peer's last note: when, what it counted
+    /// of which build, whether it finds it slow.
     before: Counts,
-    notes: Vec<(Ns, u32, [Counts; 2], bool)>,
+    platform: [Ring<Counts>; 2],
+    notes: BTreeMap<usize, (Ns, u32, Tally, bool)>,
     /// The earlier build's times before this trial, by method and load.
     past: Vec<Sample>,
     /// This front's vote, when it was cast, whether it counts.
@@ -280,6 +316,9 @@
 /// Times are held only against those of picks at like load: 0, 1, 2, or more of our RPCs on the machine.
 const LOADS: usize = 4;
 
+/// Fronts that hear all the others: one may stand still and one restart at any time.
+const HEARERS: u32 = 3;
+
 /// The timer of the beat; any other asks for the roster.
 const BEAT: u64 = 0;
 
@@ -305,7 +344,6 @@
             sight,
             means: vec![0.0; rows],
             samples: (0..rows * LOADS).map(|_| Default::default()).collect(),
-            notes: vec![Default::default(); post.fronts as usize],
             post,
             ..Front::default()
         }
@@ -370,8 +408,10 @@
         let listed = self.up().map(|m| m.member.build);
         let newest = listed.chain(self.told.map(|t| t.build)).max().unwrap_or(0);
         if newest > self.watched {
-            self.before = merge(self.counted(now, 0), &self.counted(now, 1));
+            let tally = self.tally(now);
+            self.before = merge(self.counted(&tally, 0), &self.counted(&tally, 1));
             self.watched = newest;
+            self.platform = Default::default();
             let both = |[new, old]: [Ring<Sample>; 2]| Sample::sum(new.cells.iter().chain(&old.cells));
             self.past = self.samples.iter_mut().map(|sides| both(std::mem::take(sides))).collect();
         }
@@ -699,24 +739,48 @@
     }
 
     pub fn heard(&mut self, ctl: &mut dyn Ctl, from: usize, note: &[u8]) {
-        let words: Vec<u32> = note.chunks_exact(2).map(|b| u32::from(b[0]) << 8 | u32::from(b[1])).collect();
-        if from < self.notes.len() && words.len() == 2 + 4 * ROWS {
-            let at = |side: usize, row: usize| 1 + 2 * (side * ROWS + row);
-            let sides = [0, 1]
-                .map(|side| std::array::from_fn(|row| [words[at(side, row)], words[at(side, row) + 1]]));
-            self.notes[from] = (ctl.now(), words[0], sides, words[1 + 4 * ROWS] > 0);
+        if let Some((build, tally, slow)) = Tally::read(note) {
+            self.notes.insert(from, (ctl.now(), build, tally, slow));
+        }
+    }
+
+    /// The platform's own counts, late and of all fronts.
+    pub fn tallied(&mut self, ctl: &mut dyn Ctl, build: u32, method: usize, picks: u32, not_ok: u32) {
+        let counts = self.platform[self.side(build)].at(ctl.now());
+        for row in [ALL, row_of(method)] {
+            counts[row] = add(counts[row], [picks, not_ok]);
         }
     }
 
+    fn tally(&self, now: Ns) -> Tally {
+        let mut tally = Tally::default();
+        for m in &self.machines {
+            let counts = m.counts.last(now, KEPT).fold(Counts::default(), merge);
+            for (row, [picks, failed]) in counts.into_iter().enumerate() {
+                tally.picks[self.side(m.member.build)][row] += picks;
+                if failed > 0 {
+                    *tally.failed.entry((m.member.tag, row)).or_default() += failed;
+                }
+            }
+        }
+        tally
+    }
+
     /// Counts of a side, row by row without the worst third of its machines: a sick machine is not a sick
     /// build, and sick earlier ones must not hide a bad one.
-    fn counted(&self, now: Ns, side: usize) -> Counts {
+    fn counted(&self, tally: &Tally, side: usize) -> Counts {
         let ours = self.machines.iter().filter(|m| self.side(m.member.build) == side);
-        let each: Vec<_> = ours.map(|m| m.counts.last(now, KEPT).fold(Counts::default(), merge)).collect();
+        let tags: Vec<u32> = ours.filter(|m| m.up() || m.held > 0.0).map(|m| m.member.tag).collect();
         std::array::from_fn(|row| {
-            let mut seen: Vec<Count> = each.iter().map(|c| c[row]).filter(|c| c[0] > 0).collect();
-            seen.sort_by(|a, b| share(*a).total_cmp(&share(*b)));
-            sum(seen[..seen.len() - (seen.len() + 1) / 3].iter())
+            let picks = tally.picks[side][row];
+            let mut failed: Vec<u32> =
+                tags.iter().map(|tag| tally.failed.get(&(*tag, row)).copied().unwrap_or(0)).collect();
+            failed.sort_unstable();
+            // Few picks meet few machines.
+            let met = failed.len().min(picks as usize);
+            let kept = met - (met + 1) / 3;
+            let out = failed.len() - (met - kept);
+            [picks * kept as u32 / (met as u32).max(1), failed[..out].iter().sum()]
         })
     }
 
@@ -736,22 +800,27 @@
             self.ballot = None;
             return;
         }
-        let own = [0, 1].map(|side| self.counted(now, side));
+        // Where fronts can talk, a few hear all the others: notes to everyone grow with the square of fronts.
+        let (fronts, rank) = (self.post.fronts, self.post.rank);
+        let hearers = [0, 1, 2].map(|i| (told.build + i * fronts / HEARERS) % fronts.max(1));
+        let hears = !self.post.rights.notes || fronts <= HEARERS || hearers.contains(&rank);
+        let mut tally = self.tally(now);
+        let own = [0, 1].map(|side| self.counted(&tally, side));
         if self.post.rights.notes && trial {
-            let words = [told.build].into_iter().chain(own.into_iter().flatten().flatten());
-            let words = words.chain([self.lasts[0]]).map(|n| n.min(65535) as u16);
-            ctl.tell(None, &words.flat_map(u16::to_be_bytes).collect::<Vec<u8>>());
+            let note = tally.note(told.build, self.lasts[0] > 0);
+            hearers.iter().filter(|h| **h != rank).for_each(|h| ctl.tell(Some(*h), &note));
         }
         // Notes older than three intervals say nothing of now.
-        let notes = self.notes.iter().filter(|n| n.1 == told.build && now - n.0 < 3 * INTERVAL);
-        let seconded = !self.post.rights.notes || self.post.fronts < 2 || notes.clone().any(|n| n.3);
-        let pooled = notes.fold(own, |sum, n| [merge(sum[0], &n.2[0]), merge(sum[1], &n.2[1])]);
+        self.notes.retain(|_, n| n.1 == told.build && now - n.0 < 3 * INTERVAL);
+        let seconded = !self.post.rights.notes || fronts < 2 || self.notes.values().any(|n| n.3);
+        self.notes.values().for_each(|n| tally.add(&n.2));
+        let pooled = [0, 1].map(|side| self.counted(&tally, side));
         let why = self.harm(now, own, pooled, seconded);
         if let Some(why) = why.filter(|_| self.condemned != told.build) {
             self.condemned = told.build;
             ctl.note(&format!("back {}: {why}", told.build));
         }
-        let baked = self.baked(now, told, pooled[0][ALL][0]);
+        let baked = self.baked(now, told, pooled[0][ALL][0], hears);
         let verdict = match self.post.rollout.control {
             _ if self.condemned == told.build => Verdict::Back,
             Control::Automatic if trial && baked => Verdict::NoVote,
@@ -765,8 +834,18 @@
     /// A harmful deviation of the watched build, in words.
     fn harm(&mut self, now: Ns, own: [Counts; 2], pooled: [Counts; 2], seconded: bool) -> Option<String> {
         let rows = self.post.methods.len();
-        // The chance of a false alarm, one in a thousand for the tier, shared by its fronts and methods.
-        let odds = 1e-3 / f64::from(self.post.fronts.max(1)) / (rows + 1) as f64;
+        // The chance of a false alarm, one in a thousand for the tier, shared by its fronts and methods. Where
+        // it takes k of n fronts, each may err as often as k seldom do together: (e n p / k)^k bounds that.
+        let (n, k) = (f64::from(self.post.fronts.max(1)), f64::from(self.post.rollout.back_votes.max(1)));
+        let odds = k / (n * std::f64::consts::E) * 1e-3f64.powf(1.0 / k) / (rows + 1) as f64;
+        let seen = [0, 1].map(|side| self.platform[side].last(now, KEPT).fold(Counts::default(), merge));
+        if let Some(row) = (0..ROWS).find(|&r| {
+            // All that did not end ok, sick machines and full ones too: so a margin, and the double.
+            let wide = share(seen[0][r]) > 2.0 * share(seen[1][r]) + 0.02;
+            wide && seen[1][ALL][0] >= 100 && deviates(seen[0][r], seen[1][r], 1e-6)
+        }) {
+            return Some(format!("tallied failures, row {row}: {:?} against {:?}", seen[0][row], seen[1][row]));
+        }
         for (source, [new, old]) in [("own", own), ("pooled", pooled)] {
             // Where earlier machines get few, the reference takes in what was seen before the trial.
             let old = if old[ALL][0] < self.before[ALL][0] { merge(old, &self.before) } else { old };
@@ -838,14 +917,16 @@
     }
 
     /// Clean long enough: the newest machine of this stage has run for the bake, and outcomes were seen.
-    fn baked(&self, now: Ns, told: Standing, seen: u32) -> bool {
+    fn baked(&self, now: Ns, told: Standing, seen: u32, hears: bool) -> bool {
         let bake = (self.post.rollout.dwell + SEC).max(2 * SEC);
         let ours = self.up().filter(|m| m.member.build == told.build);
         let newest = ours.filter_map(|m| m.member.started).max().unwrap_or(i64::MIN / 2);
         // A stage's machines start after it began; where none seems to, it has had time enough by now.
         let fresh = newest > told.since || now - told.since > 8 * SEC;
         let waited = now - newest.max(told.since);
-        fresh && self.lasts == [0, 0] && waited >= bake && (seen >= 20 || waited >= 2 * bake)
+        // Those who hear no others leave the first word to those who do.
+        let enough = if hears && seen >= 20 { bake } else { 2 * bake };
+        fresh && self.lasts == [0, 0] && waited >= enough
     }
 
     /// Keeps this front's vote standing: cast again once half its life is over or no answer came.
