--- a/src/logic.rs
+++ b/src/logic.rs
@@ -549,12 +549,12 @@
         let method = &self.post.methods[row];
         let left = r.deadline - now - step;
         // An idempotent RPC's first pick is given up in time for another, once it is far later than usual.
-        let patience = match method.repeat {
-            Repeat::Idempotent if r.then.is_empty() && self.budget >= 1.0 => {
-                (method.soft_deadline * 6 / 10).max(6 * self.means[row] as Ns)
-            }
-            _ => left,
-        };
+        // The repeat is set aside from the budget now: when all are late, time-outs without one end in pushback,
+        // and clients that come back keep the fleet full.
+        let reserved = method.repeat == Repeat::Idempotent && r.then.is_empty() && self.budget >= 1.0;
+        self.budget -= f64::from(u8::from(reserved));
+        let early = (method.soft_deadline * 6 / 10).max(6 * self.means[row] as Ns);
+        let patience = if reserved { early } else { left };
         r.last = machine;
         let credit = self.credit(&self.machines[machine], now);
         let m = &mut self.machines[machine];
@@ -570,6 +570,7 @@
             self.exposure[scope].at(now)[1] += 1;
         }
         self.rpcs[rpc].then.push(Some(Box::new(move |front, ctl, outcome, took, last| {
+            front.budget += f64::from(u8::from(reserved));
             front.learn(ctl.now(), machine, build, cell, outcome, took);
             let r = &mut front.rpcs[rpc];
             if !matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::Void) {
