--- a/src/logic.rs
+++ b/src/logic.rs
@@ -554,7 +554,7 @@
         let reserved = method.repeat == Repeat::Idempotent && r.then.is_empty() && self.budget >= 1.0;
         self.budget -= f64::from(u8::from(reserved));
         let early = (method.soft_deadline * 6 / 10).max(6 * self.means[row] as Ns);
-        let patience = if reserved { early } else { left };
+        let patience = if reserved && self.sight > 0.5 { early } else { left };
         r.last = machine;
         let credit = self.credit(&self.machines[machine], now);
         let m = &mut self.machines[machine];
