--- a/src/logic.rs
+++ b/src/logic.rs
@@ -376,7 +376,7 @@
             }
             let known = &mut self.machines[entry.machine];
             // Chance sets when a front may first pick a cold machine: hundreds of fronts must not at once.
-            let credit = self.chance.part();
+            let credit = self.chance.part() + 1.0 - self.sight;
             let known_run = (known.member.build, known.member.started);
             if known.slow == 0.0 || known_run != (entry.build, entry.started) {
                 // A restart, or another machine under this name: what was known of it is void.
