--- a/src/logic.rs
+++ b/src/logic.rs
@@ -103,23 +103,44 @@
     }
 }
 
-/// Mann–Whitney: z of the new side's rank sum, ties at their middle rank. Each pair of samples is ranked by
-/// itself, and U and variances add up, so that like is held against like; 0 where no pair has both sides.
+/// A rank test: how far U lies beyond its middle, its variance, and the pairs compared. Tests of several
+/// methods, times or fronts add up, each ranked by itself, so that like is held against like.
+#[derive(Clone, Copy, Default)]
+struct Ranks([f64; 3]);
+
+impl Ranks {
+    /// Mann–Whitney of the new side's rank sum, ties at their middle rank.
+    fn of<'a>(pairs: impl Iterator<Item = (&'a Sample, &'a Sample)>) -> Ranks {
+        pairs.filter(|(new, old)| new.n * old.n > 0).fold(Ranks::default(), |sum, (new, old)| {
+            let (n, m) = (f64::from(new.n), f64::from(old.n));
+            let (mut below, mut ranks) = (0.0, 0.0);
+            for (a, b) in new.bins.iter().zip(&old.bins) {
+                let tied = f64::from(a + b);
+                ranks += f64::from(*a) * (below + (tied + 1.0) / 2.0);
+                below += tied;
+            }
+            let u = ranks - n * (n + 1.0) / 2.0;
+            sum.plus(Ranks([u - n * m / 2.0, n * m * (n + m + 1.0) / 12.0, n * m]))
+        })
+    }
+
+    fn plus(self, other: Ranks) -> Ranks {
+        Ranks(std::array::from_fn(|i| self.0[i] + other.0[i]))
+    }
+
+    /// 0 where no pair has both sides.
+    fn z(self) -> f64 {
+        self.0[0] / self.0[1].max(1e-9).sqrt()
+    }
+
+    /// How much oftener than half the new side is the slower one.
+    fn lead(self) -> f64 {
+        self.0[0] / self.0[2].max(1.0)
+    }
+}
+
 pub fn rank_z<'a>(pairs: impl Iterator<Item = (&'a Sample, &'a Sample)>) -> f64 {
-    let (mut beyond, mut variance) = (0.0, 0.0);
-    for (new, old) in pairs.filter(|(new, old)| new.n * old.n > 0) {
-        let (n, m) = (f64::from(new.n), f64::from(old.n));
-        let (mut below, mut ranks) = (0.0, 0.0);
-        for (a, b) in new.bins.iter().zip(&old.bins) {
-            let tied = f64::from(a + b);
-            ranks += f64::from(*a) * (below + (tied + 1.0) / 2.0);
-            below += tied;
-        }
-        let u = ranks - n * (n + 1.0) / 2.0;
-        beyond += u - n * m / 2.0;
-        variance += n * m * (n + m + 1.0) / 12.0;
-    }
-    beyond / f64::max(variance, 1e-9).sqrt()
+    Ranks::of(pairs).z()
 }
 
 /// The median's bucket, as a time in units of 4 ms.
@@ -182,6 +203,8 @@
 struct Tally {
     picks: [[u32; ROWS]; 2],
     failed: BTreeMap<(u32, usize), u32>,
+    /// The earlier build's times, against those before the trial and against those of a lesser share.
+    times: [Ranks; 2],
 }
 
 impl Tally {
@@ -190,12 +213,14 @@
             *a += b;
         }
         other.failed.iter().for_each(|(at, n)| *self.failed.entry(*at).or_default() += n);
+        self.times = [0, 1].map(|i| self.times[i].plus(other.times[i]));
     }
 
-    /// A note: build, whether it is found slow, picks by side and row, then machines that failed.
+    /// A note: build, whether it is found slow, picks by side and row, ranks, then machines that failed.
     fn note(&self, build: u32, slow: bool) -> Vec<u8> {
         let words = [build, u32::from(slow)].into_iter().chain(self.picks.into_iter().flatten());
         let mut note: Vec<u8> = words.flat_map(|n| (n.min(65535) as u16).to_be_bytes()).collect();
+        note.extend(self.times.iter().flat_map(|t| t.0).flat_map(|x| (x as f32).to_be_bytes()));
         for ((tag, row), n) in self.failed.iter().take((256 - note.len()) / 4) {
             note.extend([(tag >> 8) as u8, *tag as u8, *row as u8, (*n).min(255) as u8]);
         }
@@ -204,10 +229,15 @@
 
     fn read(note: &[u8]) -> Option<(u32, Tally, bool)> {
         let (head, tail) = note.split_at_checked(4 + 4 * ROWS)?;
+        let (ranks, tail) = tail.split_first_chunk::<24>()?;
+        let rank = |i: usize| f64::from(f32::from_be_bytes(std::array::from_fn(|b| ranks[4 * i + b])));
+        let times = [0, 1].map(|t| Ranks(std::array::from_fn(|i| rank(3 * t + i))));
         let word = |i: usize| u32::from(head[2 * i]) << 8 | u32::from(head[2 * i + 1]);
         let picks = [0, 1].map(|side| std::array::from_fn(|row| word(2 + side * ROWS + row)));
-        let failed = tail.chunks_exact(4).map(|b| ((u32::from(b[0]) << 8 | u32::from(b[1]), b[2].into()), b[3].into()));
-        Some((word(0), Tally { picks, failed: failed.collect() }, word(1) > 0))
+        let failed = tail
+            .chunks_exact(4)
+            .map(|b| ((u32::from(b[0]) << 8 | u32::from(b[1]), b[2].into()), b[3].into()));
+        Some((word(0), Tally { picks, failed: failed.collect(), times }, word(1) > 0))
     }
 }
 
@@ -316,6 +346,9 @@
 /// Times are held only against those of picks at like load: 0, 1, 2, or more of our RPCs on the machine.
 const LOADS: usize = 4;
 
+/// Where several fronts must agree, the agreement is the proof: each needs but the usual z of 2.6.
+const VOTED: f64 = 2.6;
+
 /// Fronts that hear all the others: one may stand still and one restart at any time.
 const HEARERS: u32 = 3;
 
@@ -523,7 +556,8 @@
         let earlier = self.earlier(rpc, now, |_| true);
         let full = trial.zip(earlier).is_some_and(|(t, e)| {
             let ([t, e], guard) = ([t, e].map(|i| &self.machines[i]), &self.post.guard);
-            t.busy(self.sight, now, guard) > e.busy(self.sight, now, guard) + (FILL - 1.0) / e.size(now, guard)
+            t.busy(self.sight, now, guard)
+                > e.busy(self.sight, now, guard) + (FILL - 1.0) / e.size(now, guard)
         });
         self.pick(ctl, rpc, if full { earlier } else { trial.or(earlier) });
     }
@@ -806,6 +840,7 @@
         let hearers = [0, 1, 2].map(|i| (told.build + i * fronts / HEARERS) % fronts.max(1));
         let hears = !self.post.rights.notes || fronts <= HEARERS || hearers.contains(&rank);
         let mut tally = self.tally(now);
+        tally.times = self.times(now, trial);
         let own = [0, 1].map(|side| self.counted(&tally, side));
         if self.post.rights.notes && trial {
             let note = tally.note(told.build, self.lasts[0] > 0);
@@ -816,7 +851,7 @@
         let seconded = !self.post.rights.notes || fronts < 2 || self.notes.values().any(|n| n.3);
         self.notes.values().for_each(|n| tally.add(&n.2));
         let pooled = [0, 1].map(|side| self.counted(&tally, side));
-        let why = self.harm(now, own, pooled, seconded);
+        let why = self.harm(now, [own, pooled], tally.times, seconded);
         if let Some(why) = why.filter(|_| self.condemned != told.build) {
             self.condemned = told.build;
             ctl.note(&format!("back {}: {why}", told.build));
@@ -833,8 +868,11 @@
     }
 
     /// A harmful deviation of the watched build, in words.
-    fn harm(&mut self, now: Ns, own: [Counts; 2], pooled: [Counts; 2], seconded: bool) -> Option<String> {
+    fn harm(
+        &mut self, now: Ns, counts: [[Counts; 2]; 2], times: [Ranks; 2], seconded: bool,
+    ) -> Option<String> {
         let rows = self.post.methods.len();
+        let trial = self.on_trial(self.watched).is_some();
         // The chance of a false alarm, one in a thousand for the tier, shared by its fronts and methods. Where
         // it takes k of n fronts, each may err as often as k seldom do together: (e n p / k)^k bounds that.
         let (n, k) = (f64::from(self.post.fronts.max(1)), f64::from(self.post.rollout.back_votes.max(1)));
@@ -842,12 +880,15 @@
         let seen = [0, 1].map(|side| self.platform[side].last(now, KEPT).fold(Counts::default(), merge));
         if let Some(row) = (0..ROWS).find(|&r| {
             // All that did not end ok, sick machines and full ones too: so a margin, and the double.
-            let wide = share(seen[0][r]) > 2.0 * share(seen[1][r]) + 0.02;
+            let wide = trial && share(seen[0][r]) > 3.0 * share(seen[1][r]) + 0.03;
             wide && seen[1][ALL][0] >= 100 && deviates(seen[0][r], seen[1][r], 1e-6)
         }) {
-            return Some(format!("tallied failures, row {row}: {:?} against {:?}", seen[0][row], seen[1][row]));
+            return Some(format!(
+                "tallied failures, row {row}: {:?} against {:?}",
+                seen[0][row], seen[1][row]
+            ));
         }
-        for (source, [new, old]) in [("own", own), ("pooled", pooled)] {
+        for (source, [new, old]) in ["own", "pooled"].into_iter().zip(counts) {
             // Where earlier machines get few, the reference takes in what was seen before the trial.
             let old = if old[ALL][0] < self.before[ALL][0] { merge(old, &self.before) } else { old };
             if let Some(row) = (0..ROWS).find(|&r| old[ALL][0] >= 30 && deviates(new[r], old[r], odds)) {
@@ -855,9 +896,8 @@
             }
         }
         // After a release nothing serves beside it: failures judge, and times that stay far worse.
-        let trial = self.on_trial(self.watched).is_some();
         let slow = (0..rows).filter(|_| trial).find_map(|row| self.slow(row, now));
-        let worse = if self.post.rollout.parallel || !trial { self.worse(now, trial) } else { None };
+        let worse = if self.post.rollout.parallel || !trial { self.worse(trial, times) } else { None };
         let long = if trial { 20 } else { 32 };
         // A queue passes within two intervals, most shared slowness within twenty; on votes wait as long.
         self.lasts = [(&slow, 0), (&worse, 1)].map(|(why, i)| why.as_ref().map_or(0, |_| self.lasts[i] + 1));
@@ -868,7 +908,7 @@
     /// A build that slows every machine hides from a test against the earlier one: so the earlier one's times
     /// are ranked, at like load, against those before the trial, and against those of when the trial had less
     /// than half of its present share: a burst does not move with that. In place, capacity does; not there.
-    fn worse(&self, now: Ns, trial: bool) -> Option<String> {
+    fn times(&self, now: Ns, trial: bool) -> [Ranks; 2] {
         const PRESENT: usize = KEPT as usize - 6; // the last six buckets
         let mut seen = [[0; 2]; KEPT as usize];
         for (new, ring) in self.samples.iter().flat_map(|[new, old]| [(1, new), (0, old)]) {
@@ -882,15 +922,24 @@
             };
             self.samples.iter().map(|sides| of(&sides[usize::from(trial)])).collect()
         };
-        // On trial three seconds that move at the onset and do not ease; after it nine, far worse.
-        let (from, bar, margin) = if trial { (PRESENT, 7.0, 1.25) } else { (6, 4.8, 2.0) };
+        let from = if trial { PRESENT } else { 6 };
         let (olds, less) = (times(&|i| i >= from), times(&|i| i < PRESENT && share(seen[i]) < 0.5 * today));
-        let (z, moves) = (rank_z(olds.iter().zip(&self.past)), rank_z(olds.iter().zip(&less)));
-        let (old, past) = (Sample::sum(olds.iter()), Sample::sum(self.past.iter()));
-        let slower = median(&old) > margin * median(&past) && z > bar;
-        let moved = !trial || moves > if self.lasts[1] > 0 { -2.6 } else { 2.6 };
-        let harm = old.n >= 20 && past.n >= 20 && slower && moved;
-        harm.then(|| format!("earlier build's times against those before: z {z:.1}, moving {moves:.1}"))
+        [Ranks::of(olds.iter().zip(&self.past)), Ranks::of(olds.iter().zip(&less))]
+    }
+
+    fn worse(&self, trial: bool, [past, less]: [Ranks; 2]) -> Option<String> {
+        // On trial three seconds that move at the onset and do not ease; after it nine, far worse. A lead of
+        // 0.06 is a quarter slower, one of 0.17 the double.
+        let (bar, margin) = if trial { (7.0, 0.06) } else { (4.8, 0.17) };
+        let bar = if self.post.rollout.back_votes > 1 { VOTED } else { bar };
+        let moved = !trial || less.z() > if self.lasts[1] > 0 { -2.6 } else { 2.6 };
+        let harm = past.0[2] >= 400.0 && past.z() > bar && past.lead() > margin && moved;
+        harm.then(|| {
+            let (z, lead, moving) = (past.z(), past.lead(), less.z());
+            format!(
+                "earlier build's times against those before: z {z:.1}, lead {lead:.2}, moving {moving:.1}"
+            )
+        })
     }
 
     /// The rank test of a method's times, by buckets of time and load.
@@ -914,7 +963,8 @@
         let soft = self.post.methods[row].soft_deadline;
         let late = new.late(soft) > old.late(soft) + 0.1 && new.n >= 20 && old.n >= 20;
         // 2.6 for one test, 3.4 for a dozen; times that queue together count for a third as many, so 6.
-        (z > 6.0 && slower && late).then(|| format!("times of method {row}, z {z:.1}"))
+        let bar = if self.post.rollout.back_votes > 1 { VOTED } else { 6.0 };
+        (z > bar && slower && late).then(|| format!("times of method {row}, z {z:.1}"))
     }
 
     /// Clean long enough: the newest machine of this stage has run for the bake, and outcomes were seen.
@@ -926,7 +976,11 @@
         let fresh = newest > told.since || now - told.since > 8 * SEC;
         let waited = now - newest.max(told.since);
         // Those who hear no others leave the first word to those who do.
-        let enough = if hears && seen >= 20 { bake } else { 2 * bake };
+        let enough = match hears {
+            true if seen >= 20 => bake,
+            true => 2 * bake,
+            false => 2 * bake + 10 * SEC,
+        };
         fresh && self.lasts == [0, 0] && waited >= enough
     }
 
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -80,7 +80,8 @@
 }
 
 fn member(machine: usize, build: u32, started: Option<Ns>) -> Member {
-    Member { machine, build, state: State::Up, weight: 1.0, started, ..Member::default() }
+    let tag = machine as u32;
+    Member { machine, tag, build, state: State::Up, weight: 1.0, started, ..Member::default() }
 }
 
 /// The first half runs build 1, the other build 2.
@@ -365,9 +366,9 @@
         (post.fronts, post.rights.notes) = (2, true);
         let mut front = front(post, &fleet(8), &mut desk);
         front.told(&mut desk, Reply::News, standing(2, 1, Phase::OnTrial, 0.5, 100 * SEC));
-        // A note: the build, both sides' counts, whether the peer finds it slow.
-        let mut note = vec![0; 2 * (2 + 4 * 8)];
-        (note[1], note[2 * (1 + 4 * 8) + 1]) = (2, agrees);
+        // A note: the build, whether the peer finds it slow, picks of both sides, ranks.
+        let mut note = vec![0; 4 + 4 * 8 + 24];
+        (note[1], note[3]) = (2, agrees);
         for rpc in 0..400 {
             desk.now += 20 * MS;
             take(&mut front, &mut desk, rpc, 2);
