A machine's illness by any failed pick, kept for some ten seconds

Cause: a quiet front forgot in four seconds which machines it could not reach, errors alone counted, and a failed connection costs 250 ms. Should also catch: machines bad for one front only. May harm: a machine's single errors idle it for a while.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -248,8 +248,9 @@
     held: f64,
     /// Its last answer, or the pick that found it idle.
     heard: Ns,
-    /// How slow it is against the fleet, 1 as usual.
+    /// How slow it is against the fleet, 1 as usual; how surely it fails this front, 0 to 1.
     slow: f64,
+    ill: f64,
     counts: Ring<Counts>,
     /// Picks that a cold one may still get from this front, as of a time.
     credit: (f64, Ns),
@@ -467,9 +468,8 @@
 
     /// What a pick there is expected to cost: how busy it is, and how sick it seems.
     fn cost(&self, m: &Machine, now: Ns, unseen: f64) -> f64 {
-        // A machine that fails draws fewer picks, not none: it must be seen to recover.
-        let count = sum(m.counts.last(now, 8).map(|counts| &counts[ALL]));
-        let mut cost = 1.0 + 20.0 * f64::from(count[1]) / (f64::from(count[0]) + 3.0);
+        // A machine that fails or can't be reached draws fewer picks, not none: it must be seen to recover.
+        let mut cost = 1.0 + 40.0 * m.ill * m.ill;
         // One that holds picks and stays silent past the shortest soft deadline may be gone.
         let silence = (now - m.heard) as f64 / self.soft as f64;
         if m.held >= 1.0 && silence > 1.0 {
@@ -749,6 +749,12 @@
             *mean += if *mean == 0.0 { took } else { 0.02 * f64::from(u8::from(ok)) * (took - *mean) };
             m.slow += 0.1 * ((took / *mean).min(8.0) - m.slow);
         }
+        // Two failures in a row make it a last resort, for a quiet front too; a jam is no illness, and time-outs are slowness.
+        match outcome {
+            Outcome::Ok => m.ill *= 0.8,
+            Outcome::Full | Outcome::TimedOut => {}
+            _ => m.ill += 0.4 * (1.0 - m.ill),
+        }
         *self.served.at(now) += u32::from(ok);
         // Each machine's first second is left out of what is held against a build.
         if m.member.started.is_some_and(|at| now - took < at + SEC) {
@@ -824,6 +830,8 @@
         // What seemed slow is tried again: without picks the measure would never mend.
         let unheard = self.machines.iter_mut().filter(|m| now - m.heard > SPAN);
         unheard.for_each(|m| m.slow += 0.1 * (1.0 - m.slow));
+        // Half of an illness is forgotten in eleven seconds: about as long as machines and links stay sick.
+        self.machines.iter_mut().for_each(|m| m.ill *= 0.97);
         let sizes: f64 = self.up().map(|m| m.size(now, &self.post.guard)).sum();
         if now - self.born > SPAN {
             // What machines once carried they can carry again; forgotten by half in half a minute.
