--- a/src/logic.rs
+++ b/src/logic.rs
@@ -366,8 +366,8 @@
         ctl.wake_at(ctl.now() + INTERVAL, BEAT);
         // 32 whole buckets of the cap's window count as taken, one more as exposed: never too many.
         let exposure = (0..scopes).map(|_| Ring::new(post.rollout.window / 32, 33)).collect();
-        // Up to five fronts route by what they hold; from some dozen on by chance.
-        let sight = 1.0 / (1.0 + (f64::from(post.fronts) - 1.0).powi(2) / 100.0);
+        // Up to some ten fronts route by what they hold; from some thirty on by chance.
+        let sight = 1.0 / (1.0 + (f64::from(post.fronts) / 20.0).powi(4));
         let soft = post.methods.iter().map(|m| m.soft_deadline).min().unwrap_or(SEC).max(MS);
         Front {
             chance: Chance(post.seed | 1),
