--- a/src/logic.rs
+++ b/src/logic.rs
@@ -410,7 +410,7 @@
             }
             let known = &mut self.machines[entry.machine];
             // Chance sets when a front may first pick a cold machine: hundreds of fronts must not at once.
-            let credit = self.chance.part() + 1.0 - self.sight;
+            let credit = if self.sight > 0.5 { f64::INFINITY } else { 1.0 + self.chance.part() };
             let known_run = (known.member.build, known.member.started);
             if known.slow == 0.0 || known_run != (entry.build, entry.started) {
                 // A restart, or another machine under this name: what was known of it is void.
@@ -460,7 +460,7 @@
         if m.member.started.is_none_or(|at| now - at > guard.cold_time + guard.fall_time) {
             return f64::INFINITY;
         }
-        let a_second = 0.5 * guard.overload_factor * self.carry * m.size(now, guard);
+        let a_second = 0.55 * guard.overload_factor * self.carry * m.size(now, guard);
         let since = (now - m.credit.1) as f64 / SEC as f64;
         // A third of the span's picks may come at once.
         (m.credit.0 + a_second * since).min((a_second * guard.fall_time as f64 / SEC as f64 / 3.0).max(1.0))
