--- a/src/logic.rs
+++ b/src/logic.rs
@@ -885,10 +885,14 @@
         // it takes k of n fronts, each may err as often as k seldom do together: (e n p / k)^k bounds that.
         let (n, k) = (f64::from(self.post.fronts.max(1)), f64::from(self.post.rollout.back_votes.max(1)));
         let odds = k / (n * std::f64::consts::E) * 1e-3f64.powf(1.0 / k) / (rows + 1) as f64;
+        let erred = trial
+            && self.machines.iter().any(|m| {
+                self.side(m.member.build) == 0 && sum(m.counts.last(now, KEPT).map(|c| &c[ALL]))[1] > 0
+            });
         let seen = [0, 1].map(|side| self.platform[side].last(now, KEPT).fold(Counts::default(), merge));
         if let Some(row) = (0..ROWS).find(|&r| {
-            // All that did not end ok, sick machines and full ones too: so a margin, and the double.
-            let wide = trial && share(seen[0][r]) > 3.0 * share(seen[1][r]) + 0.03;
+            // All that did not end ok, time-outs of a jam too: so a margin, and this front must have seen an error.
+            let wide = erred && share(seen[0][r]) > 3.0 * share(seen[1][r]) + 0.03;
             wide && seen[1][ALL][0] >= 100 && deviates(seen[0][r], seen[1][r], 1e-6)
         }) {
             return Some(format!(
