Quiet fronts push back by how many answers take over half their soft deadline

Cause: a front with a few RPCs a second never holds enough for the bound on open RPCs, so no one pushed back and queues held dead work.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -312,6 +312,9 @@
     budget: f64,
     served: Ring<u32>,
     carry: f64,
+    /// Picks and those that took over half of their soft deadline; the share of RPCs taken on.
+    queued: Ring<Count>,
+    admit: f64,
     /// Mean time of a method's ok picks.
     means: Vec<f64>,
     told: Option<Standing>,
@@ -373,6 +376,7 @@
             chance: Chance(post.seed | 1),
             born: ctl.now(),
             budget: 5.0,
+            admit: 1.0,
             exposure,
             soft,
             sight,
@@ -518,7 +522,8 @@
         }
         self.rpcs[rpc] = Rpc { method, key, deadline, open: true, last: usize::MAX, ..Rpc::default() };
         self.open += 1;
-        if self.fullness(now, method) > 1.0 {
+        if self.fullness(now, method) > 1.0 || self.chance.part() > self.admit.powf(1.0 / self.yields(method))
+        {
             return self.give_up(ctl, rpc);
         }
         self.first(ctl, rpc);
@@ -529,11 +534,16 @@
         f64::from(self.served.last(now, SPAN / INTERVAL).sum::<u32>()) / span
     }
 
+    /// A method's utility for its work, against the best.
+    fn yields(&self, method: usize) -> f64 {
+        let worth = |row: usize| self.post.methods[row].utility / self.means[row].max(MS as f64);
+        worth(method) / (0..self.means.len()).map(worth).fold(0.0, f64::max)
+    }
+
     /// More open RPCs than are served within the shortest soft deadline would all be served late. Those of
     /// the least utility for their work are turned away first.
     fn fullness(&self, now: Ns, method: usize) -> f64 {
-        let worth = |row: usize| self.post.methods[row].utility / self.means[row].max(MS as f64);
-        let yields = worth(method) / (0..self.means.len()).map(worth).fold(0.0, f64::max);
+        let yields = self.yields(method);
         // From four tenths of the shortest soft deadline for the least to eight for the most useful.
         let limit = self.rate(now) * self.soft as f64 / SEC as f64 * (0.4 + 0.4 * yields);
         f64::from(self.open) / limit.max(self.up().count() as f64)
@@ -749,6 +759,9 @@
             *mean += if *mean == 0.0 { took } else { 0.02 * f64::from(u8::from(ok)) * (took - *mean) };
             m.slow += 0.1 * ((took / *mean).min(8.0) - m.slow);
         }
+        let half = self.post.methods[row].soft_deadline / 2;
+        let queued = self.queued.at(now);
+        *queued = add(*queued, [1, u32::from(took > half || outcome == Outcome::Full)]);
         // Two failures in a row make it a last resort, for a quiet front too; a jam is no illness, and time-outs are slowness.
         match outcome {
             Outcome::Ok => m.ill *= 0.8,
@@ -837,6 +850,12 @@
             // What machines once carried they can carry again; forgotten by half in half a minute.
             self.carry = (0.99 * self.carry).max(self.rate(now) / sizes.max(1e-6));
         }
+        // A quiet front sees a jam by its answers alone: a quarter may take over half of their soft deadline.
+        let [picks, late] = sum(self.queued.last(now, 4));
+        let late = f64::from(late) / f64::from(picks.max(4));
+        if self.sight < 0.5 {
+            self.admit = (self.admit + 0.3 * (0.25 - late)).clamp(0.1, 1.0);
+        }
         let Some(told) = self.told else { return };
         let trial = told.phase == Phase::OnTrial;
         if told.build != self.watched || !trial && told.phase != Phase::Released {
