--- a/src/logic.rs
+++ b/src/logic.rs
@@ -315,8 +315,9 @@
     /// Picks and those that took over half of their soft deadline; the share of RPCs taken on.
     queued: Ring<Count>,
     admit: f64,
-    /// Mean time of a method's ok picks.
+    /// Mean time of a method's ok picks; how slow each zone is against them.
     means: Vec<f64>,
+    zones: Vec<f64>,
     told: Option<Standing>,
     watching: bool,
     /// RPCs taken and picks at builds on trial: a row a method, or one where the cap is for all.
@@ -479,8 +480,11 @@
         if m.held >= 1.0 && silence > 1.0 {
             cost *= 4.0 * silence;
         }
+        // A slow or lossy link, or a zone that is full, shows in a zone's times long before a machine's.
+        let slow = |zone: u32| self.zones.get(zone as usize).copied().unwrap_or(1.0).max(0.5);
         if m.member.zone != self.post.zone {
-            cost *= 1.0 + 10.0 * self.post.cross_zone_price;
+            let ratio = slow(m.member.zone) / slow(self.post.zone);
+            cost *= (1.0 + 10.0 * self.post.cross_zone_price) * ratio * ratio;
         }
         cost * m.busy(self.sight + unseen, now, &self.post.guard)
     }
@@ -757,7 +761,11 @@
         if ok || outcome == Outcome::TimedOut {
             let (took, mean) = (took as f64, &mut self.means[row]);
             *mean += if *mean == 0.0 { took } else { 0.02 * f64::from(u8::from(ok)) * (took - *mean) };
-            m.slow += 0.1 * ((took / *mean).min(8.0) - m.slow);
+            let slow = (took / *mean).min(8.0);
+            m.slow += 0.1 * (slow - m.slow);
+            let zone = m.member.zone as usize;
+            self.zones.resize(self.zones.len().max(zone + 1), 1.0);
+            self.zones[zone] += 0.05 * (slow - self.zones[zone]);
         }
         let half = self.post.methods[row].soft_deadline / 2;
         let queued = self.queued.at(now);
@@ -845,6 +853,7 @@
         unheard.for_each(|m| m.slow += 0.1 * (1.0 - m.slow));
         // Half of an illness is forgotten in eleven seconds: about as long as machines and links stay sick.
         self.machines.iter_mut().for_each(|m| m.ill *= 0.97);
+        self.zones.iter_mut().for_each(|slow| *slow += 0.02 * (1.0 - *slow));
         let sizes: f64 = self.up().map(|m| m.size(now, &self.post.guard)).sum();
         if now - self.born > SPAN {
             // What machines once carried they can carry again; forgotten by half in half a minute.
