--- a/src/logic.rs
+++ b/src/logic.rs
@@ -859,11 +859,11 @@
             // What machines once carried they can carry again; forgotten by half in half a minute.
             self.carry = (0.99 * self.carry).max(self.rate(now) / sizes.max(1e-6));
         }
-        // A quiet front sees a jam by its answers alone: a quarter may take over half of their soft deadline.
+        // A quiet front sees a jam by its answers alone: four in ten may take half their soft deadline.
         let [picks, late] = sum(self.queued.last(now, 4));
         let late = f64::from(late) / f64::from(picks.max(4));
         if self.sight < 0.5 {
-            self.admit = (self.admit + 0.3 * (0.25 - late)).clamp(0.1, 1.0);
+            self.admit = (self.admit + 0.3 * (0.4 - late)).clamp(0.1, 1.0);
         }
         let Some(told) = self.told else { return };
         let trial = told.phase == Phase::OnTrial;
