--- a/src/logic.rs
+++ b/src/logic.rs
@@ -251,6 +251,8 @@
     /// How slow it is against the fleet, 1 as usual; how surely it fails this front, 0 to 1.
     slow: f64,
     ill: f64,
+    /// Its last ok answer, unless it could not be reached since.
+    reached: Ns,
     counts: Ring<Counts>,
     /// Picks that a cold one may still get from this front, as of a time.
     credit: (f64, Ns),
@@ -318,6 +320,8 @@
     /// Mean time of a method's ok picks; how slow each zone is against them.
     means: Vec<f64>,
     zones: Vec<f64>,
+    /// The share of picks that found no connection.
+    scarce: f64,
     told: Option<Standing>,
     watching: bool,
     /// RPCs taken and picks at builds on trial: a row a method, or one where the cap is for all.
@@ -475,6 +479,10 @@
     fn cost(&self, m: &Machine, now: Ns, unseen: f64) -> f64 {
         // A machine that fails or can't be reached draws fewer picks, not none: it must be seen to recover.
         let mut cost = 1.0 + 40.0 * m.ill * m.ill;
+        // Where connections are scarce, those that answered lately still hold one.
+        if now - m.reached > 5 * SEC {
+            cost *= 1.0 + 1000.0 * self.scarce * self.scarce;
+        }
         // One that holds picks and stays silent past the shortest soft deadline may be gone.
         let silence = (now - m.heard) as f64 / self.soft as f64;
         if m.held >= 1.0 && silence > 1.0 {
@@ -772,10 +780,17 @@
         *queued = add(*queued, [1, u32::from(took > half || outcome == Outcome::Full)]);
         // Two failures in a row make it a last resort, for a quiet front too; a jam is no illness, and time-outs are slowness.
         match outcome {
-            Outcome::Ok => m.ill *= 0.8,
+            Outcome::Ok => {
+                m.ill *= 0.8;
+                m.reached = now;
+            }
             Outcome::Full | Outcome::TimedOut => {}
-            _ => m.ill += 0.4 * (1.0 - m.ill),
+            _ => {
+                m.ill += 0.4 * (1.0 - m.ill);
+                m.reached = i64::MIN / 2;
+            }
         }
+        self.scarce += 0.1 * (f64::from(u8::from(outcome == Outcome::Unreachable)) - self.scarce);
         *self.served.at(now) += u32::from(ok);
         // Each machine's first second is left out of what is held against a build.
         if m.member.started.is_some_and(|at| now - took < at + SEC) {
