--- a/src/logic.rs
+++ b/src/logic.rs
@@ -571,7 +571,7 @@
         for m in self.up() {
             *(if m.member.build == build { &mut ours } else { &mut theirs }) += m.size(now, guard);
         }
-        let kept = self.sight + (1.0 - self.sight) * 1.3 * ours / (1.3 * ours + theirs).max(1e-6);
+        let kept = self.sight + (1.0 - self.sight) * FILL * ours / (FILL * ours + theirs).max(1e-6);
         let fills = bound || self.chance.part() <= kept;
         let room = fills && self.room(build, method, now) && (bound || self.may_bind(key, now));
         let trial = if room { self.best(now, |m| m.build == build) } else { None };
