--- a/src/logic.rs
+++ b/src/logic.rs
@@ -49,6 +49,12 @@
         &mut self.cells[self.newest.rem_euclid(size) as usize]
     }
 
+    /// The bucket of a time gone by, if it is still kept.
+    fn then(&mut self, at: Ns) -> Option<&mut T> {
+        let (bucket, size) = (at.div_euclid(self.width), self.cells.len() as i64);
+        (bucket > self.newest - size).then(|| &mut self.cells[bucket.rem_euclid(size) as usize])
+    }
+
     /// The newest `n` buckets, that of `now` among them.
     pub fn last(&self, now: Ns, n: i64) -> impl Iterator<Item = &T> {
         let (bucket, size) = (now.div_euclid(self.width), self.cells.len() as i64);
@@ -621,6 +627,8 @@
         }
         m.held += 1.0;
         m.credit = (credit - 1.0, now);
+        let queued = self.queued.at(now);
+        *queued = add(*queued, [1, 1]);
         if self.on_trial(build).is_some() {
             let scope = self.scope(row);
             self.exposure[scope].at(now)[1] += 1;
@@ -775,9 +783,14 @@
             self.zones.resize(self.zones.len().max(zone + 1), 1.0);
             self.zones[zone] += 0.05 * (slow - self.zones[zone]);
         }
-        let half = self.post.methods[row].soft_deadline / 2;
-        let queued = self.queued.at(now);
-        *queued = add(*queued, [1, u32::from(took > half || outcome == Outcome::Full)]);
+        // Booked where it began: late until it is answered within half of its soft deadline. What failed tells
+        // nothing of a jam.
+        let prompt = ok && took <= self.post.methods[row].soft_deadline / 2;
+        let failed = !ok && !matches!(outcome, Outcome::TimedOut | Outcome::Full);
+        if let Some([all, late]) = self.queued.then(now - took) {
+            *all -= u32::from(failed).min(*all);
+            *late -= u32::from(prompt || failed).min(*late);
+        }
         // Two failures in a row make it a last resort, for a quiet front too; a jam is no illness, and time-outs are slowness.
         match outcome {
             Outcome::Ok => {
@@ -875,10 +888,11 @@
             self.carry = (0.99 * self.carry).max(self.rate(now) / sizes.max(1e-6));
         }
         // A quiet front sees a jam by its answers alone: four in ten may take half their soft deadline.
-        let [picks, late] = sum(self.queued.last(now, 4));
+        let young = self.post.methods.iter().map(|m| m.soft_deadline).max().unwrap_or(0) / 2 / INTERVAL + 1;
+        let [picks, late] = sum(self.queued.last(now - young * INTERVAL, 3));
         let late = f64::from(late) / f64::from(picks.max(4));
         if self.sight < 0.5 {
-            self.admit = (self.admit + 0.3 * (0.4 - late)).clamp(0.1, 1.0);
+            self.admit = (self.admit + 0.2 * (0.4 - late)).clamp(0.1, 1.0);
         }
         let Some(told) = self.told else { return };
         let trial = told.phase == Phase::OnTrial;
