--- a/src/logic.rs
+++ b/src/logic.rs
@@ -332,10 +332,8 @@
     watching: bool,
     /// RPCs taken and picks at builds on trial: a row a method, or one where the cap is for all.
     exposure: Vec<Ring<Count>>,
-    /// One-way keys and the newest build that answered them; how often keys come; RPCs with a bound key.
+    /// One-way keys and the newest build that answered them.
     bound: BTreeMap<u64, u32>,
-    keys: Ring<BTreeMap<u64, u32>>,
-    bound_taken: Ring<Count>,
     /// The newest build; its times and the earlier ones' (sides 0 and 1), by method and load.
     watched: u32,
     samples: Vec<[Ring<Sample>; 2]>,
@@ -489,11 +487,6 @@
         if now - m.reached > 5 * SEC {
             cost *= 1.0 + 1000.0 * self.scarce * self.scarce;
         }
-        // One that holds picks and stays silent past the shortest soft deadline may be gone.
-        let silence = (now - m.heard) as f64 / self.soft as f64;
-        if m.held >= 1.0 && silence > 1.0 {
-            cost *= 4.0 * silence;
-        }
         // A slow or lossy link, or a zone that is full, shows in a zone's times long before a machine's.
         let slow = |zone: u32| self.zones.get(zone as usize).copied().unwrap_or(1.0).max(0.5);
         if m.member.zone != self.post.zone {
@@ -530,11 +523,6 @@
         let scope = self.scope(method);
         self.exposure[scope].at(now)[0] += 1;
         self.budget = (self.budget + 0.2).min(20.0);
-        if let Some(key) = key {
-            let count = self.bound_taken.at(now);
-            *count = add(*count, [1, u32::from(self.bound.get(&key) == Some(&self.watched))]);
-            *self.keys.at(now).entry(key).or_default() += 1;
-        }
         if self.rpcs.len() <= rpc {
             self.rpcs.resize_with(rpc + 1, Rpc::default);
         }
@@ -579,7 +567,7 @@
         }
         let kept = self.sight + (1.0 - self.sight) * FILL * ours / (FILL * ours + theirs).max(1e-6);
         let fills = bound || self.chance.part() <= kept;
-        let room = fills && self.room(build, method, now) && (bound || self.may_bind(key, now));
+        let room = fills && self.room(build, method, now);
         let trial = if room { self.best(now, |m| m.build == build) } else { None };
         let earlier = self.earlier(rpc, now, |_| true);
         let full = trial.zip(earlier).is_some_and(|(t, e)| {
@@ -608,15 +596,7 @@
         let Some(machine) = machine else { return self.give_up(ctl, rpc) };
         let r = &mut self.rpcs[rpc];
         let row = r.method;
-        let method = &self.post.methods[row];
         let left = r.deadline - now - step;
-        // An idempotent RPC's first pick is given up in time for another, once it is far later than usual.
-        // The repeat is set aside from the budget now: when all are late, time-outs without one end in pushback,
-        // and clients that come back keep the fleet full.
-        let reserved = method.repeat == Repeat::Idempotent && r.then.is_empty() && self.budget >= 1.0;
-        self.budget -= f64::from(u8::from(reserved));
-        let early = (method.soft_deadline * 6 / 10).max(6 * self.means[row] as Ns);
-        let patience = if reserved && self.sight > 0.5 { early } else { left };
         r.last = machine;
         let credit = self.credit(&self.machines[machine], now);
         let m = &mut self.machines[machine];
@@ -634,7 +614,6 @@
             self.exposure[scope].at(now)[1] += 1;
         }
         self.rpcs[rpc].then.push(Some(Box::new(move |front, ctl, outcome, took, last| {
-            front.budget += f64::from(u8::from(reserved));
             front.learn(ctl.now(), machine, build, cell, outcome, took);
             let r = &mut front.rpcs[rpc];
             if !matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::Void) {
@@ -650,7 +629,8 @@
                 front.repeat(ctl, rpc);
             }
         })));
-        ctl.pick(rpc, machine, patience.min(left).max(step));
+        // Early time-outs are left out: work goes on behind them, and in a jam their repeats double it.
+        ctl.pick(rpc, machine, left.max(step));
     }
 
     /// Another pick, if the method, the time left and the budget of repeats allow one.
@@ -745,17 +725,6 @@
         f64::from(exposed) + 1.0 <= free + cap * f64::from(taken) + 1e-9
     }
 
-    /// One-way keys must come back to the build on trial: a new one is bound only while the keys bound so
-    /// far, and this one, leave the cap some room; else their own traffic would fill it and be pushed back.
-    fn may_bind(&self, key: Option<u64>, now: Ns) -> bool {
-        let (Some(key), true) = (key, self.post.rollout.one_way) else { return true };
-        let Some((_, cap)) = self.on_trial(self.watched).filter(|(_, cap)| *cap < 1.0) else { return true };
-        let [taken, bound] = sum(self.bound_taken.last(now, 8));
-        let before: u32 = self.keys.last(now, 8).filter_map(|keys| keys.get(&key)).sum();
-        // Seven tenths: keys come unevenly, and those on their first visit take room as well.
-        share([taken, bound]) + share([taken, before.saturating_sub(1)]) < 0.7 * cap
-    }
-
     /// 0 for the build under watch, 1 for the earlier ones.
     fn side(&self, build: u32) -> usize {
         usize::from(build < self.watched)
