--- a/src/logic.rs
+++ b/src/logic.rs
@@ -102,11 +102,6 @@
             sum
         })
     }
-
-    /// The share that failed or took longer than `soft`.
-    fn late(&self, soft: Ns) -> f64 {
-        f64::from(self.bins[Self::bin(soft) + 1..].iter().sum::<u32>()) / f64::from(self.n.max(1))
-    }
 }
 
 /// A rank test: how far U lies beyond its middle, its variance, and the pairs compared. Tests of several
@@ -149,15 +144,6 @@
     Ranks::of(pairs).z()
 }
 
-/// The median's bucket, as a time in units of 4 ms.
-pub fn median(sample: &Sample) -> f64 {
-    let sums = sample.bins.iter().scan(0, |sum, count| {
-        *sum += count;
-        Some(*sum)
-    });
-    (sums.take_while(|sum| *sum <= sample.n / 2).count() as f64 / 3.0).exp2()
-}
-
 /// Picks and failures.
 pub type Count = [u32; 2];
 
@@ -190,14 +176,16 @@
     1.0 - under < odds
 }
 
-/// Counts by row: all picks, disputed answers, then a row a method; methods beyond share the last row.
-const ROWS: usize = 8;
+/// Counts by row: all picks, disputed answers, answers of warm machines past the soft deadline, then a row a
+/// method; methods beyond share the last row.
+const ROWS: usize = 9;
 const ALL: usize = 0;
 const DISPUTES: usize = 1;
+const LATE: usize = 2;
 type Counts = [Count; ROWS];
 
 fn row_of(method: usize) -> usize {
-    (method + 2).min(ROWS - 1)
+    (method + 3).min(ROWS - 1)
 }
 
 fn merge(a: Counts, b: &Counts) -> Counts {
@@ -209,8 +197,9 @@
 struct Tally {
     picks: [[u32; ROWS]; 2],
     failed: BTreeMap<(u32, usize), u32>,
-    /// The earlier build's times, against those before the trial and against those of a lesser share.
-    times: [Ranks; 2],
+    /// Times of the new build against the earlier one's, and of the earlier one against those before the trial
+    /// and against those of a lesser share.
+    times: [Ranks; 3],
 }
 
 impl Tally {
@@ -219,12 +208,12 @@
             *a += b;
         }
         other.failed.iter().for_each(|(at, n)| *self.failed.entry(*at).or_default() += n);
-        self.times = [0, 1].map(|i| self.times[i].plus(other.times[i]));
+        self.times = [0, 1, 2].map(|i| self.times[i].plus(other.times[i]));
     }
 
-    /// A note: build, whether it is found slow, picks by side and row, ranks, then machines that failed.
-    fn note(&self, build: u32, slow: bool) -> Vec<u8> {
-        let words = [build, u32::from(slow)].into_iter().chain(self.picks.into_iter().flatten());
+    /// A note: build, picks by side and row, ranks, then machines that failed.
+    fn note(&self, build: u32) -> Vec<u8> {
+        let words = [build].into_iter().chain(self.picks.into_iter().flatten());
         let mut note: Vec<u8> = words.flat_map(|n| (n.min(65535) as u16).to_be_bytes()).collect();
         note.extend(self.times.iter().flat_map(|t| t.0).flat_map(|x| (x as f32).to_be_bytes()));
         for ((tag, row), n) in self.failed.iter().take((256 - note.len()) / 4) {
@@ -233,17 +222,17 @@
         note
     }
 
-    fn read(note: &[u8]) -> Option<(u32, Tally, bool)> {
-        let (head, tail) = note.split_at_checked(4 + 4 * ROWS)?;
-        let (ranks, tail) = tail.split_first_chunk::<24>()?;
+    fn read(note: &[u8]) -> Option<(u32, Tally)> {
+        let (head, tail) = note.split_at_checked(2 + 4 * ROWS)?;
+        let (ranks, tail) = tail.split_first_chunk::<36>()?;
         let rank = |i: usize| f64::from(f32::from_be_bytes(std::array::from_fn(|b| ranks[4 * i + b])));
-        let times = [0, 1].map(|t| Ranks(std::array::from_fn(|i| rank(3 * t + i))));
+        let times = [0, 1, 2].map(|t| Ranks(std::array::from_fn(|i| rank(3 * t + i))));
         let word = |i: usize| u32::from(head[2 * i]) << 8 | u32::from(head[2 * i + 1]);
-        let picks = [0, 1].map(|side| std::array::from_fn(|row| word(2 + side * ROWS + row)));
+        let picks = [0, 1].map(|side| std::array::from_fn(|row| word(1 + side * ROWS + row)));
         let failed = tail
             .chunks_exact(4)
             .map(|b| ((u32::from(b[0]) << 8 | u32::from(b[1]), b[2].into()), b[3].into()));
-        Some((word(0), Tally { picks, failed: failed.collect(), times }, word(1) > 0))
+        Some((word(0), Tally { picks, failed: failed.collect(), times }))
     }
 }
 
@@ -337,11 +326,10 @@
     /// The newest build; its times and the earlier ones' (sides 0 and 1), by method and load.
     watched: u32,
     samples: Vec<[Ring<Sample>; 2]>,
-    /// All counts before this trial, the platform's tallies, and each peer's last note: when, what it counted
-    /// of which build, whether it finds it slow.
+    /// All counts before this trial, the platform's tallies, each peer's last note and when it came.
     before: Counts,
     platform: [Ring<Counts>; 2],
-    notes: BTreeMap<usize, (Ns, u32, Tally, bool)>,
+    notes: BTreeMap<usize, (Ns, u32, Tally)>,
     /// The earlier build's times before this trial, by method and load.
     past: Vec<Sample>,
     /// This front's vote, when it was cast, whether it counts.
@@ -785,6 +773,8 @@
         // Times count from warm machines alone, like with like; refusals are no times.
         let cold = m.member.started.is_some_and(|at| now - took < at + self.post.guard.cold_time);
         if !cold && !matches!(outcome, Outcome::Full | Outcome::Unreachable) {
+            let late = !ok || took > self.post.methods[row].soft_deadline;
+            counts[LATE] = add(counts[LATE], [1, u32::from(late)]);
             self.samples[cell][side].at(now).add(ok.then_some(took));
         }
     }
@@ -798,8 +788,8 @@
     }
 
     pub fn heard(&mut self, ctl: &mut dyn Ctl, from: usize, note: &[u8]) {
-        if let Some((build, tally, slow)) = Tally::read(note) {
-            self.notes.insert(from, (ctl.now(), build, tally, slow));
+        if let Some((build, tally)) = Tally::read(note) {
+            self.notes.insert(from, (ctl.now(), build, tally));
         }
     }
 
@@ -877,15 +867,14 @@
         tally.times = self.times(now, trial);
         let own = [0, 1].map(|side| self.counted(&tally, side));
         if self.post.rights.notes && trial {
-            let note = tally.note(told.build, self.lasts[0] > 0);
+            let note = tally.note(told.build);
             hearers.iter().filter(|h| **h != rank).for_each(|h| ctl.tell(Some(*h), &note));
         }
         // Notes older than three intervals say nothing of now.
         self.notes.retain(|_, n| n.1 == told.build && now - n.0 < 3 * INTERVAL);
-        let seconded = !self.post.rights.notes || fronts < 2 || self.notes.values().any(|n| n.3);
         self.notes.values().for_each(|n| tally.add(&n.2));
         let pooled = [0, 1].map(|side| self.counted(&tally, side));
-        let why = self.harm(now, [own, pooled], tally.times, seconded);
+        let why = self.harm(now, [own, pooled], tally.times);
         if let Some(why) = why.filter(|_| self.condemned != told.build) {
             self.condemned = told.build;
             ctl.note(&format!("back {}: {why}", told.build));
@@ -902,9 +891,7 @@
     }
 
     /// A harmful deviation of the watched build, in words.
-    fn harm(
-        &mut self, now: Ns, counts: [[Counts; 2]; 2], times: [Ranks; 2], seconded: bool,
-    ) -> Option<String> {
+    fn harm(&mut self, now: Ns, counts: [[Counts; 2]; 2], times: [Ranks; 3]) -> Option<String> {
         let rows = self.post.methods.len();
         let trial = self.on_trial(self.watched).is_some();
         // The chance of a false alarm, one in a thousand for the tier, shared by its fronts and methods. Where
@@ -929,24 +916,24 @@
         for (source, [new, old]) in ["own", "pooled"].into_iter().zip(counts) {
             // Where earlier machines get few, the reference takes in what was seen before the trial.
             let old = if old[ALL][0] < self.before[ALL][0] { merge(old, &self.before) } else { old };
-            if let Some(row) = (0..ROWS).find(|&r| old[ALL][0] >= 30 && deviates(new[r], old[r], odds)) {
+            let harmed = |&r: &usize| r != LATE && old[ALL][0] >= 30 && deviates(new[r], old[r], odds);
+            if let Some(row) = (0..ROWS).find(harmed) {
                 return Some(format!("{source} failures, row {row}: {:?} against {:?}", new[row], old[row]));
             }
         }
         // After a release nothing serves beside it: failures judge, and times that stay far worse.
-        let slow = (0..rows).filter(|_| trial).find_map(|row| self.slow(row, now));
-        let worse = if self.post.rollout.parallel || !trial { self.worse(trial, times) } else { None };
+        let slow = self.slow(counts[1], times[0]).filter(|_| trial);
+        let worse = self.worse(trial, times).filter(|_| self.post.rollout.parallel || !trial);
         let long = if trial { 20 } else { 32 };
         // A queue passes within two intervals, most shared slowness within twenty; on votes wait as long.
         self.lasts = [(&slow, 0), (&worse, 1)].map(|(why, i)| why.as_ref().map_or(0, |_| self.lasts[i] + 1));
-        // Where fronts can talk, one front's times alone send nothing back: a peer must see it too.
-        slow.filter(|_| self.lasts[0] > 1 && seconded).or(worse.filter(|_| self.lasts[1] >= long))
+        slow.filter(|_| self.lasts[0] > 1).or(worse.filter(|_| self.lasts[1] >= long))
     }
 
     /// A build that slows every machine hides from a test against the earlier one: so the earlier one's times
     /// are ranked, at like load, against those before the trial, and against those of when the trial had less
     /// than half of its present share: a burst does not move with that. In place, capacity does; not there.
-    fn times(&self, now: Ns, trial: bool) -> [Ranks; 2] {
+    fn times(&self, now: Ns, trial: bool) -> [Ranks; 3] {
         const PRESENT: usize = KEPT as usize - 6; // the last six buckets
         let mut seen = [[0; 2]; KEPT as usize];
         for (new, ring) in self.samples.iter().flat_map(|[new, old]| [(1, new), (0, old)]) {
@@ -962,10 +949,11 @@
         };
         let from = if trial { PRESENT } else { 6 };
         let (olds, less) = (times(&|i| i >= from), times(&|i| i < PRESENT && share(seen[i]) < 0.5 * today));
-        [Ranks::of(olds.iter().zip(&self.past)), Ranks::of(olds.iter().zip(&less))]
+        let both = self.samples.iter().flat_map(|[a, b]| a.last(now, KEPT).zip(b.last(now, KEPT)));
+        [Ranks::of(both), Ranks::of(olds.iter().zip(&self.past)), Ranks::of(olds.iter().zip(&less))]
     }
 
-    fn worse(&self, trial: bool, [past, less]: [Ranks; 2]) -> Option<String> {
+    fn worse(&self, trial: bool, [_, past, less]: [Ranks; 3]) -> Option<String> {
         // On trial three seconds that move at the onset and do not ease; after it nine, far worse. A lead of
         // 0.06 is a quarter slower, one of 0.17 the double.
         let (bar, margin) = if trial { (7.0, 0.06) } else { (4.8, 0.17) };
@@ -980,29 +968,15 @@
         })
     }
 
-    /// The rank test of a method's times, by buckets of time and load.
-    fn slow(&self, row: usize, now: Ns) -> Option<String> {
-        let cells = &self.samples[row * LOADS..(row + 1) * LOADS];
-        let pairs = cells.iter().flat_map(|[a, b]| a.last(now, KEPT).zip(b.last(now, KEPT)));
-        let both: Vec<_> = pairs.filter(|(a, b)| a.n * b.n > 0).collect();
-        let (new, old) = (Sample::sum(both.iter().map(|p| p.0)), Sample::sum(both.iter().map(|p| p.1)));
-        let z = rank_z(both.into_iter());
-        // Most of its machines must be slower, three at the least: a sick machine is not a sick build.
-        let slow_of = |side: usize| {
-            let ours = self.up().filter(|m| self.side(m.member.build) == side);
-            let mut slow: Vec<f64> = ours.map(|m| m.slow).collect();
-            slow.sort_by(f64::total_cmp);
-            slow.get(slow.len() / 2).copied().filter(|_| side == 1 || slow.len() > 2)
-        };
-        let most = slow_of(0).zip(slow_of(1)).is_some_and(|(ours, theirs)| ours > 1.25 * theirs);
-        // Like with like: first picks may keep its machines fuller, and fuller ones answer later.
-        let slower = median(&new) > 1.25 * FILL * median(&old) && most;
-        // Slower, but within the soft deadline, harms nobody; sending a good build back does.
-        let soft = self.post.methods[row].soft_deadline;
-        let late = new.late(soft) > old.late(soft) + 0.1 && new.n >= 20 && old.n >= 20;
-        // 2.6 for one test, 3.4 for a dozen; times that queue together count for a third as many, so 6.
+    /// The rank test of new against earlier times, by method, time and load; in z 2.6 for one test, 3.4 for a
+    /// dozen, but times that queue together count for a third as many, so 6. Slower, but within the soft
+    /// deadline, harms nobody; sending a good build back does: so a tenth more must be late, and not for the
+    /// worst third of machines alone.
+    fn slow(&self, [new, old]: [Counts; 2], times: Ranks) -> Option<String> {
         let bar = if self.post.rollout.back_votes > 1 { VOTED } else { 6.0 };
-        (z > bar && slower && late).then(|| format!("times of method {row}, z {z:.1}"))
+        let late = share(new[LATE]) > share(old[LATE]) + 0.1 && new[LATE][0] >= 20 && old[LATE][0] >= 20;
+        let (z, lead) = (times.z(), times.lead());
+        (z > bar && lead > 0.17 && late).then(|| format!("times, z {z:.1}, lead {lead:.2}"))
     }
 
     /// Clean long enough: the newest machine of this stage has run for the bake, and outcomes were seen.
