--- a/src/logic.rs
+++ b/src/logic.rs
@@ -975,6 +975,8 @@
     fn slow(&self, [new, old]: [Counts; 2], times: Ranks) -> Option<String> {
         let bar = if self.post.rollout.back_votes > 1 { VOTED } else { 6.0 };
         let late = share(new[LATE]) > share(old[LATE]) + 0.1 && new[LATE][0] >= 20 && old[LATE][0] >= 20;
+        // Where fronts can talk, one front's times alone, of a few jammed machines, send nothing back.
+        let late = late && (!self.post.rights.notes || !self.notes.is_empty());
         let (z, lead) = (times.z(), times.lead());
         (z > bar && lead > 0.17 && late).then(|| format!("times, z {z:.1}, lead {lead:.2}"))
     }
