--- a/src/logic.rs
+++ b/src/logic.rs
@@ -975,6 +975,9 @@
     fn slow(&self, [new, old]: [Counts; 2], times: Ranks) -> Option<String> {
         let bar = if self.post.rollout.back_votes > 1 { VOTED } else { 6.0 };
         let late = share(new[LATE]) > share(old[LATE]) + 0.1 && new[LATE][0] >= 20 && old[LATE][0] >= 20;
+        // Where a fifth of the earlier build's answers are late too, the fleet is full, and machines on trial,
+        // kept fuller to fill the cap, jam first.
+        let late = late && share(old[LATE]) < 0.2;
         // Where fronts can talk, one front's times alone, of a few jammed machines, send nothing back.
         let late = late && (!self.post.rights.notes || !self.notes.is_empty());
         let (z, lead) = (times.z(), times.lead());
