--- a/src/logic.rs
+++ b/src/logic.rs
@@ -770,9 +770,9 @@
         for (row, failed) in [(ALL, error), (row_of(row), error), (DISPUTES, false)] {
             counts[row] = add(counts[row], [1, u32::from(failed)]);
         }
-        // Times count from warm machines alone, like with like; refusals are no times.
+        // Times count from warm machines alone, like with like; refusals and a broken net are no times.
         let cold = m.member.started.is_some_and(|at| now - took < at + self.post.guard.cold_time);
-        if !cold && !matches!(outcome, Outcome::Full | Outcome::Unreachable) {
+        if !cold && !matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::Broken) {
             let late = !ok || took > self.post.methods[row].soft_deadline;
             counts[LATE] = add(counts[LATE], [1, u32::from(late)]);
             self.samples[cell][side].at(now).add(ok.then_some(took));
