--- a/src/logic.rs
+++ b/src/logic.rs
@@ -925,9 +925,9 @@
         let slow = self.slow(counts[1], times[0]).filter(|_| trial);
         let worse = self.worse(trial, times).filter(|_| self.post.rollout.parallel || !trial);
         let long = if trial { 20 } else { 32 };
-        // A queue passes within two intervals, most shared slowness within twenty; on votes wait as long.
+        // A queue passes within four intervals, most shared slowness within twenty; on votes wait as long.
         self.lasts = [(&slow, 0), (&worse, 1)].map(|(why, i)| why.as_ref().map_or(0, |_| self.lasts[i] + 1));
-        slow.filter(|_| self.lasts[0] > 1).or(worse.filter(|_| self.lasts[1] >= long))
+        slow.filter(|_| self.lasts[0] > 3).or(worse.filter(|_| self.lasts[1] >= long))
     }
 
     /// A build that slows every machine hides from a test against the earlier one: so the earlier one's times
@@ -978,6 +978,8 @@
         // Where a fifth of the earlier build's answers are late too, the fleet is full, and machines on trial,
         // kept fuller to fill the cap, jam first.
         let late = late && share(old[LATE]) < 0.2;
+        // Three machines at the least, else a sick one may be the build.
+        let late = late && self.up().filter(|m| self.side(m.member.build) == 0).count() > 2;
         // Where fronts can talk, one front's times alone, of a few jammed machines, send nothing back.
         let late = late && (!self.post.rights.notes || !self.notes.is_empty());
         let (z, lead) = (times.z(), times.lead());
