Cold credit starts by chance at its share; ready fronts make up for the others

Cause: a burst and a swing of pushback let thirty fronts send one cold machine 6.8 times what it could do.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -410,8 +410,8 @@
                 self.machines.resize_with(entry.machine + 1, Machine::default);
             }
             let known = &mut self.machines[entry.machine];
-            // Chance sets when a front may first pick a cold machine: hundreds of fronts must not at once.
-            let credit = if self.sight > 0.5 { f64::INFINITY } else { 1.0 + self.chance.part() };
+            // Chance sets when a quiet front may first pick a cold machine: hundreds must not at once.
+            let credit = if self.sight > 0.5 { f64::INFINITY } else { self.chance.part() };
             let known_run = (known.member.build, known.member.started);
             if known.slow == 0.0 || known_run != (entry.build, entry.started) {
                 // A restart, or another machine under this name: what was known of it is void.
@@ -455,16 +455,21 @@
     /// Rule 4: picks that a cold machine may get from this front: as many as this front's machines have been
     /// seen to serve, by size and warmth, times half the multiple that it stands: the rest is slack for uneven
     /// work. What is served is never above capacity, so when every front does so the sum holds, also where a
-    /// front has less than one pick to give in that time.
-    fn credit(&self, m: &Machine, now: Ns) -> f64 {
+    /// front has less than one pick to give in that time. With it, whether it is enough, and which part of the
+    /// quiet fronts has enough by now.
+    fn credit(&self, m: &Machine, now: Ns) -> (f64, bool, f64) {
         let guard = &self.post.guard;
-        if m.member.started.is_none_or(|at| now - at > guard.cold_time + guard.fall_time) {
-            return f64::INFINITY;
+        let age = m.member.started.map_or(i64::MAX, |at| now - at);
+        if age > guard.cold_time + guard.fall_time {
+            return (1.0, true, 1.0);
         }
         let a_second = 0.55 * guard.overload_factor * self.carry * m.size(now, guard);
-        let since = (now - m.credit.1) as f64 / SEC as f64;
         // A third of the span's picks may come at once.
-        (m.credit.0 + a_second * since).min((a_second * guard.fall_time as f64 / SEC as f64 / 3.0).max(1.0))
+        let burst = a_second * guard.fall_time as f64 / SEC as f64 / 3.0;
+        let saved = a_second * (now - m.credit.1) as f64 / SEC as f64;
+        let part = if self.sight > 0.5 { 1.0 } else { burst + a_second * age as f64 / SEC as f64 };
+        let credit = (m.credit.0 + saved).min(1.0);
+        (credit, credit + burst >= 1.0, part.clamp(0.05, 1.0))
     }
 
     /// What a pick there is expected to cost: how busy it is, and how sick it seems.
@@ -481,7 +486,8 @@
             let ratio = slow(m.member.zone) / slow(self.post.zone);
             cost *= (1.0 + 10.0 * self.post.cross_zone_price) * ratio * ratio;
         }
-        cost * m.busy(self.sight + unseen, now, &self.post.guard)
+        // The few quiet fronts that may pick a cold machine by now make up for those that may not.
+        cost * m.busy(self.sight + unseen, now, &self.post.guard) * self.credit(m, now).2
     }
 
     fn up(&self) -> impl Iterator<Item = &Machine> {
@@ -493,7 +499,7 @@
         let from = self.chance.below(size.max(1));
         let fit = (0..size).map(|i| (from + i) % size).filter(|&i| {
             let m = &self.machines[i];
-            m.up() && fits(&m.member) && self.credit(m, now) >= 1.0
+            m.up() && fits(&m.member) && self.credit(m, now).1
         });
         let fit: Vec<usize> = fit.collect();
         // Chance stands for the load that other fronts bring: the less is seen of it, the more the choice
@@ -586,7 +592,7 @@
         let row = r.method;
         let left = r.deadline - now - step;
         r.last = machine;
-        let credit = self.credit(&self.machines[machine], now);
+        let (credit, ..) = self.credit(&self.machines[machine], now);
         let m = &mut self.machines[machine];
         let mark = (m.member.zone, m.member.cell, now);
         let (build, cell) = (m.member.build, row * LOADS + (m.held as usize).min(LOADS - 1));
