--- a/src/logic.rs
+++ b/src/logic.rs
@@ -255,7 +255,8 @@
 
 impl Machine {
     fn new(member: Member, now: Ns, credit: f64) -> Machine {
-        Machine { member, heard: now, slow: 1.0, credit: (credit, now), ..Machine::default() }
+        let started = member.started.unwrap_or(now);
+        Machine { member, heard: now, slow: 1.0, credit: (credit, started), ..Machine::default() }
     }
 
     /// How full it is for its size, with `more` RPCs.
@@ -463,11 +464,12 @@
         if age > guard.cold_time + guard.fall_time {
             return (1.0, true, 1.0);
         }
-        let a_second = 0.55 * guard.overload_factor * self.carry * m.size(now, guard);
-        // A third of the span's picks may come at once.
-        let burst = a_second * guard.fall_time as f64 / SEC as f64 / 3.0;
+        let a_second = 0.65 * guard.overload_factor * self.carry * m.size(now, guard);
         let saved = a_second * (now - m.credit.1) as f64 / SEC as f64;
-        let part = if self.sight > 0.5 { 1.0 } else { burst + a_second * age as f64 / SEC as f64 };
+        // Where a front sees most of the load, a third of the span's picks may come at once.
+        let seen = self.sight > 0.5;
+        let burst = if seen { a_second * guard.fall_time as f64 / SEC as f64 / 3.0 } else { 0.0 };
+        let part = if seen { 1.0 } else { a_second * age as f64 / SEC as f64 };
         let credit = (m.credit.0 + saved).min(1.0);
         (credit, credit + burst >= 1.0, part.clamp(0.05, 1.0))
     }
