--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,13 +3,13 @@
 //! acts through [`Ctl`]; `interface` holds the types that cross the border, and nothing else.
 //!
 //! ```
-//! use rockpick::{rank_z, Sample};
+//! use rockpick::{Ranks, Sample};
 //! let (mut new, mut old) = (Sample::default(), Sample::default());
 //! for ms in 0..30 {
 //!     old.add(Some((50 + ms) * 1_000_000));
 //!     new.add(Some((90 + ms) * 1_000_000));
 //! }
-//! assert!(rank_z([(&new, &old)].into_iter()) > 2.6);
+//! assert!(Ranks::of([(&new, &old)].into_iter()).z() > 2.6);
 //! ```
 mod interface;
 mod logic;
@@ -17,4 +17,4 @@
 mod tests;
 
 pub use interface::*;
-pub use logic::{deviates, rank_z, Front, Sample};
+pub use logic::{deviates, Front, Ranks, Sample};
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -107,11 +107,11 @@
 /// A rank test: how far U lies beyond its middle, its variance, and the pairs compared. Tests of several
 /// methods, times or fronts add up, each ranked by itself, so that like is held against like.
 #[derive(Clone, Copy, Default)]
-struct Ranks([f64; 3]);
+pub struct Ranks([f64; 3]);
 
 impl Ranks {
     /// Mann–Whitney of the new side's rank sum, ties at their middle rank.
-    fn of<'a>(pairs: impl Iterator<Item = (&'a Sample, &'a Sample)>) -> Ranks {
+    pub fn of<'a>(pairs: impl Iterator<Item = (&'a Sample, &'a Sample)>) -> Ranks {
         pairs.filter(|(new, old)| new.n * old.n > 0).fold(Ranks::default(), |sum, (new, old)| {
             let (n, m) = (f64::from(new.n), f64::from(old.n));
             let (mut below, mut ranks) = (0.0, 0.0);
@@ -130,7 +130,7 @@
     }
 
     /// 0 where no pair has both sides.
-    fn z(self) -> f64 {
+    pub fn z(self) -> f64 {
         self.0[0] / self.0[1].max(1e-9).sqrt()
     }
 
@@ -140,8 +140,10 @@
     }
 }
 
-pub fn rank_z<'a>(pairs: impl Iterator<Item = (&'a Sample, &'a Sample)>) -> f64 {
-    Ranks::of(pairs).z()
+impl std::fmt::Display for Ranks {
+    fn fmt(&self, out: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(out, "z {:.1}, lead {:.2}", self.z(), self.lead())
+    }
 }
 
 /// Picks and failures.
@@ -192,30 +194,30 @@
     std::array::from_fn(|row| add(a[row], b[row]))
 }
 
-/// What one front or several have counted: picks by side and row, failures by a machine's tag and row.
+/// What one front or several have counted: picks by side and row, then three rank tests of times (new against
+/// earlier; earlier against those before the trial, and those of a lesser share); failures by tag and row.
 #[derive(Clone, Default)]
 struct Tally {
-    picks: [[u32; ROWS]; 2],
+    words: [f32; WORDS],
     failed: BTreeMap<(u32, usize), u32>,
-    /// Times of the new build against the earlier one's, and of the earlier one against those before the trial
-    /// and against those of a lesser share.
-    times: [Ranks; 3],
 }
 
+const WORDS: usize = 2 * ROWS + 9;
+
 impl Tally {
     fn add(&mut self, other: &Tally) {
-        for (a, b) in self.picks.iter_mut().flatten().zip(other.picks.iter().flatten()) {
-            *a += b;
-        }
+        self.words.iter_mut().zip(&other.words).for_each(|(a, b)| *a += b);
         other.failed.iter().for_each(|(at, n)| *self.failed.entry(*at).or_default() += n);
-        self.times = [0, 1, 2].map(|i| self.times[i].plus(other.times[i]));
     }
 
-    /// A note: build, picks by side and row, ranks, then machines that failed.
+    fn test(&self, i: usize) -> Ranks {
+        Ranks(std::array::from_fn(|j| self.words[2 * ROWS + 3 * i + j].into()))
+    }
+
+    /// A note: the build, the upper halves of the words, then machines that failed.
     fn note(&self, build: u32) -> Vec<u8> {
-        let words = [build].into_iter().chain(self.picks.into_iter().flatten());
-        let mut note: Vec<u8> = words.flat_map(|n| (n.min(65535) as u16).to_be_bytes()).collect();
-        note.extend(self.times.iter().flat_map(|t| t.0).flat_map(|x| (x as f32).to_be_bytes()));
+        let words = self.words.iter().map(|w| (w.to_bits() >> 16) as u16);
+        let mut note: Vec<u8> = [build as u16].into_iter().chain(words).flat_map(u16::to_be_bytes).collect();
         for ((tag, row), n) in self.failed.iter().take((256 - note.len()) / 4) {
             note.extend([(tag >> 8) as u8, *tag as u8, *row as u8, (*n).min(255) as u8]);
         }
@@ -223,16 +225,11 @@
     }
 
     fn read(note: &[u8]) -> Option<(u32, Tally)> {
-        let (head, tail) = note.split_at_checked(2 + 4 * ROWS)?;
-        let (ranks, tail) = tail.split_first_chunk::<36>()?;
-        let rank = |i: usize| f64::from(f32::from_be_bytes(std::array::from_fn(|b| ranks[4 * i + b])));
-        let times = [0, 1, 2].map(|t| Ranks(std::array::from_fn(|i| rank(3 * t + i))));
-        let word = |i: usize| u32::from(head[2 * i]) << 8 | u32::from(head[2 * i + 1]);
-        let picks = [0, 1].map(|side| std::array::from_fn(|row| word(1 + side * ROWS + row)));
-        let failed = tail
-            .chunks_exact(4)
-            .map(|b| ((u32::from(b[0]) << 8 | u32::from(b[1]), b[2].into()), b[3].into()));
-        Some((word(0), Tally { picks, failed: failed.collect(), times }))
+        let (head, tail) = note.split_at_checked(2 + 2 * WORDS)?;
+        let word = |b: &[u8]| u32::from(b[0]) << 8 | u32::from(b[1]);
+        let words = std::array::from_fn(|i| f32::from_bits(word(&head[2 * i + 2..]) << 16));
+        let failed = tail.chunks_exact(4).map(|b| ((word(b), b[2].into()), b[3].into())).collect();
+        Some((word(head), Tally { words, failed }))
     }
 }
 
@@ -815,7 +812,7 @@
         for m in &self.machines {
             let counts = m.counts.last(now, KEPT).fold(Counts::default(), merge);
             for (row, [picks, failed]) in counts.into_iter().enumerate() {
-                tally.picks[self.side(m.member.build)][row] += picks;
+                tally.words[ROWS * self.side(m.member.build) + row] += picks as f32;
                 if failed > 0 {
                     *tally.failed.entry((m.member.tag, row)).or_default() += failed;
                 }
@@ -830,15 +827,15 @@
         let ours = self.machines.iter().filter(|m| self.side(m.member.build) == side);
         let tags: Vec<u32> = ours.filter(|m| m.up() || m.held > 0.0).map(|m| m.member.tag).collect();
         std::array::from_fn(|row| {
-            let picks = tally.picks[side][row];
-            let mut failed: Vec<u32> =
-                tags.iter().map(|tag| tally.failed.get(&(*tag, row)).copied().unwrap_or(0)).collect();
+            let picks = tally.words[ROWS * side + row];
+            let failures = |tag: &u32| tally.failed.get(&(*tag, row)).copied().unwrap_or(0);
+            let mut failed: Vec<u32> = tags.iter().map(failures).collect();
             failed.sort_unstable();
             // Few picks meet few machines.
             let met = failed.len().min(picks as usize);
             let kept = met - (met + 1) / 3;
             let out = failed.len() - (met - kept);
-            [picks * kept as u32 / (met as u32).max(1), failed[..out].iter().sum()]
+            [(picks * kept as f32 / met.max(1) as f32) as u32, failed[..out].iter().sum()]
         })
     }
 
@@ -873,7 +870,8 @@
         let hearers = [0, 1, 2].map(|i| (told.build + i * fronts / HEARERS) % fronts.max(1));
         let hears = !self.post.rights.notes || fronts <= HEARERS || hearers.contains(&rank);
         let mut tally = self.tally(now);
-        tally.times = self.times(now, trial);
+        let tests = self.times(now).into_iter().flat_map(|test| test.0);
+        tally.words[2 * ROWS..].iter_mut().zip(tests).for_each(|(word, x)| *word = x as f32);
         let own = [0, 1].map(|side| self.counted(&tally, side));
         if self.post.rights.notes && trial {
             let note = tally.note(told.build);
@@ -883,7 +881,7 @@
         self.notes.retain(|_, n| n.1 == told.build && now - n.0 < 3 * INTERVAL);
         self.notes.values().for_each(|n| tally.add(&n.2));
         let pooled = [0, 1].map(|side| self.counted(&tally, side));
-        let why = self.harm(now, [own, pooled], tally.times);
+        let why = self.harm(now, trial, [own, pooled], [0, 1, 2].map(|i| tally.test(i)));
         if let Some(why) = why.filter(|_| self.condemned != told.build) {
             self.condemned = told.build;
             ctl.note(&format!("back {}: {why}", told.build));
@@ -900,23 +898,23 @@
     }
 
     /// A harmful deviation of the watched build, in words.
-    fn harm(&mut self, now: Ns, counts: [[Counts; 2]; 2], times: [Ranks; 3]) -> Option<String> {
+    fn harm(&mut self, now: Ns, trial: bool, counts: [[Counts; 2]; 2], times: [Ranks; 3]) -> Option<String> {
         let rows = self.post.methods.len();
-        let trial = self.on_trial(self.watched).is_some();
         // The chance of a false alarm, one in a thousand for the tier, shared by its fronts and methods. Where
         // it takes k of n fronts, each may err as often as k seldom do together: (e n p / k)^k bounds that.
         let (n, k) = (f64::from(self.post.fronts.max(1)), f64::from(self.post.rollout.back_votes.max(1)));
         let odds = k / (n * std::f64::consts::E) * 1e-3f64.powf(1.0 / k) / (rows + 1) as f64;
-        let erred = trial
-            && self.machines.iter().any(|m| {
-                self.side(m.member.build) == 0 && sum(m.counts.last(now, KEPT).map(|c| &c[ALL]))[1] > 0
-            });
         let seen = [0, 1].map(|side| self.platform[side].last(now, KEPT).fold(Counts::default(), merge));
-        if let Some(row) = (0..ROWS).find(|&r| {
-            // All that did not end ok, time-outs of a jam too: so a margin, and this front must have seen an error.
-            let wide = erred && share(seen[0][r]) > 3.0 * share(seen[1][r]) + 0.03;
-            wide && seen[1][ALL][0] >= 100 && deviates(seen[0][r], seen[1][r], 1e-6)
-        }) {
+        let erred = |m: &Machine| {
+            self.side(m.member.build) == 0 && sum(m.counts.last(now, KEPT).map(|c| &c[ALL]))[1] > 0
+        };
+        // The platform counts all that did not end ok, time-outs of a jam too: so a wide margin, and this front
+        // must have seen an error itself.
+        let wide = |&r: &usize| {
+            let odd = share(seen[0][r]) > 3.0 * share(seen[1][r]) + 0.03 && seen[1][ALL][0] >= 100;
+            odd && deviates(seen[0][r], seen[1][r], 1e-6)
+        };
+        if let Some(row) = (0..ROWS).find(wide).filter(|_| trial && self.machines.iter().any(erred)) {
             return Some(format!(
                 "tallied failures, row {row}: {:?} against {:?}",
                 seen[0][row], seen[1][row]
@@ -930,19 +928,18 @@
                 return Some(format!("{source} failures, row {row}: {:?} against {:?}", new[row], old[row]));
             }
         }
-        // After a release nothing serves beside it: failures judge, and times that stay far worse.
+        // After a release nothing serves beside it: failures alone judge.
         let slow = self.slow(counts[1], times[0]).filter(|_| trial);
-        let worse = self.worse(trial, times).filter(|_| self.post.rollout.parallel || !trial);
-        let long = if trial { 20 } else { 32 };
+        let worse = self.worse(times[1], times[2]).filter(|_| trial && self.post.rollout.parallel);
         // A queue passes within four intervals, most shared slowness within twenty; on votes wait as long.
         self.lasts = [(&slow, 0), (&worse, 1)].map(|(why, i)| why.as_ref().map_or(0, |_| self.lasts[i] + 1));
-        slow.filter(|_| self.lasts[0] > 3).or(worse.filter(|_| self.lasts[1] >= long))
+        slow.filter(|_| self.lasts[0] > 3).or(worse.filter(|_| self.lasts[1] > 19))
     }
 
     /// A build that slows every machine hides from a test against the earlier one: so the earlier one's times
     /// are ranked, at like load, against those before the trial, and against those of when the trial had less
     /// than half of its present share: a burst does not move with that. In place, capacity does; not there.
-    fn times(&self, now: Ns, trial: bool) -> [Ranks; 3] {
+    fn times(&self, now: Ns) -> [Ranks; 3] {
         const PRESENT: usize = KEPT as usize - 6; // the last six buckets
         let mut seen = [[0; 2]; KEPT as usize];
         for (new, ring) in self.samples.iter().flat_map(|[new, old]| [(1, new), (0, old)]) {
@@ -951,30 +948,21 @@
         }
         let today = share(sum(seen[PRESENT..].iter()));
         let times = |kept: &dyn Fn(usize) -> bool| -> Vec<Sample> {
-            let of = |ring: &Ring<Sample>| {
-                Sample::sum(ring.last(now, KEPT).enumerate().filter(|s| kept(s.0)).map(|s| s.1))
-            };
-            self.samples.iter().map(|sides| of(&sides[usize::from(trial)])).collect()
+            let olds = self.samples.iter().map(|[_, old]| old.last(now, KEPT).enumerate());
+            olds.map(|old| Sample::sum(old.filter(|s| kept(s.0)).map(|s| s.1))).collect()
         };
-        let from = if trial { PRESENT } else { 6 };
-        let (olds, less) = (times(&|i| i >= from), times(&|i| i < PRESENT && share(seen[i]) < 0.5 * today));
+        let (olds, less) =
+            (times(&|i| i >= PRESENT), times(&|i| i < PRESENT && share(seen[i]) < 0.5 * today));
         let both = self.samples.iter().flat_map(|[a, b]| a.last(now, KEPT).zip(b.last(now, KEPT)));
         [Ranks::of(both), Ranks::of(olds.iter().zip(&self.past)), Ranks::of(olds.iter().zip(&less))]
     }
 
-    fn worse(&self, trial: bool, [_, past, less]: [Ranks; 3]) -> Option<String> {
-        // On trial three seconds that move at the onset and do not ease; after it nine, far worse. A lead of
-        // 0.06 is a quarter slower, one of 0.17 the double.
-        let (bar, margin) = if trial { (7.0, 0.06) } else { (4.8, 0.17) };
-        let bar = if self.post.rollout.back_votes > 1 { VOTED } else { bar };
-        let moved = !trial || less.z() > if self.lasts[1] > 0 { -2.6 } else { 2.6 };
-        let harm = past.0[2] >= 400.0 && past.z() > bar && past.lead() > margin && moved;
-        harm.then(|| {
-            let (z, lead, moving) = (past.z(), past.lead(), less.z());
-            format!(
-                "earlier build's times against those before: z {z:.1}, lead {lead:.2}, moving {moving:.1}"
-            )
-        })
+    /// Three seconds a quarter slower (a lead of 0.06) that move at the onset and then do not ease.
+    fn worse(&self, past: Ranks, less: Ranks) -> Option<String> {
+        let bar = if self.post.rollout.back_votes > 1 { VOTED } else { 7.0 };
+        let moved = less.z() > if self.lasts[1] > 0 { -2.6 } else { 2.6 };
+        let harm = past.0[2] >= 400.0 && past.z() > bar && past.lead() > 0.06 && moved;
+        harm.then(|| format!("earlier build's times against those before: {past}, moving {less}"))
     }
 
     /// The rank test of new against earlier times, by method, time and load; in z 2.6 for one test, 3.4 for a
@@ -991,8 +979,7 @@
         let late = late && self.up().filter(|m| self.side(m.member.build) == 0).count() > 2;
         // Where fronts can talk, one front's times alone, of a few jammed machines, send nothing back.
         let late = late && (!self.post.rights.notes || !self.notes.is_empty());
-        let (z, lead) = (times.z(), times.lead());
-        (z > bar && lead > 0.17 && late).then(|| format!("times, z {z:.1}, lead {lead:.2}"))
+        (times.z() > bar && times.lead() > 0.17 && late).then(|| format!("times: {times}"))
     }
 
     /// Clean long enough: the newest machine of this stage has run for the bake, and outcomes were seen.
