--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 //! ```
 mod interface;
 mod logic;
+mod ring;
 #[cfg(test)]
 mod tests;
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,65 +4,14 @@
 //! the name of what happened (`members`, `told`, `taken`, `ended`, `woke`, ...), in the order of events.
 //! Each call gets a [`Ctl`], through which the decisions act; types and `Ctl` are in `interface.rs`.
 //!
-//! Top down: chance and rings, the rank test, the steps of an RPC, exposure, evidence, votes.
+//! Top down: the rank test, the steps of an RPC, exposure, evidence, votes. Chance and rings: `ring.rs`.
 use crate::interface::*;
+use crate::ring::{Chance, Ring};
 use std::collections::BTreeMap;
 
 const MS: Ns = 1_000_000;
 const SEC: Ns = 1_000 * MS;
 
-/// Multiply-with-carry.
-#[derive(Default)]
-struct Chance(u64);
-
-impl Chance {
-    fn below(&mut self, n: usize) -> usize {
-        self.0 = 4_294_957_665 * (self.0 & 0xffff_ffff) + (self.0 >> 32);
-        ((self.0 & 0xffff_ffff) as usize * n) >> 32
-    }
-
-    /// Above 0, at most 1.
-    fn part(&mut self) -> f64 {
-        (self.below(1 << 20) + 1) as f64 / f64::from(1 << 20)
-    }
-}
-
-/// Buckets of time, used again in a ring; the newest one is still filling.
-pub struct Ring<T> {
-    width: Ns,
-    newest: i64,
-    cells: Vec<T>,
-}
-
-impl<T: Clone + Default> Ring<T> {
-    pub fn new(width: Ns, cells: usize) -> Self {
-        Ring { width: width.max(1), newest: i64::MIN / 2, cells: vec![T::default(); cells] }
-    }
-
-    /// The bucket of `now`; those that were skipped come up empty.
-    pub fn at(&mut self, now: Ns) -> &mut T {
-        let (bucket, size) = (now.div_euclid(self.width), self.cells.len() as i64);
-        for b in (self.newest + 1).max(bucket + 1 - size)..=bucket {
-            self.cells[b.rem_euclid(size) as usize] = T::default();
-        }
-        self.newest = self.newest.max(bucket);
-        &mut self.cells[self.newest.rem_euclid(size) as usize]
-    }
-
-    /// The bucket of a time gone by, if it is still kept.
-    fn then(&mut self, at: Ns) -> Option<&mut T> {
-        let (bucket, size) = (at.div_euclid(self.width), self.cells.len() as i64);
-        (bucket > self.newest - size).then(|| &mut self.cells[bucket.rem_euclid(size) as usize])
-    }
-
-    /// The newest `n` buckets, that of `now` among them.
-    pub fn last(&self, now: Ns, n: i64) -> impl Iterator<Item = &T> {
-        let (bucket, size) = (now.div_euclid(self.width), self.cells.len() as i64);
-        let kept = (bucket - n).max(self.newest - size) + 1..=bucket.min(self.newest);
-        kept.map(move |b| &self.cells[b.rem_euclid(size) as usize])
-    }
-}
-
 /// Evidence is kept for 12 s: long enough for a quiet front, short enough for late badness to show.
 const KEPT: i64 = 24;
 /// Its buckets, and the interval of the tests: the shortest that still gathers outcomes on a quiet front.
@@ -240,10 +189,10 @@
     held: f64,
     /// Its last answer, or the pick that found it idle.
     heard: Ns,
-    /// How slow it is against the fleet, 1 as usual; how surely it fails this front, 0 to 1.
+    /// How slow it is against the fleet, 1 as usual; how surely it fails this front, 0 to 1; its last ok
+    /// answer, unless it failed since.
     slow: f64,
     ill: f64,
-    /// Its last ok answer, unless it could not be reached since.
     reached: Ns,
     counts: Ring<Counts>,
     /// Picks that a cold one may still get from this front, as of a time.
@@ -251,11 +200,6 @@
 }
 
 impl Machine {
-    fn new(member: Member, now: Ns, credit: f64) -> Machine {
-        let started = member.started.unwrap_or(now);
-        Machine { member, heard: now, slow: 1.0, credit: (credit, started), ..Machine::default() }
-    }
-
     /// How full it is for its size, with `more` RPCs.
     fn busy(&self, more: f64, now: Ns, guard: &Guard) -> f64 {
         (self.held + more) / self.size(now, guard) * self.slow.max(0.1).sqrt()
@@ -265,14 +209,11 @@
         self.member.state == State::Up
     }
 
-    /// The share of its capacity that it has by now, at the least.
-    fn warmth(&self, now: Ns, guard: &Guard) -> f64 {
-        let age = self.member.started.map_or(guard.cold_time, |at| (now - at).clamp(0, guard.cold_time));
-        guard.cold_from + (1.0 - guard.cold_from) * age as f64 / guard.cold_time.max(1) as f64
-    }
-
+    /// Its weight by the share of its capacity that it has by now, at the least.
     fn size(&self, now: Ns, guard: &Guard) -> f64 {
-        (self.member.weight * self.warmth(now, guard)).max(1e-6)
+        let age = self.member.started.map_or(guard.cold_time, |at| (now - at).clamp(0, guard.cold_time));
+        let warmth = guard.cold_from + (1.0 - guard.cold_from) * age as f64 / guard.cold_time.max(1) as f64;
+        (self.member.weight * warmth).max(1e-6)
     }
 }
 
@@ -298,8 +239,8 @@
     born: Ns,
     /// The shortest soft deadline.
     soft: Ns,
-    /// How far what this front holds tells of a machine's load: 1 when it is alone.
-    sight: f64,
+    /// One of so many fronts that what it holds tells nothing of a machine's load.
+    quiet: bool,
     machines: Vec<Machine>,
     rpcs: Vec<Rpc>,
     open: u32,
@@ -307,13 +248,12 @@
     budget: f64,
     served: Ring<u32>,
     carry: f64,
-    /// Picks and those that took over half of their soft deadline; the share of RPCs taken on.
+    /// Picks, and those not answered within half of their soft deadline; the share of RPCs taken on.
     queued: Ring<Count>,
     admit: f64,
-    /// Mean time of a method's ok picks; how slow each zone is against them.
+    /// Mean time of a method's ok picks; how slow each zone is against them; picks without a connection.
     means: Vec<f64>,
     zones: Vec<f64>,
-    /// The share of picks that found no connection.
     scarce: f64,
     told: Option<Standing>,
     watching: bool,
@@ -324,16 +264,16 @@
     /// The newest build; its times and the earlier ones' (sides 0 and 1), by method and load.
     watched: u32,
     samples: Vec<[Ring<Sample>; 2]>,
-    /// All counts before this trial, the platform's tallies, each peer's last note and when it came.
+    /// Counts and times before this trial, the platform's tallies, each peer's last note and when it came.
     before: Counts,
+    past: Vec<Sample>,
     platform: [Ring<Counts>; 2],
     notes: BTreeMap<usize, (Ns, u32, Tally)>,
-    /// The earlier build's times before this trial, by method and load.
-    past: Vec<Sample>,
-    /// This front's vote, when it was cast, whether it counts.
+    /// This front's vote, when it was cast, whether it counts; the build it is against.
     ballot: Option<((u32, u32, Verdict), Ns, bool)>,
     condemned: u32,
-    lasts: [u32; 2], // intervals that each test of times has shown harm
+    /// Intervals that each test of times has shown harm.
+    lasts: [u32; 2],
 }
 
 /// How much fuller first picks may keep machines on trial than an idle one: enough to fill caps.
@@ -364,8 +304,6 @@
         ctl.wake_at(ctl.now() + INTERVAL, BEAT);
         // 32 whole buckets of the cap's window count as taken, one more as exposed: never too many.
         let exposure = (0..scopes).map(|_| Ring::new(post.rollout.window / 32, 33)).collect();
-        // Up to some ten fronts route by what they hold; from some thirty on by chance.
-        let sight = 1.0 / (1.0 + (f64::from(post.fronts) / 20.0).powi(4));
         let soft = post.methods.iter().map(|m| m.soft_deadline).min().unwrap_or(SEC).max(MS);
         Front {
             chance: Chance(post.seed | 1),
@@ -374,7 +312,8 @@
             admit: 1.0,
             exposure,
             soft,
-            sight,
+            // From a dozen on each sees under a tenth of the load.
+            quiet: post.fronts > 12,
             means: vec![0.0; rows],
             samples: (0..rows * LOADS).map(|_| Default::default()).collect(),
             post,
@@ -409,11 +348,12 @@
             }
             let known = &mut self.machines[entry.machine];
             // Chance sets when a quiet front may first pick a cold machine: hundreds must not at once.
-            let credit = if self.sight > 0.5 { f64::INFINITY } else { self.chance.part() };
+            let credit = if self.quiet { self.chance.part() } else { 1.0 };
             let known_run = (known.member.build, known.member.started);
             if known.slow == 0.0 || known_run != (entry.build, entry.started) {
                 // A restart, or another machine under this name: what was known of it is void.
-                *known = Machine { held: known.held, ..Machine::new(entry.clone(), now, credit) };
+                let credit = (credit, entry.started.unwrap_or(now));
+                *known = Machine { held: known.held, heard: now, slow: 1.0, credit, ..Machine::default() };
             }
             known.member = entry.clone();
         }
@@ -463,16 +403,17 @@
         }
         let a_second = 0.75 * guard.overload_factor * self.carry * m.size(now, guard);
         let saved = a_second * (now - m.credit.1) as f64 / SEC as f64;
-        // Where a front sees most of the load, a third of the span's picks may come at once.
-        let seen = self.sight > 0.5;
-        let burst = if seen { a_second * guard.fall_time as f64 / SEC as f64 / 3.0 } else { 0.0 };
-        let part = if seen { 1.0 } else { a_second * age as f64 / SEC as f64 };
+        // Where a front sees much of the load, a third of the span's picks may come at once.
+        let (burst, part) = match self.quiet {
+            true => (0.0, a_second * age as f64 / SEC as f64),
+            false => (a_second * guard.fall_time as f64 / SEC as f64 / 3.0, 1.0),
+        };
         let credit = (m.credit.0 + saved).min(1.0);
         (credit, credit + burst >= 1.0, part.clamp(0.05, 1.0))
     }
 
     /// What a pick there is expected to cost: how busy it is, and how sick it seems.
-    fn cost(&self, m: &Machine, now: Ns, unseen: f64) -> f64 {
+    fn cost(&self, m: &Machine, now: Ns, more: f64) -> f64 {
         // A machine that fails or can't be reached draws fewer picks, not none: it must be seen to recover.
         let mut cost = 1.0 + 40.0 * m.ill * m.ill;
         // Where connections are scarce, those that answered lately still hold one.
@@ -486,7 +427,7 @@
             cost *= (1.0 + 10.0 * self.post.cross_zone_price) * ratio * ratio;
         }
         // The few quiet fronts that may pick a cold machine by now make up for those that may not.
-        cost * m.busy(self.sight + unseen, now, &self.post.guard) * self.credit(m, now).2
+        cost * m.busy(more, now, &self.post.guard) * self.credit(m, now).2
     }
 
     fn up(&self) -> impl Iterator<Item = &Machine> {
@@ -501,12 +442,11 @@
             m.up() && fits(&m.member) && self.credit(m, now).1
         });
         let fit: Vec<usize> = fit.collect();
-        // Chance stands for the load that other fronts bring: the less is seen of it, the more the choice
-        // falls by size alone, else all would crowd on the machines that look best.
-        let blind = 4.0 * (1.0 - self.sight) * size as f64;
+        // Chance stands for the load that other fronts bring: quiet ones choose by size alone, as the least of
+        // draws over sizes does, else all would crowd on the machines that look best.
         let each = fit.into_iter().map(|i| {
-            let unseen = blind * -self.chance.part().ln();
-            (self.cost(&self.machines[i], now, unseen), i)
+            let more = if self.quiet { -4.0 * size as f64 * self.chance.part().ln() } else { 1.0 };
+            (self.cost(&self.machines[i], now, more), i)
         });
         each.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, i)| i)
     }
@@ -539,12 +479,10 @@
         worth(method) / (0..self.means.len()).map(worth).fold(0.0, f64::max)
     }
 
-    /// More open RPCs than are served within the shortest soft deadline would all be served late. Those of
-    /// the least utility for their work are turned away first.
+    /// More open RPCs than are served within the shortest soft deadline would all be late: at most four tenths
+    /// of those for the least useful, eight for the most.
     fn fullness(&self, now: Ns, method: usize) -> f64 {
-        let yields = self.yields(method);
-        // From four tenths of the shortest soft deadline for the least to eight for the most useful.
-        let limit = self.rate(now) * self.soft as f64 / SEC as f64 * (0.4 + 0.4 * yields);
+        let limit = self.rate(now) * self.soft as f64 / SEC as f64 * (0.4 + 0.4 * self.yields(method));
         f64::from(self.open) / limit.max(self.up().count() as f64)
     }
 
@@ -553,22 +491,20 @@
         let now = ctl.now();
         let (method, key, build) = (self.rpcs[rpc].method, self.rpcs[rpc].key, self.watched);
         let bound = self.bound_to(key) == build;
-        let guard = &self.post.guard;
-        let (mut ours, mut theirs) = (0.0, 0.0);
-        for m in self.up() {
-            *(if m.member.build == build { &mut ours } else { &mut theirs }) += m.size(now, guard);
-        }
+        let size = |m: &Machine| m.size(now, &self.post.guard);
+        let sizes: f64 = self.up().map(size).sum();
+        let ours: f64 = 1.3 * self.up().filter(|m| m.member.build == build).map(size).sum::<f64>();
         // Unseen, a third fuller than the others: at 1.6 machines on trial jam where they replace the earlier.
-        let kept = self.sight + (1.0 - self.sight) * 1.3 * ours / (1.3 * ours + theirs).max(1e-6);
-        let fills = bound || self.chance.part() <= kept;
+        let kept = ours / (sizes + 0.3 / 1.3 * ours).max(1e-6);
+        let fills = bound || !self.quiet || self.chance.part() <= kept;
         let room = fills && self.room(build, method, now);
         let trial = if room { self.best(now, |m| m.build == build) } else { None };
         let earlier = self.earlier(rpc, now, |_| true);
-        let full = trial.zip(earlier).is_some_and(|(t, e)| {
-            let ([t, e], guard) = ([t, e].map(|i| &self.machines[i]), &self.post.guard);
-            t.busy(self.sight, now, guard)
-                > e.busy(self.sight, now, guard) + (FILL - 1.0) / e.size(now, guard)
-        });
+        let full = !self.quiet
+            && trial.zip(earlier).is_some_and(|(t, e)| {
+                let ([t, e], guard) = ([t, e].map(|i| &self.machines[i]), &self.post.guard);
+                t.busy(1.0, now, guard) > e.busy(1.0, now, guard) + (FILL - 1.0) / e.size(now, guard)
+            });
         self.pick(ctl, rpc, if full { earlier } else { trial.or(earlier) });
     }
 
@@ -725,18 +661,16 @@
     }
 
     fn learn(&mut self, now: Ns, machine: usize, build: u32, cell: usize, outcome: Outcome, took: Ns) {
-        let (row, side) = (cell / LOADS, self.side(build));
+        let (row, side, soft) =
+            (cell / LOADS, self.side(build), self.post.methods[cell / LOADS].soft_deadline);
         let m = &mut self.machines[machine];
         m.held = (m.held - 1.0).max(0.0);
         if matches!(outcome, Outcome::Cancelled | Outcome::Void) || m.member.build != build {
             return;
         }
-        let ok = outcome == Outcome::Ok;
         // Time-outs and broken connections tell of a machine or the net, not of what the build answers.
-        let error = outcome == Outcome::Error;
-        if ok || error {
-            m.heard = now;
-        }
+        let (ok, error) = (outcome == Outcome::Ok, outcome == Outcome::Error);
+        let failed = !ok && !matches!(outcome, Outcome::TimedOut | Outcome::Full);
         if ok || outcome == Outcome::TimedOut {
             let (took, mean) = (took as f64, &mut self.means[row]);
             *mean += if *mean == 0.0 { took } else { 0.02 * f64::from(u8::from(ok)) * (took - *mean) };
@@ -746,41 +680,34 @@
             self.zones.resize(self.zones.len().max(zone + 1), 1.0);
             self.zones[zone] += 0.05 * (slow - self.zones[zone]);
         }
-        // Booked where it began: late until it is answered within half of its soft deadline. What failed tells
-        // nothing of a jam.
-        let prompt = ok && took <= self.post.methods[row].soft_deadline / 2;
-        let failed = !ok && !matches!(outcome, Outcome::TimedOut | Outcome::Full);
+        // Booked where it began: late until answered within half its soft deadline. Failures tell of no jam.
         if let Some([all, late]) = self.queued.then(now - took) {
             *all -= u32::from(failed).min(*all);
-            *late -= u32::from(prompt || failed).min(*late);
+            *late -= u32::from(failed || ok && took <= soft / 2).min(*late);
         }
-        // Two failures in a row make it a last resort, for a quiet front too; a jam is no illness, and time-outs are slowness.
-        match outcome {
-            Outcome::Ok => {
-                m.ill *= 0.8;
-                m.reached = now;
-            }
-            Outcome::Full | Outcome::TimedOut => {}
-            _ => {
-                m.ill += 0.4 * (1.0 - m.ill);
-                m.reached = i64::MIN / 2;
-            }
+        // Two failures in a row make it a last resort, for a quiet front too; time-outs are slowness.
+        if ok {
+            (m.heard, m.reached, m.ill) = (now, now, 0.8 * m.ill);
+        } else if failed {
+            (m.reached, m.ill) = (i64::MIN / 2, m.ill + 0.4 * (1.0 - m.ill));
         }
         self.scarce += 0.1 * (f64::from(u8::from(outcome == Outcome::Unreachable)) - self.scarce);
         *self.served.at(now) += u32::from(ok);
         // Each machine's first second is left out of what is held against a build.
-        if m.member.started.is_some_and(|at| now - took < at + SEC) {
+        let age = m.member.started.map_or(i64::MAX, |at| now - took - at);
+        if age < SEC {
             return;
         }
-        let counts = m.counts.at(now);
-        for (row, failed) in [(ALL, error), (row_of(row), error), (DISPUTES, false)] {
-            counts[row] = add(counts[row], [1, u32::from(failed)]);
-        }
+        let mut count = |row: usize, bad: bool| {
+            let counts = m.counts.at(now);
+            counts[row] = add(counts[row], [1, u32::from(bad)]);
+        };
+        count(ALL, error);
+        count(row_of(row), error);
+        count(DISPUTES, false);
         // Times count from warm machines alone, like with like; refusals and a broken net are no times.
-        let cold = m.member.started.is_some_and(|at| now - took < at + self.post.guard.cold_time);
-        if !cold && !matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::Broken) {
-            let late = !ok || took > self.post.methods[row].soft_deadline;
-            counts[LATE] = add(counts[LATE], [1, u32::from(late)]);
+        if age >= self.post.guard.cold_time && (ok || error || outcome == Outcome::TimedOut) {
+            count(LATE, !ok || took > soft);
             self.samples[cell][side].at(now).add(ok.then_some(took));
         }
     }
@@ -847,16 +774,16 @@
         // Half of an illness is forgotten in eleven seconds: about as long as machines and links stay sick.
         self.machines.iter_mut().for_each(|m| m.ill *= 0.97);
         self.zones.iter_mut().for_each(|slow| *slow += 0.02 * (1.0 - *slow));
-        let sizes: f64 = self.up().map(|m| m.size(now, &self.post.guard)).sum();
         if now - self.born > SPAN {
             // What machines once carried they can carry again; forgotten by half in half a minute.
+            let sizes: f64 = self.up().map(|m| m.size(now, &self.post.guard)).sum();
             self.carry = (0.99 * self.carry).max(self.rate(now) / sizes.max(1e-6));
         }
         // A quiet front sees a jam by its answers alone: four in ten may take half their soft deadline.
         let young = self.post.methods.iter().map(|m| m.soft_deadline).max().unwrap_or(0) / 2 / INTERVAL + 1;
         let [picks, late] = sum(self.queued.last(now - young * INTERVAL, 3));
         let late = f64::from(late) / f64::from(picks.max(4));
-        if self.sight < 0.5 {
+        if self.quiet {
             self.admit = (self.admit + 0.2 * (0.4 - late)).clamp(0.1, 1.0);
         }
         let Some(told) = self.told else { return };
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -1,5 +1,6 @@
 //! Each test builds the state it needs and calls one function.
 use crate::logic::*;
+use crate::ring::Ring;
 use crate::*;
 
 const MS: Ns = 1_000_000;
