--- a/src/logic.rs
+++ b/src/logic.rs
@@ -401,11 +401,12 @@
         if age > guard.cold_time + guard.fall_time {
             return (1.0, true, 1.0);
         }
-        let a_second = 0.75 * guard.overload_factor * self.carry * m.size(now, guard);
+        let multiple = 0.75 * guard.overload_factor;
+        let a_second = multiple * self.carry * m.size(now, guard);
         let saved = a_second * (now - m.credit.1) as f64 / SEC as f64;
         // Where a front sees much of the load, a third of the span's picks may come at once.
         let (burst, part) = match self.quiet {
-            true => (0.0, a_second * age as f64 / SEC as f64),
+            true => (0.0, a_second * age as f64 / SEC as f64 * (1.0 - 1.0 / multiple)),
             false => (a_second * guard.fall_time as f64 / SEC as f64 / 3.0, 1.0),
         };
         let credit = (m.credit.0 + saved).min(1.0);
@@ -899,9 +900,9 @@
     fn slow(&self, [new, old]: [Counts; 2], times: Ranks) -> Option<String> {
         let bar = if self.post.rollout.back_votes > 1 { VOTED } else { 6.0 };
         let late = share(new[LATE]) > share(old[LATE]) + 0.1 && new[LATE][0] >= 20 && old[LATE][0] >= 20;
-        // Where a fifth of the earlier build's answers are late too, the fleet is full, and machines on trial,
+        // Where a tenth of the earlier build's answers are late too, the fleet is full, and machines on trial,
         // kept fuller to fill the cap, jam first.
-        let late = late && share(old[LATE]) < 0.2;
+        let late = late && share(old[LATE]) < 0.1;
         // Three machines at the least, else a sick one may be the build.
         let late = late && self.up().filter(|m| self.side(m.member.build) == 0).count() > 2;
         // Where fronts can talk, one front's times alone, of a few jammed machines, send nothing back.
