--- a/src/logic.rs
+++ b/src/logic.rs
@@ -494,9 +494,10 @@
         let bound = self.bound_to(key) == build;
         let size = |m: &Machine| m.size(now, &self.post.guard);
         let sizes: f64 = self.up().map(size).sum();
-        let ours: f64 = 1.3 * self.up().filter(|m| m.member.build == build).map(size).sum::<f64>();
-        // Unseen, a third fuller than the others: at 1.6 machines on trial jam where they replace the earlier.
-        let kept = ours / (sizes + 0.3 / 1.3 * ours).max(1e-6);
+        let ours: f64 = self.up().filter(|m| m.member.build == build).map(size).sum();
+        // Unseen, a third fuller than the others; as full where the fleet is: machines on trial would jam.
+        let fill = if self.admit < 1.0 { 1.0 } else { 1.3 };
+        let kept = fill * ours / (sizes + (fill - 1.0) * ours).max(1e-6);
         let fills = bound || !self.quiet || self.chance.part() <= kept;
         let room = fills && self.room(build, method, now);
         let trial = if room { self.best(now, |m| m.build == build) } else { None };
@@ -900,9 +901,9 @@
     fn slow(&self, [new, old]: [Counts; 2], times: Ranks) -> Option<String> {
         let bar = if self.post.rollout.back_votes > 1 { VOTED } else { 6.0 };
         let late = share(new[LATE]) > share(old[LATE]) + 0.1 && new[LATE][0] >= 20 && old[LATE][0] >= 20;
-        // Where a tenth of the earlier build's answers are late too, the fleet is full, and machines on trial,
+        // Where a fifth of the earlier build's answers are late too, the fleet is full, and machines on trial,
         // kept fuller to fill the cap, jam first.
-        let late = late && share(old[LATE]) < 0.1;
+        let late = late && share(old[LATE]) < 0.2;
         // Three machines at the least, else a sick one may be the build.
         let late = late && self.up().filter(|m| self.side(m.member.build) == 0).count() > 2;
         // Where fronts can talk, one front's times alone, of a few jammed machines, send nothing back.
