--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 mod interface;
 mod logic;
 mod ring;
+mod tally;
 #[cfg(test)]
 mod tests;
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,9 +4,11 @@
 //! the name of what happened (`members`, `told`, `taken`, `ended`, `woke`, ...), in the order of events.
 //! Each call gets a [`Ctl`], through which the decisions act; types and `Ctl` are in `interface.rs`.
 //!
-//! Top down: the rank test, the steps of an RPC, exposure, evidence, votes. Chance and rings: `ring.rs`.
+//! Top down: the rank test, the steps of an RPC, exposure, evidence, votes. Chance and rings of time are in
+//! `ring.rs`, rows of counts and the notes of them in `tally.rs`.
 use crate::interface::*;
 use crate::ring::{Chance, Ring};
+use crate::tally::*;
 use std::collections::BTreeMap;
 
 const MS: Ns = 1_000_000;
@@ -45,10 +47,9 @@
     }
 
     fn sum<'a>(samples: impl Iterator<Item = &'a Sample>) -> Sample {
-        samples.fold(Sample::default(), |mut sum, other| {
-            sum.bins.iter_mut().zip(&other.bins).for_each(|(a, b)| *a += b);
-            sum.n += other.n;
-            sum
+        samples.fold(Sample::default(), |sum, other| Sample {
+            bins: std::array::from_fn(|i| sum.bins[i] + other.bins[i]),
+            n: sum.n + other.n,
         })
     }
 }
@@ -95,21 +96,6 @@
     }
 }
 
-/// Picks and failures.
-pub type Count = [u32; 2];
-
-fn add(a: Count, b: Count) -> Count {
-    [a[0] + b[0], a[1] + b[1]]
-}
-
-fn sum<'a>(counts: impl Iterator<Item = &'a Count>) -> Count {
-    counts.fold([0, 0], |sum, c| add(sum, *c))
-}
-
-fn share(c: Count) -> f64 {
-    f64::from(c[1]) / f64::from(c[0].max(1))
-}
-
 /// Are `new`'s failures too many to be chance at `old`'s rate? `odds` is the chance allowed.
 pub fn deviates(new: Count, old: Count, odds: f64) -> bool {
     // One failure in 300 is granted where the earlier build shows nothing, so little is not none.
@@ -127,61 +113,6 @@
     1.0 - under < odds
 }
 
-/// Counts by row: all picks, disputed answers, answers of warm machines past the soft deadline, then a row a
-/// method; methods beyond share the last row.
-const ROWS: usize = 9;
-const ALL: usize = 0;
-const DISPUTES: usize = 1;
-const LATE: usize = 2;
-type Counts = [Count; ROWS];
-
-fn row_of(method: usize) -> usize {
-    (method + 3).min(ROWS - 1)
-}
-
-fn merge(a: Counts, b: &Counts) -> Counts {
-    std::array::from_fn(|row| add(a[row], b[row]))
-}
-
-/// What one front or several have counted: picks by side and row, then three rank tests of times (new against
-/// earlier; earlier against those before the trial, and those of a lesser share); failures by tag and row.
-#[derive(Clone, Default)]
-struct Tally {
-    words: [f32; WORDS],
-    failed: BTreeMap<(u32, usize), u32>,
-}
-
-const WORDS: usize = 2 * ROWS + 9;
-
-impl Tally {
-    fn add(&mut self, other: &Tally) {
-        self.words.iter_mut().zip(&other.words).for_each(|(a, b)| *a += b);
-        other.failed.iter().for_each(|(at, n)| *self.failed.entry(*at).or_default() += n);
-    }
-
-    fn test(&self, i: usize) -> Ranks {
-        Ranks(std::array::from_fn(|j| self.words[2 * ROWS + 3 * i + j].into()))
-    }
-
-    /// A note: the build, the upper halves of the words, then machines that failed.
-    fn note(&self, build: u32) -> Vec<u8> {
-        let words = self.words.iter().map(|w| (w.to_bits() >> 16) as u16);
-        let mut note: Vec<u8> = [build as u16].into_iter().chain(words).flat_map(u16::to_be_bytes).collect();
-        for ((tag, row), n) in self.failed.iter().take((256 - note.len()) / 4) {
-            note.extend([(tag >> 8) as u8, *tag as u8, *row as u8, (*n).min(255) as u8]);
-        }
-        note
-    }
-
-    fn read(note: &[u8]) -> Option<(u32, Tally)> {
-        let (head, tail) = note.split_at_checked(2 + 2 * WORDS)?;
-        let word = |b: &[u8]| u32::from(b[0]) << 8 | u32::from(b[1]);
-        let words = std::array::from_fn(|i| f32::from_bits(word(&head[2 * i + 2..]) << 16));
-        let failed = tail.chunks_exact(4).map(|b| ((word(b), b[2].into()), b[3].into())).collect();
-        Some((word(head), Tally { words, failed }))
-    }
-}
-
 #[derive(Default)]
 struct Machine {
     member: Member,
@@ -438,10 +369,8 @@
     fn best(&mut self, now: Ns, fits: impl Fn(&Member) -> bool) -> Option<usize> {
         let size = self.machines.len();
         let from = self.chance.below(size.max(1));
-        let fit = (0..size).map(|i| (from + i) % size).filter(|&i| {
-            let m = &self.machines[i];
-            m.up() && fits(&m.member) && self.credit(m, now).1
-        });
+        let fits = |m: &Machine| m.up() && fits(&m.member) && self.credit(m, now).1;
+        let fit = (0..size).map(|i| (from + i) % size).filter(|&i| fits(&self.machines[i]));
         let fit: Vec<usize> = fit.collect();
         // Chance stands for the load that other fronts bring: quiet ones choose by size alone, as the least of
         // draws over sizes does, else all would crowd on the machines that look best.
@@ -810,7 +739,7 @@
         self.notes.retain(|_, n| n.1 == told.build && now - n.0 < 3 * INTERVAL);
         self.notes.values().for_each(|n| tally.add(&n.2));
         let pooled = [0, 1].map(|side| self.counted(&tally, side));
-        let why = self.harm(now, trial, [own, pooled], [0, 1, 2].map(|i| tally.test(i)));
+        let why = self.harm(now, trial, [own, pooled], [0, 1, 2].map(|i| Ranks(tally.test(i))));
         if let Some(why) = why.filter(|_| self.condemned != told.build) {
             self.condemned = told.build;
             ctl.note(&format!("back {}: {why}", told.build));
@@ -900,15 +829,16 @@
     /// worst third of machines alone.
     fn slow(&self, [new, old]: [Counts; 2], times: Ranks) -> Option<String> {
         let bar = if self.post.rollout.back_votes > 1 { VOTED } else { 6.0 };
-        let late = share(new[LATE]) > share(old[LATE]) + 0.1 && new[LATE][0] >= 20 && old[LATE][0] >= 20;
         // Where a fifth of the earlier build's answers are late too, the fleet is full, and machines on trial,
         // kept fuller to fill the cap, jam first.
-        let late = late && share(old[LATE]) < 0.2;
-        // Three machines at the least, else a sick one may be the build.
-        let late = late && self.up().filter(|m| self.side(m.member.build) == 0).count() > 2;
-        // Where fronts can talk, one front's times alone, of a few jammed machines, send nothing back.
-        let late = late && (!self.post.rights.notes || !self.notes.is_empty());
-        (times.z() > bar && times.lead() > 0.17 && late).then(|| format!("times: {times}"))
+        let late = share(new[LATE]) > share(old[LATE]) + 0.1 && share(old[LATE]) < 0.2;
+        let seen = new[LATE][0] >= 20 && old[LATE][0] >= 20;
+        // Three machines at the least, else a sick one may be the build; and where fronts can talk, one front's
+        // times alone, of a few jammed machines, send nothing back.
+        let many = self.up().filter(|m| self.side(m.member.build) == 0).count() > 2;
+        let heard = !self.post.rights.notes || !self.notes.is_empty();
+        let harm = times.z() > bar && times.lead() > 0.17 && late && seen && many && heard;
+        harm.then(|| format!("times: {times}"))
     }
 
     /// Clean long enough: the newest machine of this stage has run for the bake, and outcomes were seen.
