--- a/src/logic.rs
+++ b/src/logic.rs
@@ -175,8 +175,7 @@
     machines: Vec<Machine>,
     rpcs: Vec<Rpc>,
     open: u32,
-    /// Repeats that may still be made; ok answers; the most that machines have served, a second and size.
-    budget: f64,
+    /// Ok answers; the most that machines have served, a second and size.
     served: Ring<u32>,
     carry: f64,
     /// Picks, and those not answered within half of their soft deadline; the share of RPCs taken on.
@@ -239,7 +238,6 @@
         Front {
             chance: Chance(post.seed | 1),
             born: ctl.now(),
-            budget: 5.0,
             admit: 1.0,
             exposure,
             soft,
@@ -385,7 +383,6 @@
         let now = ctl.now();
         let scope = self.scope(method);
         self.exposure[scope].at(now)[0] += 1;
-        self.budget = (self.budget + 0.2).min(20.0);
         if self.rpcs.len() <= rpc {
             self.rpcs.resize_with(rpc + 1, Rpc::default);
         }
@@ -494,7 +491,7 @@
         ctl.pick(rpc, machine, left.max(step));
     }
 
-    /// Another pick, if the method, the time left and the budget of repeats allow one.
+    /// Another pick, if the method and the time left allow one.
     fn repeat(&mut self, ctl: &mut dyn Ctl, rpc: usize) {
         let now = ctl.now();
         let r = &self.rpcs[rpc];
@@ -503,7 +500,7 @@
         // A repeat that cannot end in time, or goes to a full fleet, only adds load.
         let ends = now + self.means[row] as Ns / 2 + self.post.step;
         let useful = ends <= r.deadline && self.fullness(now, row) <= 1.0;
-        let left = r.then.len() < self.post.rights.most_picks as usize && self.budget >= 1.0;
+        let left = r.then.len() < self.post.rights.most_picks as usize;
         // Rule 2: after a pick that may have run, only what the method allows.
         let harmless = match (mark, repeat) {
             (None, _) | (_, Repeat::Idempotent) => true,
@@ -525,7 +522,6 @@
         if machine.is_none() && self.room(build, row, now) {
             machine = self.best(now, |m| m.build == build && other(m));
         }
-        self.budget -= 1.0;
         self.pick(ctl, rpc, machine);
     }
 
@@ -773,10 +769,7 @@
             odd && deviates(seen[0][r], seen[1][r], 1e-6)
         };
         if let Some(row) = (0..ROWS).find(wide).filter(|_| trial && self.machines.iter().any(erred)) {
-            return Some(format!(
-                "tallied failures, row {row}: {:?} against {:?}",
-                seen[0][row], seen[1][row]
-            ));
+            return Some(format!("tallied, row {row}: {:?} against {:?}", seen[0][row], seen[1][row]));
         }
         for (source, [new, old]) in ["own", "pooled"].into_iter().zip(counts) {
             // Where earlier machines get few, the reference takes in what was seen before the trial.
