--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,11 +1,7 @@
-//! Every decision of a front, its tables and its tuned values.
-//!
-//! How to call it: [`Front::start`] once with the [`Post`] read at start, then the method that bears
-//! the name of what happened (`members`, `told`, `taken`, `ended`, `woke`, ...), in the order of events.
-//! Each call gets a [`Ctl`], through which the decisions act; types and `Ctl` are in `interface.rs`.
-//!
-//! Top down: the rank test, the steps of an RPC, exposure, evidence, votes. Chance and rings of time are in
-//! `ring.rs`, rows of counts and the notes of them in `tally.rs`.
+//! Every decision of a front, its tables and its tuned values. How to call it: [`Front::start`] once with the
+//! [`Post`] read at start, then the method that bears the name of what happened (`members`, `told`, `taken`,
+//! `ended`, `woke`, ...), in the order of events. Each call gets a [`Ctl`], through which the decisions act;
+//! types and `Ctl` are in `interface.rs`, chance and rings of time in `ring.rs`, counts in `tally.rs`.
 use crate::interface::*;
 use crate::ring::{Chance, Ring};
 use crate::tally::*;
@@ -62,7 +58,8 @@
 impl Ranks {
     /// Mann–Whitney of the new side's rank sum, ties at their middle rank.
     pub fn of<'a>(pairs: impl Iterator<Item = (&'a Sample, &'a Sample)>) -> Ranks {
-        pairs.filter(|(new, old)| new.n * old.n > 0).fold(Ranks::default(), |sum, (new, old)| {
+        let both = pairs.filter(|(new, old)| new.n * old.n > 0);
+        Ranks(both.fold([0.0; 3], |[beyond, variance, compared], (new, old)| {
             let (n, m) = (f64::from(new.n), f64::from(old.n));
             let (mut below, mut ranks) = (0.0, 0.0);
             for (a, b) in new.bins.iter().zip(&old.bins) {
@@ -71,12 +68,8 @@
                 below += tied;
             }
             let u = ranks - n * (n + 1.0) / 2.0;
-            sum.plus(Ranks([u - n * m / 2.0, n * m * (n + m + 1.0) / 12.0, n * m]))
-        })
-    }
-
-    fn plus(self, other: Ranks) -> Ranks {
-        Ranks(std::array::from_fn(|i| self.0[i] + other.0[i]))
+            [beyond + u - n * m / 2.0, variance + n * m * (n + m + 1.0) / 12.0, compared + n * m]
+        }))
     }
 
     /// 0 where no pair has both sides.
@@ -90,12 +83,6 @@
     }
 }
 
-impl std::fmt::Display for Ranks {
-    fn fmt(&self, out: &mut std::fmt::Formatter) -> std::fmt::Result {
-        write!(out, "z {:.1}, lead {:.2}", self.z(), self.lead())
-    }
-}
-
 /// Are `new`'s failures too many to be chance at `old`'s rate? `odds` is the chance allowed.
 pub fn deviates(new: Count, old: Count, odds: f64) -> bool {
     // One failure in 300 is granted where the earlier build shows nothing, so little is not none.
@@ -320,10 +307,9 @@
     }
 
     /// Rule 4: picks that a cold machine may get from this front: as many as this front's machines have been
-    /// seen to serve, by size and warmth, times half the multiple that it stands: the rest is slack for uneven
-    /// work. What is served is never above capacity, so when every front does so the sum holds, also where a
-    /// front has less than one pick to give in that time. With it, whether it is enough, and which part of the
-    /// quiet fronts has enough by now.
+    /// seen to serve, by size and warmth, times three quarters of the multiple that it stands. What is served
+    /// is never above capacity, so the fronts' sum holds, also where a front has less than one pick to give.
+    /// With it, whether it is enough, and which part of the quiet fronts has enough by now.
     fn credit(&self, m: &Machine, now: Ns) -> (f64, bool, f64) {
         let guard = &self.post.guard;
         let age = m.member.started.map_or(i64::MAX, |at| now - at);
@@ -334,12 +320,11 @@
         let a_second = multiple * self.carry * m.size(now, guard);
         let saved = a_second * (now - m.credit.1) as f64 / SEC as f64;
         // Where a front sees much of the load, a third of the span's picks may come at once.
-        let (burst, part) = match self.quiet {
-            true => (0.0, a_second * age as f64 / SEC as f64 * (1.0 - 1.0 / multiple)),
-            false => (a_second * guard.fall_time as f64 / SEC as f64 / 3.0, 1.0),
-        };
+        let burst = a_second * guard.fall_time as f64 / SEC as f64 / 3.0;
+        let part = a_second * age as f64 / SEC as f64 * (1.0 - 1.0 / multiple);
+        let (burst, part) = if self.quiet { (0.0, part.clamp(0.05, 1.0)) } else { (burst, 1.0) };
         let credit = (m.credit.0 + saved).min(1.0);
-        (credit, credit + burst >= 1.0, part.clamp(0.05, 1.0))
+        (credit, credit + burst >= 1.0, part)
     }
 
     /// What a pick there is expected to cost: how busy it is, and how sick it seems.
@@ -388,8 +373,8 @@
         }
         self.rpcs[rpc] = Rpc { method, key, deadline, open: true, last: usize::MAX, ..Rpc::default() };
         self.open += 1;
-        if self.fullness(now, method) > 1.0 || self.chance.part() > self.admit.powf(1.0 / self.yields(method))
-        {
+        let admit = self.admit.powf(1.0 / self.yields(method));
+        if self.fullness(now, method) > 1.0 || self.chance.part() > admit {
             return self.give_up(ctl, rpc);
         }
         self.first(ctl, rpc);
@@ -428,12 +413,11 @@
         let room = fills && self.room(build, method, now);
         let trial = if room { self.best(now, |m| m.build == build) } else { None };
         let earlier = self.earlier(rpc, now, |_| true);
-        let full = !self.quiet
-            && trial.zip(earlier).is_some_and(|(t, e)| {
-                let ([t, e], guard) = ([t, e].map(|i| &self.machines[i]), &self.post.guard);
-                t.busy(1.0, now, guard) > e.busy(1.0, now, guard) + (FILL - 1.0) / e.size(now, guard)
-            });
-        self.pick(ctl, rpc, if full { earlier } else { trial.or(earlier) });
+        let full = trial.zip(earlier).is_some_and(|(t, e)| {
+            let ([t, e], guard) = ([t, e].map(|i| &self.machines[i]), &self.post.guard);
+            t.busy(1.0, now, guard) > e.busy(1.0, now, guard) + (FILL - 1.0) / e.size(now, guard)
+        });
+        self.pick(ctl, rpc, if full && !self.quiet { earlier } else { trial.or(earlier) });
     }
 
     /// The build that a one-way key is bound to; it goes to no earlier one.
@@ -707,10 +691,9 @@
             self.carry = (0.99 * self.carry).max(self.rate(now) / sizes.max(1e-6));
         }
         // A quiet front sees a jam by its answers alone: four in ten may take half their soft deadline.
-        let young = self.post.methods.iter().map(|m| m.soft_deadline).max().unwrap_or(0) / 2 / INTERVAL + 1;
-        let [picks, late] = sum(self.queued.last(now - young * INTERVAL, 3));
-        let late = f64::from(late) / f64::from(picks.max(4));
+        let [picks, late] = sum(self.queued.last(now - 2 * INTERVAL, 3));
         if self.quiet {
+            let late = f64::from(late) / f64::from(picks.max(4));
             self.admit = (self.admit + 0.2 * (0.4 - late)).clamp(0.1, 1.0);
         }
         let Some(told) = self.told else { return };
@@ -740,12 +723,12 @@
             self.condemned = told.build;
             ctl.note(&format!("back {}: {why}", told.build));
         }
-        let baked = self.baked(now, told, pooled[0][ALL][0], hears);
+        let baked = trial && self.baked(now, told, pooled[0][ALL][0], hears);
         let verdict = match self.post.rollout.control {
             _ if self.condemned == told.build => Verdict::Back,
-            Control::Automatic if trial && baked => Verdict::NoVote,
+            Control::Automatic if baked => Verdict::NoVote,
             Control::Automatic if trial => Verdict::Hold,
-            _ if trial && baked => Verdict::On,
+            _ if baked => Verdict::On,
             _ => return,
         };
         self.cast(ctl, told, verdict);
@@ -813,13 +796,13 @@
         let bar = if self.post.rollout.back_votes > 1 { VOTED } else { 7.0 };
         let moved = less.z() > if self.lasts[1] > 0 { -2.6 } else { 2.6 };
         let harm = past.0[2] >= 400.0 && past.z() > bar && past.lead() > 0.06 && moved;
-        harm.then(|| format!("earlier build's times against those before: {past}, moving {less}"))
+        let [z, lead, moves] = [past.z(), past.lead(), less.z()];
+        harm.then(|| format!("earlier build's times: z {z:.1}, lead {lead:.2}, moving {moves:.1}"))
     }
 
-    /// The rank test of new against earlier times, by method, time and load; in z 2.6 for one test, 3.4 for a
-    /// dozen, but times that queue together count for a third as many, so 6. Slower, but within the soft
-    /// deadline, harms nobody; sending a good build back does: so a tenth more must be late, and not for the
-    /// worst third of machines alone.
+    /// The rank test of new against earlier times, by method, time and load: z 3.4 for a dozen tests, but times
+    /// that queue together count for a third as many, so 6. Slower within the soft deadline harms nobody: a
+    /// tenth more must be late, and not for the worst third of machines alone.
     fn slow(&self, [new, old]: [Counts; 2], times: Ranks) -> Option<String> {
         let bar = if self.post.rollout.back_votes > 1 { VOTED } else { 6.0 };
         // Where a fifth of the earlier build's answers are late too, the fleet is full, and machines on trial,
@@ -831,7 +814,7 @@
         let many = self.up().filter(|m| self.side(m.member.build) == 0).count() > 2;
         let heard = !self.post.rights.notes || !self.notes.is_empty();
         let harm = times.z() > bar && times.lead() > 0.17 && late && seen && many && heard;
-        harm.then(|| format!("times: {times}"))
+        harm.then(|| format!("times, z {:.1}, lead {:.2}", times.z(), times.lead()))
     }
 
     /// Clean long enough: the newest machine of this stage has run for the bake, and outcomes were seen.
@@ -843,11 +826,8 @@
         let fresh = newest > told.since || now - told.since > 8 * SEC;
         let waited = now - newest.max(told.since);
         // Those who hear no others leave the first word to those who do.
-        let enough = match hears {
-            true if seen >= 20 => bake,
-            true => 2 * bake,
-            false => 2 * bake + 10 * SEC,
-        };
+        let more = if hears { 0 } else { 10 * SEC };
+        let enough = if hears && seen >= 20 { bake } else { 2 * bake + more };
         fresh && self.lasts == [0, 0] && waited >= enough
     }
 
