--- a/src/logic.rs
+++ b/src/logic.rs
@@ -72,7 +72,6 @@
         }))
     }
 
-    /// 0 where no pair has both sides.
     pub fn z(self) -> f64 {
         self.0[0] / self.0[1].max(1e-9).sqrt()
     }
@@ -103,18 +102,13 @@
 #[derive(Default)]
 struct Machine {
     member: Member,
-    /// RPCs of this front that it holds.
-    held: f64,
-    /// Its last answer, or the pick that found it idle.
-    heard: Ns,
-    /// How slow it is against the fleet, 1 as usual; how surely it fails this front, 0 to 1; its last ok
-    /// answer, unless it failed since.
+    held: f64, // RPCs of this front that it holds
+    /// How slow it is, 1 as usual; how surely it fails this front, 0 to 1; its last ok if not failed since.
     slow: f64,
     ill: f64,
     reached: Ns,
     counts: Ring<Counts>,
-    /// Picks that a cold one may still get from this front, as of a time.
-    credit: (f64, Ns),
+    credit: (f64, Ns), // picks that a cold one may still get from this front, as of a time
 }
 
 impl Machine {
@@ -155,10 +149,8 @@
     post: Post,
     chance: Chance,
     born: Ns,
-    /// The shortest soft deadline.
-    soft: Ns,
-    /// One of so many fronts that what it holds tells nothing of a machine's load.
-    quiet: bool,
+    soft: Ns,    // the shortest soft deadline
+    quiet: bool, // one of so many fronts that what it holds tells nothing of a machine's load
     machines: Vec<Machine>,
     rpcs: Vec<Rpc>,
     open: u32,
@@ -176,8 +168,7 @@
     watching: bool,
     /// RPCs taken and picks at builds on trial: a row a method, or one where the cap is for all.
     exposure: Vec<Ring<Count>>,
-    /// One-way keys and the newest build that answered them.
-    bound: BTreeMap<u64, u32>,
+    bound: BTreeMap<u64, u32>, // one-way keys and the newest build that answered them
     /// The newest build; its times and the earlier ones' (sides 0 and 1), by method and load.
     watched: u32,
     samples: Vec<[Ring<Sample>; 2]>,
@@ -189,15 +180,13 @@
     /// This front's vote, when it was cast, whether it counts; the build it is against.
     ballot: Option<((u32, u32, Verdict), Ns, bool)>,
     condemned: u32,
-    /// Intervals that each test of times has shown harm.
-    lasts: [u32; 2],
+    lasts: [u32; 2], // intervals that each test of times has shown harm
 }
 
 /// How much fuller first picks may keep machines on trial than an idle one: enough to fill caps.
 const FILL: f64 = 1.6;
 
-/// Rates are taken over 4 s: some dozens of RPCs on a quiet front.
-const SPAN: Ns = 8 * INTERVAL;
+const SPAN: Ns = 8 * INTERVAL; // of rates: some dozens of RPCs on a quiet front
 
 /// Times are held only against those of picks at like load: 0, 1, 2, or more of our RPCs on the machine.
 const LOADS: usize = 4;
@@ -205,11 +194,9 @@
 /// Where several fronts must agree, the agreement is the proof: each needs but the usual z of 2.6.
 const VOTED: f64 = 2.6;
 
-/// Fronts that hear all the others: one may stand still and one restart at any time.
-const HEARERS: u32 = 3;
+const HEARERS: u32 = 3; // hear all the others: one may stand still and one restart at any time
 
-/// The timer of the beat; any other asks for the roster.
-const BEAT: u64 = 0;
+const BEAT: u64 = 0; // the timer of the beat; any other asks for the roster
 
 impl Front {
     pub fn start(post: Post, ctl: &mut dyn Ctl) -> Front {
@@ -269,7 +256,7 @@
             if known.slow == 0.0 || known_run != (entry.build, entry.started) {
                 // A restart, or another machine under this name: what was known of it is void.
                 let credit = (credit, entry.started.unwrap_or(now));
-                *known = Machine { held: known.held, heard: now, slow: 1.0, credit, ..Machine::default() };
+                *known = Machine { held: known.held, reached: now, slow: 1.0, credit, ..Machine::default() };
             }
             known.member = entry.clone();
         }
@@ -306,10 +293,9 @@
         }
     }
 
-    /// Rule 4: picks that a cold machine may get from this front: as many as this front's machines have been
-    /// seen to serve, by size and warmth, times three quarters of the multiple that it stands. What is served
-    /// is never above capacity, so the fronts' sum holds, also where a front has less than one pick to give.
-    /// With it, whether it is enough, and which part of the quiet fronts has enough by now.
+    /// Rule 4: picks that a cold machine may get from this front: what its machines have been seen to serve, by
+    /// size and warmth, times three quarters of the multiple. That is never above capacity, so the fronts' sum
+    /// holds, also for less than one pick each. Then: is it enough, and for which part of quiet fronts?
     fn credit(&self, m: &Machine, now: Ns) -> (f64, bool, f64) {
         let guard = &self.post.guard;
         let age = m.member.started.map_or(i64::MAX, |at| now - at);
@@ -398,7 +384,7 @@
         f64::from(self.open) / limit.max(self.up().count() as f64)
     }
 
-    /// The first pick: the build on trial while the cap has room and its machines hold it, else the earlier.
+    /// The first pick: the build on trial while cap and machines have room, else the earlier.
     fn first(&mut self, ctl: &mut dyn Ctl, rpc: usize) {
         let now = ctl.now();
         let (method, key, build) = (self.rpcs[rpc].method, self.rpcs[rpc].key, self.watched);
@@ -444,9 +430,6 @@
         let m = &mut self.machines[machine];
         let mark = (m.member.zone, m.member.cell, now);
         let (build, cell) = (m.member.build, row * LOADS + (m.held as usize).min(LOADS - 1));
-        if m.held < 1.0 {
-            m.heard = now;
-        }
         m.held += 1.0;
         m.credit = (credit - 1.0, now);
         let queued = self.queued.at(now);
@@ -598,7 +581,7 @@
         }
         // Two failures in a row make it a last resort, for a quiet front too; time-outs are slowness.
         if ok {
-            (m.heard, m.reached, m.ill) = (now, now, 0.8 * m.ill);
+            (m.reached, m.ill) = (now, 0.8 * m.ill);
         } else if failed {
             (m.reached, m.ill) = (i64::MIN / 2, m.ill + 0.4 * (1.0 - m.ill));
         }
@@ -609,10 +592,8 @@
         if age < SEC {
             return;
         }
-        let mut count = |row: usize, bad: bool| {
-            let counts = m.counts.at(now);
-            counts[row] = add(counts[row], [1, u32::from(bad)]);
-        };
+        let counts = m.counts.at(now);
+        let mut count = |row: usize, bad: bool| counts[row] = add(counts[row], [1, u32::from(bad)]);
         count(ALL, error);
         count(row_of(row), error);
         count(DISPUTES, false);
@@ -669,8 +650,7 @@
             let failures = |tag: &u32| tally.failed.get(&(*tag, row)).copied().unwrap_or(0);
             let mut failed: Vec<u32> = tags.iter().map(failures).collect();
             failed.sort_unstable();
-            // Few picks meet few machines.
-            let met = failed.len().min(picks as usize);
+            let met = failed.len().min(picks as usize); // few picks meet few machines
             let kept = met - (met + 1) / 3;
             let out = failed.len() - (met - kept);
             [(picks * kept as f32 / met.max(1) as f32) as u32, failed[..out].iter().sum()]
@@ -680,9 +660,9 @@
     fn beat(&mut self, ctl: &mut dyn Ctl) {
         let now = ctl.now();
         // What seemed slow is tried again: without picks the measure would never mend.
-        let unheard = self.machines.iter_mut().filter(|m| now - m.heard > SPAN);
+        let unheard = self.machines.iter_mut().filter(|m| now - m.reached > SPAN);
         unheard.for_each(|m| m.slow += 0.1 * (1.0 - m.slow));
-        // Half of an illness is forgotten in eleven seconds: about as long as machines and links stay sick.
+        // Half of an illness is forgotten in eleven seconds, of a slow zone in seventeen.
         self.machines.iter_mut().for_each(|m| m.ill *= 0.97);
         self.zones.iter_mut().for_each(|slow| *slow += 0.02 * (1.0 - *slow));
         if now - self.born > SPAN {
@@ -714,8 +694,7 @@
             let note = tally.note(told.build);
             hearers.iter().filter(|h| **h != rank).for_each(|h| ctl.tell(Some(*h), &note));
         }
-        // Notes older than three intervals say nothing of now.
-        self.notes.retain(|_, n| n.1 == told.build && now - n.0 < 3 * INTERVAL);
+        self.notes.retain(|_, n| n.1 == told.build && now - n.0 < 3 * INTERVAL); // older ones say nothing
         self.notes.values().for_each(|n| tally.add(&n.2));
         let pooled = [0, 1].map(|side| self.counted(&tally, side));
         let why = self.harm(now, trial, [own, pooled], [0, 1, 2].map(|i| Ranks(tally.test(i))));
@@ -755,7 +734,7 @@
             return Some(format!("tallied, row {row}: {:?} against {:?}", seen[0][row], seen[1][row]));
         }
         for (source, [new, old]) in ["own", "pooled"].into_iter().zip(counts) {
-            // Where earlier machines get few, the reference takes in what was seen before the trial.
+            // Where earlier machines get few, what was seen before the trial counts too.
             let old = if old[ALL][0] < self.before[ALL][0] { merge(old, &self.before) } else { old };
             let harmed = |&r: &usize| r != LATE && old[ALL][0] >= 30 && deviates(new[r], old[r], odds);
             if let Some(row) = (0..ROWS).find(harmed) {
@@ -775,9 +754,8 @@
     /// than half of its present share: a burst does not move with that. In place, capacity does; not there.
     fn times(&self, now: Ns) -> [Ranks; 3] {
         const PRESENT: usize = KEPT as usize - 6; // the last six buckets
-        let mut seen = [[0; 2]; KEPT as usize];
+        let mut seen = [[0; 2]; KEPT as usize]; // all picks, those at the new build
         for (new, ring) in self.samples.iter().flat_map(|[new, old]| [(1, new), (0, old)]) {
-            // All picks and those at the new build, by bucket.
             ring.last(now, KEPT).zip(&mut seen).for_each(|(s, c)| *c = add(*c, [s.n, new * s.n]));
         }
         let today = share(sum(seen[PRESENT..].iter()));
@@ -805,8 +783,7 @@
     /// tenth more must be late, and not for the worst third of machines alone.
     fn slow(&self, [new, old]: [Counts; 2], times: Ranks) -> Option<String> {
         let bar = if self.post.rollout.back_votes > 1 { VOTED } else { 6.0 };
-        // Where a fifth of the earlier build's answers are late too, the fleet is full, and machines on trial,
-        // kept fuller to fill the cap, jam first.
+        // Where a fifth of the earlier ones are late too the fleet is full, and fuller trial machines jam first.
         let late = share(new[LATE]) > share(old[LATE]) + 0.1 && share(old[LATE]) < 0.2;
         let seen = new[LATE][0] >= 20 && old[LATE][0] >= 20;
         // Three machines at the least, else a sick one may be the build; and where fronts can talk, one front's
@@ -825,8 +802,7 @@
         // A stage's machines start after it began; where none seems to, it has had time enough by now.
         let fresh = newest > told.since || now - told.since > 8 * SEC;
         let waited = now - newest.max(told.since);
-        // Those who hear no others leave the first word to those who do.
-        let more = if hears { 0 } else { 10 * SEC };
+        let more = if hears { 0 } else { 10 * SEC }; // the first word is theirs who hear others
         let enough = if hears && seen >= 20 { bake } else { 2 * bake + more };
         fresh && self.lasts == [0, 0] && waited >= enough
     }
