--- a/src/logic.rs
+++ b/src/logic.rs
@@ -690,11 +690,12 @@
         let tests = self.times(now).into_iter().flat_map(|test| test.0);
         tally.words[2 * ROWS..].iter_mut().zip(tests).for_each(|(word, x)| *word = x as f32);
         let own = [0, 1].map(|side| self.counted(&tally, side));
-        if self.post.rights.notes && trial {
+        // After a release every fourth interval: a build that fails only when full shows then.
+        if self.post.rights.notes && (trial || now / INTERVAL % 4 == i64::from(rank % 4)) {
             let note = tally.note(told.build);
             hearers.iter().filter(|h| **h != rank).for_each(|h| ctl.tell(Some(*h), &note));
         }
-        self.notes.retain(|_, n| n.1 == told.build && now - n.0 < 3 * INTERVAL); // older ones say nothing
+        self.notes.retain(|_, n| n.1 == told.build && now - n.0 < 6 * INTERVAL); // older ones say nothing
         self.notes.values().for_each(|n| tally.add(&n.2));
         let pooled = [0, 1].map(|side| self.counted(&tally, side));
         let why = self.harm(now, trial, [own, pooled], [0, 1, 2].map(|i| Ranks(tally.test(i))));
