--- a/src/logic.rs
+++ b/src/logic.rs
@@ -32,7 +32,6 @@
 }
 
 impl Sample {
-    /// Adds an outcome: the time it took, or none for a failure.
     pub fn add(&mut self, took: Option<Ns>) {
         self.bins[took.map_or(BINS - 1, Self::bin)] += 1;
         self.n += 1;
@@ -121,7 +120,7 @@
         self.member.state == State::Up
     }
 
-    /// Its weight by the share of its capacity that it has by now, at the least.
+    /// Its weight, by how warm it is at the least.
     fn size(&self, now: Ns, guard: &Guard) -> f64 {
         let age = self.member.started.map_or(guard.cold_time, |at| (now - at).clamp(0, guard.cold_time));
         let warmth = guard.cold_from + (1.0 - guard.cold_from) * age as f64 / guard.cold_time.max(1) as f64;
@@ -194,7 +193,7 @@
 /// Where several fronts must agree, the agreement is the proof: each needs but the usual z of 2.6.
 const VOTED: f64 = 2.6;
 
-const HEARERS: u32 = 3; // hear all the others: one may stand still and one restart at any time
+const HEARERS: u32 = 3; // hear all others, as notes to all grow with the square; one may stand still, one restart
 
 const BEAT: u64 = 0; // the timer of the beat; any other asks for the roster
 
@@ -509,7 +508,6 @@
         self.left(rpc);
     }
 
-    /// A pick has ended: what its step left is told how.
     pub fn ended(&mut self, ctl: &mut dyn Ctl, rpc: usize, pick: usize, how: Outcome, took: Ns, last: bool) {
         if let Some(then) = self.rpcs[rpc].then.get_mut(pick).and_then(Option::take) {
             then(self, ctl, how, took, last);
@@ -682,7 +680,6 @@
             self.ballot = None;
             return;
         }
-        // Where fronts can talk, a few hear all the others: notes to everyone grow with the square of fronts.
         let (fronts, rank) = (self.post.fronts, self.post.rank);
         let hearers = [0, 1, 2].map(|i| (told.build + i * fronts / HEARERS) % fronts.max(1));
         let hears = !self.post.rights.notes || fronts <= HEARERS || hearers.contains(&rank);
@@ -698,6 +695,10 @@
         self.notes.retain(|_, n| n.1 == told.build && now - n.0 < 6 * INTERVAL); // older ones say nothing
         self.notes.values().for_each(|n| tally.add(&n.2));
         let pooled = [0, 1].map(|side| self.counted(&tally, side));
+        // The fullest count of the earlier build stays the reference when its machines go.
+        if pooled[1][ALL][0] > self.before[ALL][0] {
+            self.before = pooled[1];
+        }
         let why = self.harm(now, trial, [own, pooled], [0, 1, 2].map(|i| Ranks(tally.test(i))));
         if let Some(why) = why.filter(|_| self.condemned != told.build) {
             self.condemned = told.build;
@@ -735,7 +736,6 @@
             return Some(format!("tallied, row {row}: {:?} against {:?}", seen[0][row], seen[1][row]));
         }
         for (source, [new, old]) in ["own", "pooled"].into_iter().zip(counts) {
-            // Where earlier machines get few, what was seen before the trial counts too.
             let old = if old[ALL][0] < self.before[ALL][0] { merge(old, &self.before) } else { old };
             let harmed = |&r: &usize| r != LATE && old[ALL][0] >= 30 && deviates(new[r], old[r], odds);
             if let Some(row) = (0..ROWS).find(harmed) {
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -495,6 +495,30 @@
     assert_eq!(desk.votes, [(2, 1, Verdict::Back)]);
 }
 
+/// Guards against a build that fails only when full, as it is after its release: the earlier build's counts
+/// must still be known to the hearer when its machines are gone.
+#[test]
+fn a_released_build_goes_back_on_the_notes_of_others() {
+    let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
+    let mut front = front(Post { rank: 2, ..quiet() }, &fleet(40), &mut desk);
+    let note = |new: f32, old: f32, failures: u32| {
+        let mut tally = Tally::default();
+        (tally.words[ALL], tally.words[ROWS + ALL]) = (new, old);
+        tally.failed.extend((20..40).map(|tag| ((tag, ALL), failures)));
+        tally.note(2)
+    };
+    front.told(&mut desk, Reply::News, standing(2, 1, Phase::OnTrial, 0.5, 100 * SEC));
+    front.heard(&mut desk, 1, &note(20.0, 2000.0, 0));
+    front.woke(&mut desk, 0);
+    desk.now += 10 * SEC;
+    let gone: Vec<Member> = (0..20).map(|m| Member { state: State::Gone, ..member(m, 1, None) }).collect();
+    front.members(&mut desk, Roll::Changes, &gone);
+    front.told(&mut desk, Reply::News, standing(2, 1, Phase::Released, 1.0, 110 * SEC));
+    front.heard(&mut desk, 1, &note(2000.0, 0.0, 4));
+    front.woke(&mut desk, 0);
+    assert_eq!(desk.votes, [(2, 1, Verdict::Back)]);
+}
+
 #[test]
 fn a_note_carries_its_counts_and_rests_within_its_size() {
     let mut tally = Tally::default();
