--- a/src/logic.rs
+++ b/src/logic.rs
@@ -159,6 +159,7 @@
     /// Picks, and those not answered within half of their soft deadline; the share of RPCs taken on.
     queued: Ring<Count>,
     admit: f64,
+    base: f64,
     /// Mean time of a method's ok picks; how slow each zone is against them; picks without a connection.
     means: Vec<f64>,
     zones: Vec<f64>,
@@ -212,6 +213,7 @@
             chance: Chance(post.seed | 1),
             born: ctl.now(),
             admit: 1.0,
+            base: 1.0,
             exposure,
             soft,
             // From a dozen on each sees under a tenth of the load.
@@ -669,10 +671,12 @@
             self.carry = (0.99 * self.carry).max(self.rate(now) / sizes.max(1e-6));
         }
         // A quiet front sees a jam by its answers alone: four in ten may take half their soft deadline.
-        let [picks, late] = sum(self.queued.last(now - 2 * INTERVAL, 3));
+        let [picks, late] = sum(self.queued.last(now - 2 * INTERVAL, 2));
         if self.quiet {
             let late = f64::from(late) / f64::from(picks.max(4));
-            self.admit = (self.admit + 0.2 * (0.4 - late)).clamp(0.1, 1.0);
+            // The sum alone swings, as queues are sums too: the present lateness steadies it.
+            self.base = (self.base + 0.1 * (0.4 - late)).clamp(0.1, 1.0);
+            self.admit = (self.base + 1.2 * (0.4 - late)).clamp(0.1, 1.0);
         }
         let Some(told) = self.told else { return };
         let trial = told.phase == Phase::OnTrial;
