--- a/src/logic.rs
+++ b/src/logic.rs
@@ -503,7 +503,7 @@
             _ => r.mark.is_none(),
         };
         if harmless && r.deadline > ctl.now() {
-            ctl.push_back(rpc, (method.soft_deadline / 2).min(self.post.rights.longest_wait));
+            ctl.push_back(rpc, (method.soft_deadline / 8).min(self.post.rights.longest_wait));
         } else {
             ctl.abort(rpc);
         }
