--- a/src/logic.rs
+++ b/src/logic.rs
@@ -320,7 +320,7 @@
         let mut cost = 1.0 + 40.0 * m.ill * m.ill;
         // Where connections are scarce, those that answered lately still hold one.
         if now - m.reached > 5 * SEC {
-            cost *= 1.0 + 1000.0 * self.scarce * self.scarce;
+            cost *= 1.0 + 8000.0 * self.scarce * self.scarce;
         }
         // A slow or lossy link, or a zone that is full, shows in a zone's times long before a machine's.
         let slow = |zone: u32| self.zones.get(zone as usize).copied().unwrap_or(1.0).max(0.5);
@@ -329,7 +329,8 @@
             cost *= (1.0 + 10.0 * self.post.cross_zone_price) * ratio * ratio;
         }
         // The few quiet fronts that may pick a cold machine by now make up for those that may not.
-        cost * m.busy(more, now, &self.post.guard) * self.credit(m, now).2
+        let slow = if self.quiet { m.slow.max(0.1) } else { 1.0 };
+        slow * cost * m.busy(more, now, &self.post.guard) * self.credit(m, now).2
     }
 
     fn up(&self) -> impl Iterator<Item = &Machine> {
