--- a/src/logic.rs
+++ b/src/logic.rs
@@ -317,7 +317,7 @@
     /// What a pick there is expected to cost: how busy it is, and how sick it seems.
     fn cost(&self, m: &Machine, now: Ns, more: f64) -> f64 {
         // A machine that fails or can't be reached draws fewer picks, not none: it must be seen to recover.
-        let mut cost = 1.0 + 40.0 * m.ill * m.ill;
+        let mut cost = (1.0 + 40.0 * m.ill * m.ill) * if self.quiet { m.slow.max(0.1) } else { 1.0 };
         // Where connections are scarce, those that answered lately still hold one.
         if now - m.reached > 5 * SEC {
             cost *= 1.0 + 8000.0 * self.scarce * self.scarce;
@@ -329,8 +329,7 @@
             cost *= (1.0 + 10.0 * self.post.cross_zone_price) * ratio * ratio;
         }
         // The few quiet fronts that may pick a cold machine by now make up for those that may not.
-        let slow = if self.quiet { m.slow.max(0.1) } else { 1.0 };
-        slow * cost * m.busy(more, now, &self.post.guard) * self.credit(m, now).2
+        cost * m.busy(more, now, &self.post.guard) * self.credit(m, now).2
     }
 
     fn up(&self) -> impl Iterator<Item = &Machine> {
@@ -341,8 +340,8 @@
         let size = self.machines.len();
         let from = self.chance.below(size.max(1));
         let fits = |m: &Machine| m.up() && fits(&m.member) && self.credit(m, now).1;
-        let fit = (0..size).map(|i| (from + i) % size).filter(|&i| fits(&self.machines[i]));
-        let fit: Vec<usize> = fit.collect();
+        let all = (0..size).map(|i| (from + i) % size);
+        let fit: Vec<usize> = all.filter(|&i| fits(&self.machines[i])).collect();
         // Chance stands for the load that other fronts bring: quiet ones choose by size alone, as the least of
         // draws over sizes does, else all would crowd on the machines that look best.
         let each = fit.into_iter().map(|i| {
@@ -379,8 +378,7 @@
         worth(method) / (0..self.means.len()).map(worth).fold(0.0, f64::max)
     }
 
-    /// More open RPCs than are served within the shortest soft deadline would all be late: at most four tenths
-    /// of those for the least useful, eight for the most.
+    /// Open RPCs against those served in four (the least useful) to eight tenths of the shortest soft deadline.
     fn fullness(&self, now: Ns, method: usize) -> f64 {
         let limit = self.rate(now) * self.soft as f64 / SEC as f64 * (0.4 + 0.4 * self.yields(method));
         f64::from(self.open) / limit.max(self.up().count() as f64)
@@ -394,8 +392,8 @@
         let size = |m: &Machine| m.size(now, &self.post.guard);
         let sizes: f64 = self.up().map(size).sum();
         let ours: f64 = self.up().filter(|m| m.member.build == build).map(size).sum();
-        // Unseen, a third fuller than the others; as full where the fleet is: machines on trial would jam.
-        let fill = if self.admit < 1.0 { 1.0 } else { 1.3 };
+        // Unseen, as much fuller by size; no fuller where the fleet is full: machines on trial would jam.
+        let fill = if self.admit < 1.0 { 1.0 } else { FILL };
         let kept = fill * ours / (sizes + (fill - 1.0) * ours).max(1e-6);
         let fills = bound || !self.quiet || self.chance.part() <= kept;
         let room = fills && self.room(build, method, now);
@@ -570,7 +568,7 @@
             let (took, mean) = (took as f64, &mut self.means[row]);
             *mean += if *mean == 0.0 { took } else { 0.02 * f64::from(u8::from(ok)) * (took - *mean) };
             let slow = (took / *mean).min(8.0);
-            m.slow += 0.1 * (slow - m.slow);
+            m.slow += if self.quiet { 0.3 } else { 0.1 } * (slow - m.slow);
             let zone = m.member.zone as usize;
             self.zones.resize(self.zones.len().max(zone + 1), 1.0);
             self.zones[zone] += 0.05 * (slow - self.zones[zone]);
@@ -652,9 +650,9 @@
             let mut failed: Vec<u32> = tags.iter().map(failures).collect();
             failed.sort_unstable();
             let met = failed.len().min(picks as usize); // few picks meet few machines
-            let kept = met - (met + 1) / 3;
-            let out = failed.len() - (met - kept);
-            [(picks * kept as f32 / met.max(1) as f32) as u32, failed[..out].iter().sum()]
+            let out = (met + 1) / 3;
+            let kept = picks * (met - out) as f32 / met.max(1) as f32;
+            [kept as u32, failed[..failed.len() - out].iter().sum()]
         })
     }
 
@@ -671,11 +669,11 @@
             let sizes: f64 = self.up().map(|m| m.size(now, &self.post.guard)).sum();
             self.carry = (0.99 * self.carry).max(self.rate(now) / sizes.max(1e-6));
         }
-        // A quiet front sees a jam by its answers alone: four in ten may take half their soft deadline.
+        // A quiet front sees a jam by its answers alone: four in ten may take half their soft deadline. A sum of
+        // that would swing, as queues are sums too: so present lateness counts most.
         let [picks, late] = sum(self.queued.last(now - 2 * INTERVAL, 2));
         if self.quiet {
             let late = f64::from(late) / f64::from(picks.max(4));
-            // The sum alone swings, as queues are sums too: the present lateness steadies it.
             self.base = (self.base + 0.1 * (0.4 - late)).clamp(0.1, 1.0);
             self.admit = (self.base + 1.2 * (0.4 - late)).clamp(0.1, 1.0);
         }
