--- a/src/logic.rs
+++ b/src/logic.rs
@@ -393,7 +393,7 @@
         let sizes: f64 = self.up().map(size).sum();
         let ours: f64 = self.up().filter(|m| m.member.build == build).map(size).sum();
         // Unseen, as much fuller by size; no fuller where the fleet is full: machines on trial would jam.
-        let fill = if self.admit < 1.0 { 1.0 } else { FILL };
+        let fill = if self.base < 1.0 { 1.0 } else { FILL };
         let kept = fill * ours / (sizes + (fill - 1.0) * ours).max(1e-6);
         let fills = bound || !self.quiet || self.chance.part() <= kept;
         let room = fills && self.room(build, method, now);
@@ -669,8 +669,7 @@
             let sizes: f64 = self.up().map(|m| m.size(now, &self.post.guard)).sum();
             self.carry = (0.99 * self.carry).max(self.rate(now) / sizes.max(1e-6));
         }
-        // A quiet front sees a jam by its answers alone: four in ten may take half their soft deadline. A sum of
-        // that would swing, as queues are sums too: so present lateness counts most.
+        // A quiet front's jam: over four in ten take half their soft deadline. A sum of that alone would swing.
         let [picks, late] = sum(self.queued.last(now - 2 * INTERVAL, 2));
         if self.quiet {
             let late = f64::from(late) / f64::from(picks.max(4));
@@ -729,8 +728,7 @@
         let erred = |m: &Machine| {
             self.side(m.member.build) == 0 && sum(m.counts.last(now, KEPT).map(|c| &c[ALL]))[1] > 0
         };
-        // The platform counts all that did not end ok, time-outs of a jam too: so a wide margin, and this front
-        // must have seen an error itself.
+        // The platform counts time-outs of a jam too: so a wide margin, and this front must have seen an error.
         let wide = |&r: &usize| {
             let odd = share(seen[0][r]) > 3.0 * share(seen[1][r]) + 0.03 && seen[1][ALL][0] >= 100;
             odd && deviates(seen[0][r], seen[1][r], 1e-6)
@@ -787,11 +785,10 @@
     /// tenth more must be late, and not for the worst third of machines alone.
     fn slow(&self, [new, old]: [Counts; 2], times: Ranks) -> Option<String> {
         let bar = if self.post.rollout.back_votes > 1 { VOTED } else { 6.0 };
-        // Where a fifth of the earlier ones are late too the fleet is full, and fuller trial machines jam first.
-        let late = share(new[LATE]) > share(old[LATE]) + 0.1 && share(old[LATE]) < 0.2;
+        // Where a fifth of the earlier ones are late too, or this front pushes back, fuller machines jam first.
+        let late = share(new[LATE]) > share(old[LATE]) + 0.1 && share(old[LATE]) < 0.2 && self.base >= 1.0;
         let seen = new[LATE][0] >= 20 && old[LATE][0] >= 20;
-        // Three machines at the least, else a sick one may be the build; and where fronts can talk, one front's
-        // times alone, of a few jammed machines, send nothing back.
+        // Three machines, else a sick one may be the build; a peer heard, else one front's jam sends it back.
         let many = self.up().filter(|m| self.side(m.member.build) == 0).count() > 2;
         let heard = !self.post.rights.notes || !self.notes.is_empty();
         let harm = times.z() > bar && times.lead() > 0.17 && late && seen && many && heard;
