--- a/src/logic.rs
+++ b/src/logic.rs
@@ -194,7 +194,7 @@
 /// Where several fronts must agree, the agreement is the proof: each needs but the usual z of 2.6.
 const VOTED: f64 = 2.6;
 
-const HEARERS: u32 = 3; // hear all others, as notes to all grow with the square; one may stand still, one restart
+const HEARERS: u32 = 3; // hear the others, as notes to all grow with the square; one may stall, one restart
 
 const BEAT: u64 = 0; // the timer of the beat; any other asks for the roster
 
@@ -294,9 +294,9 @@
         }
     }
 
-    /// Rule 4: picks that a cold machine may get from this front: what its machines have been seen to serve, by
-    /// size and warmth, times three quarters of the multiple. That is never above capacity, so the fronts' sum
-    /// holds, also for less than one pick each. Then: is it enough, and for which part of quiet fronts?
+    /// Rule 4: picks that a cold machine may get from this front: what its machines were seen to serve, by
+    /// size and warmth, times three quarters of the multiple. That is never above capacity, so the fronts' sum is
+    /// safe, also for less than one pick each. Then: is it enough, and for which part of quiet fronts?
     fn credit(&self, m: &Machine, now: Ns) -> (f64, bool, f64) {
         let guard = &self.post.guard;
         let age = m.member.started.map_or(i64::MAX, |at| now - at);
@@ -342,8 +342,8 @@
         let fits = |m: &Machine| m.up() && fits(&m.member) && self.credit(m, now).1;
         let all = (0..size).map(|i| (from + i) % size);
         let fit: Vec<usize> = all.filter(|&i| fits(&self.machines[i])).collect();
-        // Chance stands for the load that other fronts bring: quiet ones choose by size alone, as the least of
-        // draws over sizes does, else all would crowd on the machines that look best.
+        // Chance stands for the load that other fronts bring: quiet ones choose by size alone, as the least
+        // of draws over sizes does, else all would crowd on the machines that look best.
         let each = fit.into_iter().map(|i| {
             let more = if self.quiet { -4.0 * size as f64 * self.chance.part().ln() } else { 1.0 };
             (self.cost(&self.machines[i], now, more), i)
@@ -378,7 +378,7 @@
         worth(method) / (0..self.means.len()).map(worth).fold(0.0, f64::max)
     }
 
-    /// Open RPCs against those served in four (the least useful) to eight tenths of the shortest soft deadline.
+    /// Open RPCs against those served in four (least useful) to eight tenths of the shortest soft deadline.
     fn fullness(&self, now: Ns, method: usize) -> f64 {
         let limit = self.rate(now) * self.soft as f64 / SEC as f64 * (0.4 + 0.4 * self.yields(method));
         f64::from(self.open) / limit.max(self.up().count() as f64)
@@ -669,7 +669,7 @@
             let sizes: f64 = self.up().map(|m| m.size(now, &self.post.guard)).sum();
             self.carry = (0.99 * self.carry).max(self.rate(now) / sizes.max(1e-6));
         }
-        // A quiet front's jam: over four in ten take half their soft deadline. A sum of that alone would swing.
+        // A quiet front's jam: over four in ten take half their soft deadline. A sum alone would swing.
         let [picks, late] = sum(self.queued.last(now - 2 * INTERVAL, 2));
         if self.quiet {
             let late = f64::from(late) / f64::from(picks.max(4));
@@ -720,7 +720,7 @@
     /// A harmful deviation of the watched build, in words.
     fn harm(&mut self, now: Ns, trial: bool, counts: [[Counts; 2]; 2], times: [Ranks; 3]) -> Option<String> {
         let rows = self.post.methods.len();
-        // The chance of a false alarm, one in a thousand for the tier, shared by its fronts and methods. Where
+        // The chance of a false alarm, one in a thousand for the tier, is shared by fronts and methods. Where
         // it takes k of n fronts, each may err as often as k seldom do together: (e n p / k)^k bounds that.
         let (n, k) = (f64::from(self.post.fronts.max(1)), f64::from(self.post.rollout.back_votes.max(1)));
         let odds = k / (n * std::f64::consts::E) * 1e-3f64.powf(1.0 / k) / (rows + 1) as f64;
@@ -728,7 +728,7 @@
         let erred = |m: &Machine| {
             self.side(m.member.build) == 0 && sum(m.counts.last(now, KEPT).map(|c| &c[ALL]))[1] > 0
         };
-        // The platform counts time-outs of a jam too: so a wide margin, and this front must have seen an error.
+        // The platform counts time-outs of a jam too: so a wide margin, and an error seen by this front.
         let wide = |&r: &usize| {
             let odd = share(seen[0][r]) > 3.0 * share(seen[1][r]) + 0.03 && seen[1][ALL][0] >= 100;
             odd && deviates(seen[0][r], seen[1][r], 1e-6)
@@ -780,12 +780,12 @@
         harm.then(|| format!("earlier build's times: z {z:.1}, lead {lead:.2}, moving {moves:.1}"))
     }
 
-    /// The rank test of new against earlier times, by method, time and load: z 3.4 for a dozen tests, but times
-    /// that queue together count for a third as many, so 6. Slower within the soft deadline harms nobody: a
+    /// The rank test of new against earlier times, by method, time and load: z 3.4 for a dozen tests, but
+    /// times that queue together count for a third as many, so 6. Slower within the soft deadline harms nobody: a
     /// tenth more must be late, and not for the worst third of machines alone.
     fn slow(&self, [new, old]: [Counts; 2], times: Ranks) -> Option<String> {
         let bar = if self.post.rollout.back_votes > 1 { VOTED } else { 6.0 };
-        // Where a fifth of the earlier ones are late too, or this front pushes back, fuller machines jam first.
+        // Where a fifth of the earlier are late too, or this front pushes back, fuller machines jam first.
         let late = share(new[LATE]) > share(old[LATE]) + 0.1 && share(old[LATE]) < 0.2 && self.base >= 1.0;
         let seen = new[LATE][0] >= 20 && old[LATE][0] >= 20;
         // Three machines, else a sick one may be the build; a peer heard, else one front's jam sends it back.
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -391,8 +391,8 @@
     post
 }
 
-/// Picks by machine of `rpcs` RPCs of 30 ms that a quiet front of `post` takes, 50 ms apart; machine `bad` ends
-/// them as `how` tells, after `took`.
+/// Picks by machine of `rpcs` RPCs of 30 ms that a quiet front of `post` takes, 50 ms apart; machine `bad`
+/// ends them as `how` tells, after `took`.
 fn spread(post: Post, members: &[Member], rpcs: usize, bad: usize, how: Outcome, took: Ns) -> Vec<usize> {
     let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
     let mut front = front(post, members, &mut desk);
