--- a/src/logic.rs
+++ b/src/logic.rs
@@ -295,8 +295,8 @@
     }
 
     /// Rule 4: picks that a cold machine may get from this front: what its machines were seen to serve, by
-    /// size and warmth, times three quarters of the multiple. That is never above capacity, so the fronts' sum is
-    /// safe, also for less than one pick each. Then: is it enough, and for which part of quiet fronts?
+    /// size and warmth, times three quarters of the multiple. That is never above capacity, so the sum of
+    /// fronts is safe, also for less than one pick each. Then: is it enough, and for which part of quiet fronts?
     fn credit(&self, m: &Machine, now: Ns) -> (f64, bool, f64) {
         let guard = &self.post.guard;
         let age = m.member.started.map_or(i64::MAX, |at| now - at);
@@ -781,8 +781,8 @@
     }
 
     /// The rank test of new against earlier times, by method, time and load: z 3.4 for a dozen tests, but
-    /// times that queue together count for a third as many, so 6. Slower within the soft deadline harms nobody: a
-    /// tenth more must be late, and not for the worst third of machines alone.
+    /// times that queue together count for a third as many, so 6. Slower within the soft deadline harms
+    /// nobody: a tenth more must be late, and not for the worst third of machines alone.
     fn slow(&self, [new, old]: [Counts; 2], times: Ranks) -> Option<String> {
         let bar = if self.post.rollout.back_votes > 1 { VOTED } else { 6.0 };
         // Where a fifth of the earlier are late too, or this front pushes back, fuller machines jam first.
