Outcomes that the platform counted are outcomes seen

Cause: a quiet front without notes saw under twenty outcomes of a first stage, so its bake was doubled. May harm: a bad build goes on two seconds sooner where tallies come late.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -296,7 +296,7 @@
 
     /// Rule 4: picks that a cold machine may get from this front: what its machines were seen to serve, by
     /// size and warmth, times three quarters of the multiple. That is never above capacity, so the sum of
-    /// fronts is safe, also for less than one pick each. Then: is it enough, and for which part of quiet fronts?
+    /// fronts is safe, also for less than one pick each. Then: is it enough, and for what part of fronts?
     fn credit(&self, m: &Machine, now: Ns) -> (f64, bool, f64) {
         let guard = &self.post.guard;
         let age = m.member.started.map_or(i64::MAX, |at| now - at);
@@ -617,7 +617,6 @@
         }
     }
 
-    /// The platform's own counts, late and of all fronts.
     pub fn tallied(&mut self, ctl: &mut dyn Ctl, build: u32, method: usize, picks: u32, not_ok: u32) {
         let counts = self.platform[self.side(build)].at(ctl.now());
         for row in [ALL, row_of(method)] {
@@ -706,7 +705,8 @@
             self.condemned = told.build;
             ctl.note(&format!("back {}: {why}", told.build));
         }
-        let baked = trial && self.baked(now, told, pooled[0][ALL][0], hears);
+        let tallied = sum(self.platform[0].last(now, KEPT).map(|counts| &counts[ALL]))[0];
+        let baked = trial && self.baked(now, told, pooled[0][ALL][0] + tallied, hears);
         let verdict = match self.post.rollout.control {
             _ if self.condemned == told.build => Verdict::Back,
             Control::Automatic if baked => Verdict::NoVote,
@@ -800,7 +800,7 @@
         let bake = (self.post.rollout.dwell + SEC).max(2 * SEC);
         let ours = self.up().filter(|m| m.member.build == told.build);
         let newest = ours.filter_map(|m| m.member.started).max().unwrap_or(i64::MIN / 2);
-        // A stage's machines start after it began; where none seems to, it has had time enough by now.
+        // Machines start after their stage began; where none seems to, it has had time enough by now.
         let fresh = newest > told.since || now - told.since > 8 * SEC;
         let waited = now - newest.max(told.since);
         let more = if hears { 0 } else { 10 * SEC }; // the first word is theirs who hear others
