--- a/src/logic.rs
+++ b/src/logic.rs
@@ -326,7 +326,7 @@
         let slow = |zone: u32| self.zones.get(zone as usize).copied().unwrap_or(1.0).max(0.5);
         if m.member.zone != self.post.zone {
             let ratio = (slow(m.member.zone) / slow(self.post.zone)).max(1.2) - 0.2;
-            cost *= (1.0 + 10.0 * self.post.cross_zone_price) * ratio * ratio;
+            cost *= (1.0 + 25.0 * self.post.cross_zone_price) * ratio * ratio;
         }
         // The few quiet fronts that may pick a cold machine by now make up for those that may not.
         cost * m.busy(more, now, &self.post.guard) * self.credit(m, now).2
