Clients with less time than half a soft deadline tell of no jam

Should also catch callers with short deadlines. May harm: where most clients leave early, a jam shows by fewer answers.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -372,13 +372,12 @@
         f64::from(self.served.last(now, SPAN / INTERVAL).sum::<u32>()) / span
     }
 
-    /// A method's utility for its work, against the best.
     fn yields(&self, method: usize) -> f64 {
         let worth = |row: usize| self.post.methods[row].utility / self.means[row].max(MS as f64);
         worth(method) / (0..self.means.len()).map(worth).fold(0.0, f64::max)
     }
 
-    /// Open RPCs against those served in four (least useful) to eight tenths of the shortest soft deadline.
+    /// Open RPCs against those served in four (least useful for their work) to eight tenths of the shortest soft deadline.
     fn fullness(&self, now: Ns, method: usize) -> f64 {
         let limit = self.rate(now) * self.soft as f64 / SEC as f64 * (0.4 + 0.4 * self.yields(method));
         f64::from(self.open) / limit.max(self.up().count() as f64)
@@ -573,10 +572,12 @@
             self.zones.resize(self.zones.len().max(zone + 1), 1.0);
             self.zones[zone] += 0.05 * (slow - self.zones[zone]);
         }
-        // Booked where it began: late until answered within half its soft deadline. Failures tell of no jam.
+        // Booked where it began: late until answered within half its soft deadline. Failures tell of no jam, nor
+        // does a client that has less time than that.
+        let untold = failed || outcome == Outcome::TimedOut && took < soft / 2;
         if let Some([all, late]) = self.queued.then(now - took) {
-            *all -= u32::from(failed).min(*all);
-            *late -= u32::from(failed || ok && took <= soft / 2).min(*late);
+            *all -= u32::from(untold).min(*all);
+            *late -= u32::from(untold || ok && took <= soft / 2).min(*late);
         }
         // Two failures in a row make it a last resort, for a quiet front too; time-outs are slowness.
         if ok {
@@ -800,8 +801,7 @@
         let bake = (self.post.rollout.dwell + SEC).max(2 * SEC);
         let ours = self.up().filter(|m| m.member.build == told.build);
         let newest = ours.filter_map(|m| m.member.started).max().unwrap_or(i64::MIN / 2);
-        // Machines start after their stage began; where none seems to, it has had time enough by now.
-        let fresh = newest > told.since || now - told.since > 8 * SEC;
+        let fresh = newest > told.since || now - told.since > 8 * SEC; // machines start after their stage
         let waited = now - newest.max(told.since);
         let more = if hears { 0 } else { 10 * SEC }; // the first word is theirs who hear others
         let enough = if hears && seen >= 20 { bake } else { 2 * bake + more };
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -452,6 +452,12 @@
     assert!(in_time == 400 && late < 250, "{in_time} {late}");
 }
 
+/// Guards against clients with little patience being taken for a jam: they leave before an answer is late.
+#[test]
+fn a_client_with_little_time_tells_of_no_jam() {
+    assert_eq!(spread(quiet(), &released(1), 400, 0, Outcome::TimedOut, 100 * MS)[0], 400);
+}
+
 /// Rule 4 for the sum of fronts: guards against hundreds of fronts giving a cold machine a pick each.
 #[test]
 fn a_hundred_fronts_do_not_push_a_cold_machine_over() {
