--- a/src/logic.rs
+++ b/src/logic.rs
@@ -377,24 +377,27 @@
         worth(method) / (0..self.means.len()).map(worth).fold(0.0, f64::max)
     }
 
-    /// Open RPCs against those served in four (least useful for their work) to eight tenths of the shortest soft deadline.
+    /// Open RPCs against those served in four (least useful) to eight tenths of the shortest soft deadline.
     fn fullness(&self, now: Ns, method: usize) -> f64 {
         let limit = self.rate(now) * self.soft as f64 / SEC as f64 * (0.4 + 0.4 * self.yields(method));
         f64::from(self.open) / limit.max(self.up().count() as f64)
     }
 
+    /// The part of a quiet front's first picks for `build`: by size and `FILL`, without it in a full fleet.
+    fn kept(&self, build: u32, now: Ns) -> f64 {
+        let size = |m: &Machine| m.size(now, &self.post.guard);
+        let sizes: f64 = self.up().map(size).sum();
+        let ours: f64 = self.up().filter(|m| m.member.build == build).map(size).sum();
+        let fill = if self.base < 1.0 { 1.0 } else { FILL };
+        fill * ours / (sizes + (fill - 1.0) * ours).max(1e-6)
+    }
+
     /// The first pick: the build on trial while cap and machines have room, else the earlier.
     fn first(&mut self, ctl: &mut dyn Ctl, rpc: usize) {
         let now = ctl.now();
         let (method, key, build) = (self.rpcs[rpc].method, self.rpcs[rpc].key, self.watched);
         let bound = self.bound_to(key) == build;
-        let size = |m: &Machine| m.size(now, &self.post.guard);
-        let sizes: f64 = self.up().map(size).sum();
-        let ours: f64 = self.up().filter(|m| m.member.build == build).map(size).sum();
-        // Unseen, as much fuller by size; no fuller where the fleet is full: machines on trial would jam.
-        let fill = if self.base < 1.0 { 1.0 } else { FILL };
-        let kept = fill * ours / (sizes + (fill - 1.0) * ours).max(1e-6);
-        let fills = bound || !self.quiet || self.chance.part() <= kept;
+        let fills = bound || !self.quiet || self.kept(build, now) >= self.chance.part();
         let room = fills && self.room(build, method, now);
         let trial = if room { self.best(now, |m| m.build == build) } else { None };
         let earlier = self.earlier(rpc, now, |_| true);
@@ -491,7 +494,7 @@
         self.pick(ctl, rpc, machine);
     }
 
-    /// The final answer at once: a pushback where harmless, with the time to come back.
+    /// The final answer at once: a pushback where harmless, to come back soon: longer waits lost more.
     fn give_up(&mut self, ctl: &mut dyn Ctl, rpc: usize) {
         let r = &self.rpcs[rpc];
         let method = &self.post.methods[r.method];
@@ -572,8 +575,7 @@
             self.zones.resize(self.zones.len().max(zone + 1), 1.0);
             self.zones[zone] += 0.05 * (slow - self.zones[zone]);
         }
-        // Booked where it began: late until answered within half its soft deadline. Failures tell of no jam, nor
-        // does a client that has less time than that.
+        // Late until answered within half its soft deadline; failures and clients in a hurry tell nothing.
         let untold = failed || outcome == Outcome::TimedOut && took < soft / 2;
         if let Some([all, late]) = self.queued.then(now - took) {
             *all -= u32::from(untold).min(*all);
@@ -670,8 +672,8 @@
             self.carry = (0.99 * self.carry).max(self.rate(now) / sizes.max(1e-6));
         }
         // A quiet front's jam: over four in ten take half their soft deadline. A sum alone would swing.
-        let [picks, late] = sum(self.queued.last(now - 2 * INTERVAL, 2));
         if self.quiet {
+            let [picks, late] = sum(self.queued.last(now - 2 * INTERVAL, 2));
             let late = f64::from(late) / f64::from(picks.max(4));
             self.base = (self.base + 0.1 * (0.4 - late)).clamp(0.1, 1.0);
             self.admit = (self.base + 1.2 * (0.4 - late)).clamp(0.1, 1.0);
@@ -744,8 +746,7 @@
                 return Some(format!("{source} failures, row {row}: {:?} against {:?}", new[row], old[row]));
             }
         }
-        // After a release nothing serves beside it: failures alone judge.
-        let slow = self.slow(counts[1], times[0]).filter(|_| trial);
+        let slow = self.slow(counts[1], times[0]).filter(|_| trial); // later, failures alone judge
         let worse = self.worse(times[1], times[2]).filter(|_| trial && self.post.rollout.parallel);
         // A queue passes within four intervals, most shared slowness within twenty; on votes wait as long.
         self.lasts = [(&slow, 0), (&worse, 1)].map(|(why, i)| why.as_ref().map_or(0, |_| self.lasts[i] + 1));
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -391,11 +391,11 @@
     post
 }
 
-/// Picks by machine of `rpcs` RPCs of 30 ms that a quiet front of `post` takes, 50 ms apart; machine `bad`
+/// Picks by machine of `rpcs` RPCs of 30 ms that a quiet front takes, 50 ms apart; machine `bad`
 /// ends them as `how` tells, after `took`.
-fn spread(post: Post, members: &[Member], rpcs: usize, bad: usize, how: Outcome, took: Ns) -> Vec<usize> {
+fn spread(members: &[Member], rpcs: usize, bad: usize, how: Outcome, took: Ns) -> Vec<usize> {
     let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
-    let mut front = front(post, members, &mut desk);
+    let mut front = front(quiet(), members, &mut desk);
     front.told(&mut desk, Reply::News, standing(2, 0, Phase::Withdrawn, 0.0, 0));
     for rpc in 0..rpcs {
         desk.now += 50 * MS;
@@ -422,7 +422,7 @@
 fn quiet_fronts_spread_their_picks_by_size() {
     let mut members = released(10);
     members[..5].iter_mut().for_each(|m| m.weight = 0.5);
-    let picks = spread(quiet(), &members, 3000, 99, Outcome::Ok, 0);
+    let picks = spread(&members, 3000, 99, Outcome::Ok, 0);
     let (small, large): (usize, usize) = (picks[..5].iter().sum(), picks[5..].iter().sum());
     assert!((800..1200).contains(&small), "{small} {large}");
 }
@@ -430,7 +430,7 @@
 /// Guards against a machine that refuses this front's connections being tried again and again.
 #[test]
 fn a_machine_out_of_reach_is_a_last_resort() {
-    let picks = spread(quiet(), &released(5), 500, 0, Outcome::Unreachable, 250 * MS);
+    let picks = spread(&released(5), 500, 0, Outcome::Unreachable, 250 * MS);
     assert!(picks[0] > 0 && picks[0] < 40, "{picks:?}");
 }
 
@@ -439,7 +439,7 @@
 fn a_slow_zone_is_left_alone() {
     let mut members = released(2);
     members[0].zone = 1;
-    let picks = spread(quiet(), &members, 500, 0, Outcome::Ok, 300 * MS);
+    let picks = spread(&members, 500, 0, Outcome::Ok, 300 * MS);
     assert!(picks[0] > 0 && picks[0] < 120, "{picks:?}");
 }
 
@@ -447,15 +447,15 @@
 #[test]
 fn a_quiet_front_pushes_back_when_answers_are_late() {
     let members = released(1);
-    let in_time = spread(quiet(), &members, 400, 0, Outcome::Ok, 30 * MS)[0];
-    let late = spread(quiet(), &members, 400, 0, Outcome::Ok, 400 * MS)[0];
+    let in_time = spread(&members, 400, 0, Outcome::Ok, 30 * MS)[0];
+    let late = spread(&members, 400, 0, Outcome::Ok, 400 * MS)[0];
     assert!(in_time == 400 && late < 250, "{in_time} {late}");
 }
 
 /// Guards against clients with little patience being taken for a jam: they leave before an answer is late.
 #[test]
 fn a_client_with_little_time_tells_of_no_jam() {
-    assert_eq!(spread(quiet(), &released(1), 400, 0, Outcome::TimedOut, 100 * MS)[0], 400);
+    assert_eq!(spread(&released(1), 400, 0, Outcome::TimedOut, 100 * MS)[0], 400);
 }
 
 /// Rule 4 for the sum of fronts: guards against hundreds of fronts giving a cold machine a pick each.
