Packages by concern: door shared with the adapter; epoll loop, timers and HTTP/1.1

Cause: the program needs sockets around the decision module, laid out before anything stands on it. Change: packages door, net, control, front, standin, rehearse and cli; the adapter's ids and slots move to door. net holds the event loop on rustix epoll, timers in a heap, HTTP/1.1 for both sides with named bounds, and refuses what peers read differently (two lengths, length with chunked, bare line feeds, folded lines).

--- a/adapter/src/seat.rs
+++ b/adapter/src/seat.rs
@@ -4,7 +4,8 @@
     Control, Ctl, Front, Group, Guard, Member, Method, Ns, Outcome, Phase, Post, Repeat, Reply, Rights, Roll,
     Rollout, Standing, State, Verdict,
 };
-use std::collections::{BTreeMap, HashMap};
+use rockpick_door::{tag, Door};
+use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
@@ -29,51 +30,11 @@
         let cell = line.may("block", |w| w.parse().ok())?.unwrap_or(0);
         let weight = line.may("powerHint", number)?.unwrap_or(1.0);
         let name = line.word("machine")?.to_string();
-        // FNV-1a, folded to 16 bits.
-        let hash = name.bytes().fold(0x811c_9dc5u32, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193));
-        let tag = (hash >> 16) ^ (hash & 0xffff);
+        let tag = tag(&name);
         Ok(Listed { name, entry: Member { machine: 0, tag, zone, cell, build, state, weight, started } })
     }
 }
 
-#[derive(Default)]
-struct Door {
-    machines: HashMap<String, usize>,
-    names: Vec<String>,
-    rpcs: HashMap<u64, usize>,
-    /// By index: the id, the picks that are out, whether the final answer is given.
-    slots: Vec<(u64, u32, bool)>,
-    free: Vec<usize>,
-}
-
-impl Door {
-    fn machine(&mut self, name: &str) -> usize {
-        if let Some(&index) = self.machines.get(name) {
-            return index;
-        }
-        self.names.push(name.to_string());
-        self.machines.insert(name.to_string(), self.names.len() - 1);
-        self.names.len() - 1
-    }
-
-    fn rpc(&mut self, id: u64) -> usize {
-        let index = self.free.pop().unwrap_or_else(|| {
-            self.slots.push((0, 0, true));
-            self.slots.len() - 1
-        });
-        self.slots[index] = (id, 0, false);
-        self.rpcs.insert(id, index);
-        index
-    }
-
-    fn sweep(&mut self, index: usize) {
-        let (id, out, done) = self.slots[index];
-        if done && out == 0 && self.rpcs.remove(&id).is_some() {
-            self.free.push(index);
-        }
-    }
-}
-
 struct Wire<'a> {
     now: Ns,
     front: u32,
@@ -98,8 +59,8 @@
 
 impl Wire<'_> {
     fn done(&mut self, rpc: usize) -> u64 {
-        self.door.slots[rpc].2 = true;
-        self.door.slots[rpc].0
+        self.door.finish(rpc);
+        self.door.id(rpc)
     }
 }
 
@@ -109,13 +70,13 @@
     }
 
     fn pick(&mut self, rpc: usize, machine: usize, time_out: Ns) {
-        self.door.slots[rpc].1 += 1;
-        let (id, name) = (self.door.slots[rpc].0, self.door.names[machine].as_str());
+        self.door.sent(rpc);
+        let (id, name) = (self.door.id(rpc), self.door.name(machine));
         say!(self, "PASS_ON {} {id:016x} {} {name}", self.front, Ms(time_out));
     }
 
     fn cancel(&mut self, rpc: usize, pick: u32) {
-        let id = self.door.slots[rpc].0;
+        let id = self.door.id(rpc);
         say!(self, "REVOKE {} {id:016x} {pick}", self.front);
     }
 
@@ -134,7 +95,7 @@
     }
 
     fn probe(&mut self, machine: usize) {
-        let name = self.door.names[machine].as_str();
+        let name = self.door.name(machine);
         say!(self, "PROBE {} {name}", self.front);
     }
 
@@ -276,7 +237,7 @@
 
     #[cfg(test)]
     pub fn open(&self) -> usize {
-        self.door.rpcs.len()
+        self.door.in_use()
     }
 
     /// Hands the module a call; a panic in there becomes a BAIL_OUT and the front falls silent.
@@ -332,28 +293,31 @@
                 let key = line.may("subject", |w| w.parse::<u64>().ok())?;
                 let deadline = line.time("deadlineMs")?;
                 line.may("workHintMs", number)?;
-                let rpc = self.door.rpc(id);
+                let rpc = self.door.open(id);
                 go!(taken(rpc, method, key, deadline));
                 self.door.sweep(rpc);
             }
             "RESULT" => {
-                if let Some(&rpc) = self.door.rpcs.get(&line.hex("req")?) {
+                if let Some(rpc) = self.door.rpc(line.hex("req")?) {
                     let pick = line.int::<usize>("try")?;
                     line.word("machine")?;
                     let how = line.must("how", outcome)?;
                     let elapsed = line.time("elapsedMs")?;
                     let last = line.flag("last")?;
                     line.may("report", report)?;
-                    let slot = &mut self.door.slots[rpc];
-                    slot.1 = slot.1.saturating_sub(1);
-                    slot.2 |= last;
+                    self.door.came_back(rpc);
+                    if last {
+                        self.door.finish(rpc);
+                    }
                     go!(ended(rpc, pick, how, elapsed, last));
                     self.door.sweep(rpc);
                 }
             }
             "ACCEPTED" | "ABANDONED" => {
-                if let Some(&rpc) = self.door.rpcs.get(&line.hex("req")?) {
-                    self.door.slots[rpc].2 |= name == "ABANDONED";
+                if let Some(rpc) = self.door.rpc(line.hex("req")?) {
+                    if name == "ABANDONED" {
+                        self.door.finish(rpc);
+                    }
                     self.call(now, out, |front, _| {
                         if let Some(front) = front {
                             front.left(rpc)
--- /dev/null
+++ b/net/src/net.rs
@@ -0,0 +1,918 @@
+//! The event loop. Level-triggered epoll over a slab of sockets; ids carry a generation, so that word for
+//! a socket that has gone reaches nobody else.
+use crate::http::{self, Body, Framing, Refusal, Request, Response};
+use crate::timers::{Ns, Timers};
+use crate::SEC;
+use rustix::event::epoll;
+use rustix::fd::{AsFd, OwnedFd};
+use rustix::io::Errno;
+use slab::Slab;
+use std::collections::HashMap;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::os::unix::net::UnixStream;
+use std::time::Instant;
+
+/// A socket of this loop: slot in the low half, generation in the high one.
+pub type Id = u64;
+
+/// Most bytes waiting to be sent on one connection; a stream whose reader is slower is closed.
+pub const MAX_BACKLOG: usize = 4 * 1024 * 1024;
+/// Most calls open at once; one more ends as `Unreachable` without a socket.
+pub const MAX_CALLS: usize = 16 * 1024;
+/// Idle connections kept to one address; one more is closed.
+pub const MAX_IDLE: usize = 256;
+/// How long a closing connection waits for the peer to read its last answer.
+pub const LINGER: Ns = SEC;
+/// Refused connections that may linger at once; one more is closed unanswered.
+const MAX_LINGERING: usize = 64;
+/// A head must be whole this long after its first byte, a body after its head, else 408: slow senders hold
+/// a connection no longer than other servers let them.
+const HEAD_TIME: Ns = 10 * SEC;
+const BODY_TIME: Ns = 30 * SEC;
+/// An idle client connection is closed after this; machines' idle ones sooner, so that the machine seldom
+/// closes first and a pick is seldom sent on a connection that is closing.
+const CLIENT_IDLE: Ns = 300 * SEC;
+const POOL_IDLE: Ns = 10 * SEC;
+/// An answer's reader that takes nothing for this long is gone.
+const WRITE_TIME: Ns = 30 * SEC;
+/// Bytes read at once.
+const READ: usize = 64 * 1024;
+/// Sockets accepted, and events handled, in one turn, so that no side starves the other.
+const ACCEPTS: usize = 64;
+const EVENTS: usize = 256;
+/// How often stale connections are looked for.
+const SWEEP: Ns = SEC / 2;
+/// Largest datagram taken.
+const MAX_DATAGRAM: usize = 2048;
+
+/// What has happened.
+#[derive(Debug)]
+pub enum Event {
+    /// A whole request; the connection waits for [`Net::answer`] or [`Net::open_stream`].
+    Request { conn: Id, request: Request },
+    /// The client closed its side while an answer was owed: nothing can be sent any more.
+    Left { conn: Id },
+    /// A call has ended; nothing more comes of it.
+    Ended { call: Id, end: End },
+    /// A piece of a streamed answer.
+    Piece { call: Id, status: u16, bytes: Vec<u8> },
+    Woke { tag: u64 },
+    Datagram { from: SocketAddr, bytes: Vec<u8> },
+    Signal { number: i32 },
+}
+
+/// How a call ended.
+#[derive(Debug)]
+pub enum End {
+    Answer(Response),
+    /// No connection; provably never ran.
+    Unreachable,
+    /// The connection closed before a byte left; provably never ran.
+    Unsent,
+    /// The connection closed, or its answer made no sense, with the request on its way; it may have run.
+    Broken(&'static str),
+}
+
+/// A request to make.
+pub struct Call<'a> {
+    pub to: SocketAddr,
+    /// As [`http::ask`] writes it.
+    pub request: &'a [u8],
+    pub connect_within: Ns,
+    /// Pieces are handed on as they come, without a bound on their sum.
+    pub stream: bool,
+    /// The answer to a HEAD has no body, whatever its length says.
+    pub head_only: bool,
+}
+
+enum Serve {
+    /// Waiting for a head, or for the rest of a body.
+    Head,
+    Body(Box<(Request, Body)>),
+    /// The caller owes the answer.
+    Work { keep: bool, bare: bool },
+    Stream,
+    /// The last answer is sent; what still comes is dropped.
+    Lingering,
+}
+
+struct Client {
+    io: TcpStream,
+    buf: Vec<u8>,
+    out: Vec<u8>,
+    sent: usize,
+    serve: Serve,
+    /// When it goes stale.
+    until: Ns,
+    close: bool,
+}
+
+enum Step {
+    Connecting,
+    /// Request on its way or answer awaited.
+    Head,
+    Body(Box<(Response, Body)>),
+    Idle,
+}
+
+struct Server {
+    io: TcpStream,
+    to: SocketAddr,
+    buf: Vec<u8>,
+    out: Vec<u8>,
+    sent: usize,
+    step: Step,
+    until: Ns,
+    stream: bool,
+    head_only: bool,
+}
+
+enum Sock {
+    Listener(TcpListener),
+    Client(Client),
+    Server(Server),
+    Datagrams(UdpSocket),
+    Signals(UnixStream, i32),
+}
+
+impl Sock {
+    fn fd(&self) -> rustix::fd::BorrowedFd<'_> {
+        match self {
+            Sock::Listener(s) => s.as_fd(),
+            Sock::Client(c) => c.io.as_fd(),
+            Sock::Server(s) => s.io.as_fd(),
+            Sock::Datagrams(s) => s.as_fd(),
+            Sock::Signals(s, _) => s.as_fd(),
+        }
+    }
+}
+
+struct Slot {
+    generation: u32,
+    flags: epoll::EventFlags,
+    sock: Sock,
+}
+
+pub struct Net {
+    poll: OwnedFd,
+    socks: Slab<Slot>,
+    generation: u32,
+    timers: Timers,
+    born: Instant,
+    now: Ns,
+    swept: Ns,
+    pools: HashMap<SocketAddr, Vec<Id>>,
+    clients: usize,
+    calls: usize,
+    lingering: usize,
+    /// Connections answered in this turn, whose next request may be waiting.
+    answered: Vec<Id>,
+    /// Most client connections; one more is answered 503 at once.
+    pub most_clients: usize,
+    /// Held back so that a connection can be refused in words when descriptors have run out.
+    spare: Option<OwnedFd>,
+    scratch: Vec<u8>,
+    pub refused: u64,
+    /// Answer to a connection over the bound.
+    full: Vec<u8>,
+}
+
+fn would_block(err: &io::Error) -> bool {
+    err.kind() == ErrorKind::WouldBlock || err.kind() == ErrorKind::Interrupted
+}
+
+fn spare() -> Option<OwnedFd> {
+    std::fs::File::open("/dev/null").ok().map(OwnedFd::from)
+}
+
+impl Net {
+    pub fn new(most_clients: usize) -> io::Result<Net> {
+        let mut full = Vec::new();
+        let lines = [("Rockpick-Answer", "pushed-back"), ("Retry-After", "1"), ("Rockpick-Retry-After-Ms", "250")];
+        http::answer(&mut full, 503, &lines, Some(b"too many connections\n"), false, false);
+        Ok(Net {
+            poll: epoll::create(epoll::CreateFlags::CLOEXEC)?,
+            socks: Slab::new(),
+            generation: 0,
+            timers: Timers::default(),
+            born: Instant::now(),
+            now: 0,
+            swept: 0,
+            pools: HashMap::new(),
+            clients: 0,
+            calls: 0,
+            lingering: 0,
+            answered: Vec::new(),
+            most_clients,
+            spare: spare(),
+            scratch: vec![0; READ],
+            refused: 0,
+            full,
+        })
+    }
+
+    /// The time of this turn, in nanoseconds since the loop began.
+    pub fn now(&self) -> Ns {
+        self.now
+    }
+
+    /// The time at this very moment.
+    pub fn clock(&self) -> Ns {
+        self.born.elapsed().as_nanos() as Ns
+    }
+
+    pub fn wake_at(&mut self, at: Ns, tag: u64) {
+        self.timers.set(at, tag);
+    }
+
+    /// Client connections now open, and calls now open.
+    pub fn open(&self) -> (usize, usize) {
+        (self.clients, self.calls)
+    }
+
+    fn add(&mut self, sock: Sock, flags: epoll::EventFlags) -> io::Result<Id> {
+        self.generation = self.generation.wrapping_add(1);
+        let generation = self.generation;
+        let slot = self.socks.vacant_entry();
+        let id = u64::from(generation) << 32 | slot.key() as u64;
+        epoll::add(&self.poll, sock.fd(), epoll::EventData::new_u64(id), flags)?;
+        slot.insert(Slot { generation, flags, sock });
+        Ok(id)
+    }
+
+    fn get(&mut self, id: Id) -> Option<&mut Slot> {
+        self.socks.get_mut((id & 0xffff_ffff) as usize).filter(|s| s.generation == (id >> 32) as u32)
+    }
+
+    fn client(&mut self, id: Id) -> Option<&mut Client> {
+        match &mut self.get(id)?.sock {
+            Sock::Client(c) => Some(c),
+            _ => None,
+        }
+    }
+
+    fn server(&mut self, id: Id) -> Option<&mut Server> {
+        match &mut self.get(id)?.sock {
+            Sock::Server(s) => Some(s),
+            _ => None,
+        }
+    }
+
+    fn drop_sock(&mut self, id: Id) {
+        if self.get(id).is_none() {
+            return;
+        }
+        let slot = self.socks.remove((id & 0xffff_ffff) as usize);
+        let _ = epoll::delete(&self.poll, slot.sock.fd());
+        match slot.sock {
+            Sock::Client(c) if matches!(c.serve, Serve::Lingering) => self.lingering -= 1,
+            Sock::Client(_) => self.clients -= 1,
+            Sock::Server(s) if matches!(s.step, Step::Idle) => {
+                if let Some(pool) = self.pools.get_mut(&s.to) {
+                    pool.retain(|i| *i != id);
+                    if pool.is_empty() {
+                        self.pools.remove(&s.to);
+                    }
+                }
+            }
+            Sock::Server(_) => self.calls -= 1,
+            _ => {}
+        }
+    }
+
+    fn want(&mut self, id: Id, flags: epoll::EventFlags) {
+        let index = (id & 0xffff_ffff) as usize;
+        if let Some(slot) = self.socks.get_mut(index).filter(|s| s.flags != flags) {
+            slot.flags = flags;
+            let _ = epoll::modify(&self.poll, slot.sock.fd(), epoll::EventData::new_u64(id), flags);
+        }
+    }
+
+    /// Listens; port 0 takes one from the system. Returns the address taken.
+    pub fn listen(&mut self, at: SocketAddr) -> io::Result<(Id, SocketAddr)> {
+        let listener = TcpListener::bind(at)?;
+        listener.set_nonblocking(true)?;
+        let taken = listener.local_addr()?;
+        Ok((self.add(Sock::Listener(listener), epoll::EventFlags::IN)?, taken))
+    }
+
+    /// Takes no more connections, and closes those that owe nothing.
+    pub fn stop_listening(&mut self) {
+        let idle = |slot: &Slot| match &slot.sock {
+            Sock::Listener(_) => true,
+            Sock::Client(c) => matches!(c.serve, Serve::Head) && c.buf.is_empty() && c.out.is_empty(),
+            _ => false,
+        };
+        let gone: Vec<Id> = self.ids(idle);
+        gone.into_iter().for_each(|id| self.drop_sock(id));
+        for (_, slot) in &mut self.socks {
+            if let Sock::Client(c) = &mut slot.sock {
+                c.close = true;
+            }
+        }
+    }
+
+    fn ids(&self, which: impl Fn(&Slot) -> bool) -> Vec<Id> {
+        let id = |(i, s): (usize, &Slot)| u64::from(s.generation) << 32 | i as u64;
+        self.socks.iter().filter(|(_, s)| which(s)).map(id).collect()
+    }
+
+    /// Datagrams to and from this address.
+    pub fn datagrams(&mut self, at: SocketAddr) -> io::Result<(Id, SocketAddr)> {
+        let sock = UdpSocket::bind(at)?;
+        sock.set_nonblocking(true)?;
+        let taken = sock.local_addr()?;
+        Ok((self.add(Sock::Datagrams(sock), epoll::EventFlags::IN)?, taken))
+    }
+
+    /// Sends a datagram; like the net, it may lose it.
+    pub fn send_datagram(&mut self, from: Id, to: SocketAddr, bytes: &[u8]) {
+        if let Some(Slot { sock: Sock::Datagrams(sock), .. }) = self.get(from) {
+            let _ = sock.send_to(bytes, to);
+        }
+    }
+
+    /// Reports a signal as an event.
+    pub fn on_signal(&mut self, number: i32) -> io::Result<()> {
+        let (ours, theirs) = UnixStream::pair()?;
+        ours.set_nonblocking(true)?;
+        signal_hook::low_level::pipe::register(number, theirs)?;
+        self.add(Sock::Signals(ours, number), epoll::EventFlags::IN).map(drop)
+    }
+
+    /// Answers the request that a connection waits with; nothing happens when the client has gone.
+    pub fn answer(&mut self, conn: Id, status: u16, lines: &[(&str, &str)], body: &[u8]) {
+        let now = self.now;
+        let Some(client) = self.client(conn) else { return };
+        let Serve::Work { keep, bare } = client.serve else { return };
+        let keep = keep && !client.close;
+        http::answer(&mut client.out, status, lines, Some(body), keep, bare);
+        client.close = !keep;
+        client.serve = Serve::Head;
+        client.until = now + WRITE_TIME;
+        self.answered.push(conn);
+        self.flush_client(conn);
+    }
+
+    /// Opens a stream as the answer; pieces follow by [`Net::stream`].
+    pub fn open_stream(&mut self, conn: Id, lines: &[(&str, &str)]) {
+        if let Some(client) = self.client(conn).filter(|c| matches!(c.serve, Serve::Work { .. })) {
+            http::answer(&mut client.out, 200, lines, None, true, false);
+            client.serve = Serve::Stream;
+            client.until = Ns::MAX;
+            self.flush_client(conn);
+        }
+    }
+
+    /// A piece of a stream; false when the connection has gone, also for being too slow.
+    pub fn stream(&mut self, conn: Id, bytes: &[u8]) -> bool {
+        let Some(client) = self.client(conn).filter(|c| matches!(c.serve, Serve::Stream)) else { return false };
+        if client.out.len() - client.sent + bytes.len() > MAX_BACKLOG {
+            self.drop_sock(conn);
+            return false;
+        }
+        let _ = write!(client.out, "{:x}\r\n", bytes.len());
+        client.out.extend_from_slice(bytes);
+        client.out.extend_from_slice(b"\r\n");
+        self.flush_client(conn);
+        self.get(conn).is_some()
+    }
+
+    /// Closes a connection at once, without an answer (stand-ins play broken peers with it).
+    pub fn close(&mut self, conn: Id) {
+        self.drop_sock(conn);
+    }
+
+    /// Sends raw bytes in place of an answer, and closes after them when told (for broken peers).
+    pub fn raw(&mut self, conn: Id, bytes: &[u8], close: bool) {
+        if let Some(client) = self.client(conn) {
+            client.out.extend_from_slice(bytes);
+            client.close = close;
+            if close {
+                client.serve = Serve::Head;
+            }
+            self.flush_client(conn);
+        }
+    }
+
+    fn flush_client(&mut self, id: Id) {
+        let Some(client) = self.client(id) else { return };
+        while client.sent < client.out.len() {
+            match client.io.write(&client.out[client.sent..]) {
+                Ok(0) => return self.drop_sock(id),
+                Ok(n) => client.sent += n,
+                Err(err) if would_block(&err) => break,
+                Err(_) => return self.drop_sock(id),
+            }
+        }
+        let flushed = client.sent == client.out.len();
+        if flushed {
+            client.out.clear();
+            client.sent = 0;
+            // Large answers must not keep memory on idle connections.
+            if client.out.capacity() > READ {
+                client.out.shrink_to(0);
+            }
+        }
+        let over = flushed && client.close && matches!(client.serve, Serve::Head);
+        let mut flags = epoll::EventFlags::RDHUP;
+        if client.buf.len() < http::MAX_HEAD || matches!(client.serve, Serve::Body(_)) {
+            flags |= epoll::EventFlags::IN;
+        }
+        if !flushed {
+            flags |= epoll::EventFlags::OUT;
+        }
+        if over {
+            return self.linger(id);
+        }
+        self.want(id, flags);
+    }
+
+    /// The last answer is out: wait a little for the peer to read it, as closing with unread input resets.
+    fn linger(&mut self, id: Id) {
+        let (now, many) = (self.now, self.lingering >= MAX_LINGERING);
+        let Some(client) = self.client(id) else { return };
+        if many || client.io.shutdown(Shutdown::Write).is_err() {
+            return self.drop_sock(id);
+        }
+        client.serve = Serve::Lingering;
+        client.buf = Vec::new();
+        client.until = now + LINGER;
+        self.clients -= 1;
+        self.lingering += 1;
+        self.want(id, epoll::EventFlags::IN | epoll::EventFlags::RDHUP);
+    }
+
+    /// Makes a call; its end comes as an event, also when it could not begin.
+    pub fn call(&mut self, events: &mut Vec<Event>, call: Call) -> Id {
+        while let Some(id) = self.pools.get_mut(&call.to).and_then(Vec::pop) {
+            let Some(server) = self.server(id) else { continue };
+            server.out.extend_from_slice(call.request);
+            (server.sent, server.stream, server.head_only) = (0, call.stream, call.head_only);
+            server.step = Step::Head;
+            server.until = Ns::MAX;
+            self.calls += 1;
+            self.flush_server(events, id);
+            return id;
+        }
+        match self.connect(&call) {
+            Ok(id) => id,
+            Err(_) => {
+                // An id that no socket has: the event is the call's only trace.
+                self.generation = self.generation.wrapping_add(1);
+                let id = u64::from(self.generation) << 32 | 0xffff_ffff;
+                events.push(Event::Ended { call: id, end: End::Unreachable });
+                id
+            }
+        }
+    }
+
+    fn connect(&mut self, call: &Call) -> io::Result<Id> {
+        if self.calls >= MAX_CALLS {
+            return Err(ErrorKind::OutOfMemory.into());
+        }
+        use rustix::net::{socket_with, AddressFamily, SocketFlags, SocketType};
+        let family = if call.to.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+        let fd = socket_with(family, SocketType::STREAM, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC, None)?;
+        match rustix::net::connect(&fd, &call.to) {
+            Ok(()) | Err(Errno::INPROGRESS) => {}
+            Err(err) => return Err(err.into()),
+        }
+        let io = TcpStream::from(fd);
+        let _ = io.set_nodelay(true);
+        let server = Server {
+            io,
+            to: call.to,
+            buf: Vec::new(),
+            out: call.request.to_vec(),
+            sent: 0,
+            step: Step::Connecting,
+            until: self.now + call.connect_within,
+            stream: call.stream,
+            head_only: call.head_only,
+        };
+        self.timers.set(server.until, INNER);
+        let id = self.add(Sock::Server(server), epoll::EventFlags::OUT | epoll::EventFlags::RDHUP)?;
+        self.calls += 1;
+        Ok(id)
+    }
+
+    /// Gives a call up: its connection is closed, and no event follows.
+    pub fn cancel(&mut self, call: Id) {
+        if self.server(call).is_some_and(|s| !matches!(s.step, Step::Idle)) {
+            self.drop_sock(call);
+        }
+    }
+
+    fn flush_server(&mut self, events: &mut Vec<Event>, id: Id) {
+        let Some(server) = self.server(id) else { return };
+        while server.sent < server.out.len() {
+            match server.io.write(&server.out[server.sent..]) {
+                Ok(n) if n > 0 => server.sent += n,
+                Err(err) if would_block(&err) => break,
+                _ => return self.lost(events, id, "closed while the request was sent"),
+            }
+        }
+        let mut flags = epoll::EventFlags::IN | epoll::EventFlags::RDHUP;
+        if server.sent < server.out.len() {
+            flags |= epoll::EventFlags::OUT;
+        }
+        self.want(id, flags);
+    }
+
+    /// A call's connection has closed or speaks nonsense.
+    fn lost(&mut self, events: &mut Vec<Event>, id: Id, why: &'static str) {
+        let Some(server) = self.server(id) else { return };
+        let end = match server.step {
+            Step::Idle => None,
+            Step::Connecting => Some(End::Unreachable),
+            _ if server.sent == 0 => Some(End::Unsent),
+            _ => Some(End::Broken(why)),
+        };
+        self.drop_sock(id);
+        if let Some(end) = end {
+            events.push(Event::Ended { call: id, end });
+        }
+    }
+
+    /// Waits for what happens next, at most `most`; sockets come before timers, so that an answer that is
+    /// here when its deadline strikes still counts.
+    pub fn turn(&mut self, events: &mut Vec<Event>, most: Ns) -> io::Result<()> {
+        self.now = self.clock();
+        for conn in std::mem::take(&mut self.answered) {
+            self.resume(events, conn);
+        }
+        let due = self.timers.next().unwrap_or(Ns::MAX).min(self.swept + SWEEP);
+        let wait = if events.is_empty() { (due - self.now).clamp(0, most) } else { 0 };
+        let wait = rustix::event::Timespec { tv_sec: wait / SEC, tv_nsec: wait % SEC };
+        let mut ready: Vec<epoll::Event> = Vec::with_capacity(EVENTS);
+        match epoll::wait(&self.poll, rustix::buffer::spare_capacity(&mut ready), Some(&wait)) {
+            Ok(_) | Err(Errno::INTR) => {}
+            Err(err) => return Err(err.into()),
+        }
+        self.now = self.clock();
+        for event in &ready {
+            self.ready(events, event.data.u64(), event.flags);
+        }
+        if self.now >= self.swept + SWEEP {
+            self.sweep(events);
+        }
+        while let Some(tag) = self.timers.due(self.now) {
+            if tag == INNER {
+                self.sweep_calls(events);
+            } else {
+                events.push(Event::Woke { tag });
+            }
+        }
+        Ok(())
+    }
+
+    fn ready(&mut self, events: &mut Vec<Event>, id: Id, flags: epoll::EventFlags) {
+        let Some(slot) = self.get(id) else { return };
+        match &mut slot.sock {
+            Sock::Listener(_) => self.accept(id),
+            Sock::Client(_) => self.serve(events, id, flags),
+            Sock::Server(_) => self.fetch(events, id, flags),
+            Sock::Datagrams(sock) => {
+                let mut buf = [0; MAX_DATAGRAM];
+                for _ in 0..ACCEPTS {
+                    let Ok((n, from)) = sock.recv_from(&mut buf) else { break };
+                    events.push(Event::Datagram { from, bytes: buf[..n].to_vec() });
+                }
+            }
+            Sock::Signals(sock, number) => {
+                let mut buf = [0; 16];
+                let _ = sock.read(&mut buf);
+                events.push(Event::Signal { number: *number });
+            }
+        }
+    }
+
+    fn accept(&mut self, id: Id) {
+        for _ in 0..ACCEPTS {
+            let Some(Slot { sock: Sock::Listener(listener), .. }) = self.get(id) else { return };
+            match listener.accept() {
+                Ok((io, _)) => self.admit(io),
+                Err(err) if matches!(Errno::from_io_error(&err), Some(Errno::MFILE | Errno::NFILE)) => {
+                    // Out of descriptors: refuse one in words with the spare, and go on later.
+                    self.spare = None;
+                    if let Some(Slot { sock: Sock::Listener(listener), .. }) = self.get(id) {
+                        if let Ok((mut io, _)) = listener.accept() {
+                            let _ = io.set_nonblocking(true);
+                            let _ = io.write(&self.full);
+                        }
+                    }
+                    self.refused += 1;
+                    self.spare = spare();
+                    return;
+                }
+                Err(_) => return,
+            }
+        }
+    }
+
+    fn admit(&mut self, io: TcpStream) {
+        if io.set_nonblocking(true).is_err() {
+            return;
+        }
+        let _ = io.set_nodelay(true);
+        let full = self.clients >= self.most_clients;
+        let client = Client {
+            io,
+            buf: Vec::new(),
+            out: if full { self.full.clone() } else { Vec::new() },
+            sent: 0,
+            serve: Serve::Head,
+            until: self.now + CLIENT_IDLE,
+            close: full,
+        };
+        self.refused += u64::from(full);
+        self.clients += 1;
+        match self.add(Sock::Client(client), epoll::EventFlags::IN | epoll::EventFlags::RDHUP) {
+            Ok(id) if full => self.flush_client(id),
+            Ok(_) => {}
+            Err(_) => self.clients -= 1,
+        }
+    }
+
+    fn serve(&mut self, events: &mut Vec<Event>, id: Id, flags: epoll::EventFlags) {
+        if flags.contains(epoll::EventFlags::OUT) {
+            self.flush_client(id);
+        }
+        let now = self.now;
+        let mut scratch = std::mem::take(&mut self.scratch);
+        let Some(client) = self.client(id) else {
+            self.scratch = scratch;
+            return;
+        };
+        let hung_up = flags.intersects(epoll::EventFlags::HUP | epoll::EventFlags::ERR);
+        let reads = flags.intersects(epoll::EventFlags::IN | epoll::EventFlags::RDHUP);
+        let read = if reads || hung_up { client.io.read(&mut scratch) } else { Ok(usize::MAX) };
+        match read {
+            Ok(usize::MAX) => {}
+            Ok(0) => self.hung_up(events, id),
+            Ok(n) => {
+                if !matches!(client.serve, Serve::Lingering | Serve::Stream) {
+                    let fresh = client.buf.is_empty();
+                    client.buf.extend_from_slice(&scratch[..n]);
+                    if matches!(client.serve, Serve::Head) && fresh {
+                        client.until = now + HEAD_TIME;
+                    }
+                    self.parse(events, id);
+                }
+            }
+            Err(err) if would_block(&err) => {}
+            Err(_) => self.hung_up(events, id),
+        }
+        self.scratch = scratch;
+    }
+
+    fn hung_up(&mut self, events: &mut Vec<Event>, id: Id) {
+        let Some(client) = self.client(id) else { return };
+        if matches!(client.serve, Serve::Work { .. } | Serve::Stream) {
+            events.push(Event::Left { conn: id });
+        } else if client.sent < client.out.len() && !client.close {
+            // Half-closed with an answer still on its way out: it is finished first.
+            client.close = true;
+            return self.want(id, epoll::EventFlags::OUT);
+        }
+        self.drop_sock(id);
+    }
+
+    /// Reads requests from the buffer, one at a time: the next waits until this one is answered.
+    fn parse(&mut self, events: &mut Vec<Event>, id: Id) {
+        let now = self.now;
+        let Some(client) = self.client(id) else { return };
+        let step: Result<(), Refusal> = (|| {
+            if let Serve::Head = client.serve {
+                if client.close || client.buf.is_empty() {
+                    return Ok(());
+                }
+                let Some(head) = http::request_head(&client.buf)? else { return Ok(()) };
+                client.buf.drain(..head.long);
+                if head.expects && head.framing != Framing::Length(0) && client.buf.is_empty() {
+                    client.out.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+                }
+                client.until = now + BODY_TIME;
+                client.serve = Serve::Body(Box::new((head.message, Body::new(head.framing, http::MAX_BODY))));
+            }
+            if let Serve::Body(state) = &mut client.serve {
+                let (request, body) = &mut **state;
+                let used = body.take(&client.buf, &mut request.body)?;
+                client.buf.drain(..used);
+                if body.done() {
+                    let request = std::mem::take(request);
+                    client.serve = Serve::Work { keep: request.keep, bare: request.head_only };
+                    client.until = Ns::MAX;
+                    events.push(Event::Request { conn: id, request });
+                }
+            }
+            Ok(())
+        })();
+        if client.buf.is_empty() && client.buf.capacity() > 4096 {
+            client.buf = Vec::new();
+        }
+        match step {
+            Ok(()) => {
+                let Some(client) = self.client(id) else { return };
+                let full = client.buf.len() >= http::MAX_HEAD;
+                if !client.out.is_empty() {
+                    self.flush_client(id);
+                } else if full {
+                    self.want(id, epoll::EventFlags::RDHUP);
+                }
+            }
+            Err(refusal) => self.refuse(id, refusal),
+        }
+    }
+
+    fn refuse(&mut self, id: Id, refusal: Refusal) {
+        if let Some(client) = self.client(id) {
+            client.close = true;
+            client.serve = Serve::Head;
+            let lines = [("Rockpick-Answer", "not-taken"), ("Content-Type", "text/plain")];
+            let body = format!("{}\n", refusal.why);
+            http::answer(&mut client.out, refusal.status.max(400), &lines, Some(body.as_bytes()), false, false);
+            self.flush_client(id);
+        }
+    }
+
+    /// After an answer: pipelined requests that wait in the buffer come up now.
+    fn resume(&mut self, events: &mut Vec<Event>, conn: Id) {
+        let now = self.now;
+        if let Some(client) = self.client(conn).filter(|c| matches!(c.serve, Serve::Head)) {
+            client.until = now + if client.buf.is_empty() { CLIENT_IDLE } else { HEAD_TIME };
+            if !client.buf.is_empty() {
+                self.parse(events, conn);
+                self.flush_client(conn);
+            }
+        }
+    }
+
+    fn fetch(&mut self, events: &mut Vec<Event>, id: Id, flags: epoll::EventFlags) {
+        let Some(server) = self.server(id) else { return };
+        if matches!(server.step, Step::Connecting) {
+            let failed = flags.intersects(epoll::EventFlags::HUP | epoll::EventFlags::ERR);
+            if failed || server.io.take_error().ok().flatten().is_some() {
+                return self.lost(events, id, "");
+            }
+            if flags.contains(epoll::EventFlags::OUT) {
+                server.step = Step::Head;
+                server.until = Ns::MAX;
+                return self.flush_server(events, id);
+            }
+            return;
+        }
+        if flags.contains(epoll::EventFlags::OUT) {
+            self.flush_server(events, id);
+        }
+        if !flags.intersects(!epoll::EventFlags::OUT) {
+            return;
+        }
+        let mut scratch = std::mem::take(&mut self.scratch);
+        if let Some(server) = self.server(id) {
+            match server.io.read(&mut scratch) {
+                Ok(0) => self.closed(events, id),
+                Ok(n) => {
+                    server.buf.extend_from_slice(&scratch[..n]);
+                    self.digest(events, id);
+                }
+                Err(err) if would_block(&err) => {}
+                Err(_) => self.lost(events, id, "reset"),
+            }
+        }
+        self.scratch = scratch;
+    }
+
+    /// The peer has closed: that ends some answers, and breaks the rest.
+    fn closed(&mut self, events: &mut Vec<Event>, id: Id) {
+        let Some(server) = self.server(id) else { return };
+        if let Step::Body(state) = &mut server.step {
+            if state.1.closes() && !server.stream {
+                let response = std::mem::take(&mut state.0);
+                self.drop_sock(id);
+                return events.push(Event::Ended { call: id, end: End::Answer(response) });
+            }
+            return self.lost(events, id, "half an answer");
+        }
+        self.lost(events, id, "closed without an answer");
+    }
+
+    fn digest(&mut self, events: &mut Vec<Event>, id: Id) {
+        let Some(server) = self.server(id) else { return };
+        let most = if server.stream { usize::MAX } else { http::MAX_BODY };
+        let step: Result<bool, Refusal> = (|| loop {
+            match &mut server.step {
+                Step::Idle => return Err(Refusal { status: 0, why: "words on an idle connection" }),
+                Step::Head => {
+                    let Some(head) = http::response_head(&server.buf)? else { return Ok(false) };
+                    server.buf.drain(..head.long);
+                    if head.message.status == 101 {
+                        return Err(Refusal { status: 0, why: "another protocol" });
+                    }
+                    if head.message.status >= 200 {
+                        let framing = if server.head_only { Framing::Length(0) } else { head.framing };
+                        server.step = Step::Body(Box::new((head.message, Body::new(framing, most))));
+                    }
+                }
+                Step::Body(state) => {
+                    let used = state.1.take(&server.buf, &mut state.0.body)?;
+                    server.buf.drain(..used);
+                    return Ok(state.1.done());
+                }
+                Step::Connecting => return Ok(false),
+            }
+        })();
+        let done = match step {
+            Err(refusal) => return self.lost(events, id, refusal.why),
+            Ok(done) => done,
+        };
+        let Some(server) = self.server(id) else { return };
+        let Step::Body(state) = &mut server.step else { return };
+        if server.stream && !state.0.body.is_empty() {
+            let bytes = std::mem::take(&mut state.0.body);
+            events.push(Event::Piece { call: id, status: state.0.status, bytes });
+        }
+        if done {
+            let response = std::mem::take(&mut state.0);
+            // Words beyond the answer, or an answer before the request was whole: not a connection to keep.
+            let keep = response.keep && server.buf.is_empty() && server.sent == server.out.len();
+            self.park(id, keep);
+            events.push(Event::Ended { call: id, end: End::Answer(response) });
+        }
+    }
+
+    /// Keeps a connection for the next call to its address, or closes it.
+    fn park(&mut self, id: Id, keep: bool) {
+        let now = self.now;
+        let Some(server) = self.server(id) else { return };
+        let to = server.to;
+        let kept = self.pools.get(&to).map_or(0, Vec::len);
+        if !keep || kept >= MAX_IDLE {
+            return self.drop_sock(id);
+        }
+        // Its next call must not have this one's id: the slot is renewed under a new generation.
+        self.generation = self.generation.wrapping_add(1);
+        let generation = self.generation;
+        let index = (id & 0xffff_ffff) as usize;
+        let fresh = u64::from(generation) << 32 | index as u64;
+        let Some(slot) = self.socks.get_mut(index) else { return };
+        slot.generation = generation;
+        slot.flags = epoll::EventFlags::IN | epoll::EventFlags::RDHUP;
+        let _ = epoll::modify(&self.poll, slot.sock.fd(), epoll::EventData::new_u64(fresh), slot.flags);
+        if let Sock::Server(server) = &mut slot.sock {
+            server.step = Step::Idle;
+            server.out.clear();
+            server.until = now + POOL_IDLE;
+        }
+        self.calls -= 1;
+        self.pools.entry(to).or_default().push(fresh);
+    }
+
+    /// Closes pooled connections to an address.
+    pub fn close_idle(&mut self, to: SocketAddr) {
+        for id in self.pools.get(&to).cloned().unwrap_or_default() {
+            self.drop_sock(id);
+        }
+    }
+
+    fn sweep_calls(&mut self, events: &mut Vec<Event>) {
+        let now = self.now;
+        let late = |s: &Slot| {
+            matches!(&s.sock, Sock::Server(c) if matches!(c.step, Step::Connecting) && c.until <= now)
+        };
+        for id in self.ids(late) {
+            self.lost(events, id, "");
+        }
+    }
+
+    fn sweep(&mut self, events: &mut Vec<Event>) {
+        let now = self.now;
+        self.swept = now;
+        self.sweep_calls(events);
+        let idle = |s: &Slot| matches!(&s.sock, Sock::Server(c) if matches!(c.step, Step::Idle) && c.until <= now);
+        self.ids(idle).into_iter().for_each(|id| self.drop_sock(id));
+        for id in self.ids(|s| matches!(&s.sock, Sock::Client(c) if c.until <= now)) {
+            let Some(client) = self.client(id) else { continue };
+            let slow = match client.serve {
+                Serve::Head => !client.buf.is_empty() && client.out.is_empty(),
+                Serve::Body(_) => true,
+                _ => false,
+            };
+            if slow {
+                self.refuse(id, Refusal { status: 408, why: "the request came too slowly" });
+                if let Some(client) = self.client(id) {
+                    client.until = now + LINGER;
+                }
+            } else {
+                self.drop_sock(id);
+            }
+        }
+    }
+}
+
+/// The tag of the loop's own timers.
+const INNER: u64 = u64::MAX;
+
+const _: () = assert!(MAX_BACKLOG > http::MAX_BODY);
