--- /dev/null
+++ b/control/src/charter.rs
@@ -0,0 +1,434 @@
+//! The settings: what an operator may tell a deployment, given by API call as one JSON document, checked as
+//! a whole. Times are whole milliseconds here and whole nanoseconds everywhere else.
+use rockpick::{Control, Group, Guard, Method, Ns, Post, Repeat, Rights, Rollout};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+
+const MS: Ns = 1_000_000;
+
+/// Most methods, zones, fronts and places: five times the largest fleet that was asked for.
+const MOST_METHODS: usize = 64;
+const MOST_ZONES: usize = 64;
+const MOST_FRONTS: usize = 5_000;
+const MOST_PLACES: usize = 5_000;
+const MOST_STAGES: usize = 32;
+/// Longest time that a field takes: a day.
+const MOST_MS: u64 = 86_400_000;
+
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Charter {
+    pub methods: Vec<Row>,
+    pub rollout: Stages,
+    pub guard: Limits,
+    pub rights: Allowed,
+    pub zones: Vec<String>,
+    pub fronts: Vec<FrontSeat>,
+    pub places: Vec<Place>,
+    /// The build that all places run before the first offer.
+    pub first_build: u32,
+    /// Service lost, as a share, if every pick crossed zones.
+    #[serde(default)]
+    pub cross_zone_price: f64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Row {
+    pub name: String,
+    pub soft_deadline_ms: u64,
+    pub deadline_ms: u64,
+    pub utility: f64,
+    pub repeat: Repeats,
+    #[serde(default)]
+    pub group: GroupOf,
+    #[serde(default)]
+    pub remembered_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Repeats {
+    Idempotent,
+    Tokened,
+    NonIdempotent,
+}
+
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+pub enum GroupOf {
+    All,
+    Zone,
+    #[default]
+    Cell,
+}
+
+#[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+pub enum ControlBy {
+    FirstVoice,
+    ByCount,
+    Automatic,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Stages {
+    pub control: ControlBy,
+    /// Machines of the earlier build stay until the release.
+    pub parallel: bool,
+    /// Shares of the places, one a stage, rising.
+    pub stages: Vec<f64>,
+    pub caps: Vec<f64>,
+    pub free: f64,
+    pub window_ms: u64,
+    #[serde(default)]
+    pub cap_per_method: bool,
+    #[serde(default)]
+    pub guarded_stages: usize,
+    #[serde(default)]
+    pub one_way: bool,
+    pub dwell_ms: u64,
+    /// Under automatic control: how long a stage lasts.
+    #[serde(default)]
+    pub step_ms: u64,
+    pub vote_life_ms: u64,
+    pub call_timeout_ms: u64,
+    pub votes_a_second: f64,
+    #[serde(default = "one")]
+    pub on_votes: u32,
+    #[serde(default = "one")]
+    pub hold_votes: u32,
+    #[serde(default = "one")]
+    pub back_votes: u32,
+    pub told_every_ms: u64,
+    /// 0: no tallies.
+    #[serde(default)]
+    pub tally_every_ms: u64,
+    #[serde(default)]
+    pub tally_sample: f64,
+}
+
+fn one() -> u32 {
+    1
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Limits {
+    pub drain_grace_ms: u64,
+    pub cold_from: f64,
+    pub cold_time_ms: u64,
+    pub overload_factor: f64,
+    pub fall_time_ms: u64,
+    pub ask_within_ms: u64,
+    /// Taken off the time that a client has left: the answer's way back.
+    pub answer_margin_ms: u64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Allowed {
+    pub most_picks: u32,
+    pub notes: bool,
+    pub longest_wait_ms: u64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct FrontSeat {
+    pub name: String,
+    pub zone: String,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Place {
+    pub name: String,
+    pub zone: String,
+    #[serde(default)]
+    pub cell: u32,
+    pub weight: f64,
+}
+
+/// A field that can't be taken, by its path.
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq)]
+pub struct Wrong {
+    pub field: String,
+    pub why: String,
+}
+
+/// Names go into paths, headers and logs, so they are plain.
+pub fn plain(name: &str) -> bool {
+    let fits = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
+    !name.is_empty() && name.len() <= 64 && name.bytes().all(fits)
+}
+
+impl Charter {
+    /// Reads and checks a document; every error names its field.
+    pub fn read(text: &[u8]) -> Result<Charter, Vec<Wrong>> {
+        let mut json = serde_json::Deserializer::from_slice(text);
+        let charter: Charter = serde_path_to_error::deserialize(&mut json)
+            .map_err(|err| vec![Wrong { field: err.path().to_string(), why: err.inner().to_string() }])?;
+        json.end().map_err(|err| vec![Wrong { field: ".".into(), why: err.to_string() }])?;
+        let wrong = charter.check();
+        if wrong.is_empty() {
+            Ok(charter)
+        } else {
+            Err(wrong)
+        }
+    }
+
+    /// All that is wrong, not just the first.
+    pub fn check(&self) -> Vec<Wrong> {
+        let mut wrong = Vec::new();
+        let mut must = |good: bool, field: String, why: &str| {
+            if !good {
+                wrong.push(Wrong { field, why: why.into() });
+            }
+        };
+        let share = |x: f64| (0.0..=1.0).contains(&x);
+        must((1..=MOST_METHODS).contains(&self.methods.len()), "methods".into(), "1 to 64 are wanted");
+        let mut names = BTreeSet::new();
+        for (i, m) in self.methods.iter().enumerate() {
+            let at = |f: &str| format!("methods[{i}].{f}");
+            must(plain(&m.name), at("name"), "1 to 64 letters, digits, '-', '_' or '.'");
+            must(names.insert(&m.name), at("name"), "given twice");
+            let aim = (1..=m.deadline_ms).contains(&m.soft_deadline_ms);
+            must(aim, at("soft_deadline_ms"), "1 to deadline_ms");
+            must(m.deadline_ms <= MOST_MS, at("deadline_ms"), "a day at most");
+            must(m.utility > 0.0 && m.utility <= 1e9, at("utility"), "above 0, at most 1e9");
+            let window = m.repeat != Repeats::Tokened || (1..=MOST_MS).contains(&m.remembered_ms);
+            must(window, at("remembered_ms"), "wanted for a tokened method");
+        }
+        let r = &self.rollout;
+        let at = |f: &str| format!("rollout.{f}");
+        must((1..=MOST_STAGES).contains(&r.stages.len()), at("stages"), "1 to 32 are wanted");
+        must(r.caps.len() == r.stages.len(), at("caps"), "one a stage is wanted");
+        for (i, pair) in r.stages.windows(2).enumerate() {
+            must(pair[0] <= pair[1], format!("rollout.stages[{}]", i + 1), "lower than the stage before");
+        }
+        for (i, s) in r.stages.iter().enumerate() {
+            must(*s > 0.0 && *s <= 1.0, format!("rollout.stages[{i}]"), "above 0, at most 1");
+        }
+        for (i, c) in r.caps.iter().enumerate() {
+            must(share(*c), format!("rollout.caps[{i}]"), "0 to 1");
+        }
+        must((0.0..=1e6).contains(&r.free), at("free"), "0 to 1e6");
+        must((32..=MOST_MS).contains(&r.window_ms), at("window_ms"), "32 ms to a day");
+        must(r.guarded_stages <= r.stages.len(), at("guarded_stages"), "more than there are stages");
+        must(r.dwell_ms <= MOST_MS, at("dwell_ms"), "a day at most");
+        let steps = r.control != ControlBy::Automatic || (1..=MOST_MS).contains(&r.step_ms);
+        must(steps, at("step_ms"), "wanted under automatic control, a day at most");
+        must((100..=MOST_MS).contains(&r.vote_life_ms), at("vote_life_ms"), "100 ms to a day");
+        must((10..=60_000).contains(&r.call_timeout_ms), at("call_timeout_ms"), "10 ms to a minute");
+        must(r.votes_a_second >= 1.0 && r.votes_a_second <= 1e6, at("votes_a_second"), "1 to 1e6");
+        let fronts = self.fronts.len() as u32;
+        for (name, n) in
+            [("on_votes", r.on_votes), ("hold_votes", r.hold_votes), ("back_votes", r.back_votes)]
+        {
+            must((1..=fronts.max(1)).contains(&n), at(name), "1 to the count of fronts");
+        }
+        must((100..=60_000).contains(&r.told_every_ms), at("told_every_ms"), "100 ms to a minute");
+        let tallies = r.tally_every_ms == 0 || (100..=60_000).contains(&r.tally_every_ms);
+        must(tallies, at("tally_every_ms"), "0, or 100 ms to a minute");
+        must(share(r.tally_sample), at("tally_sample"), "0 to 1");
+        let g = &self.guard;
+        let at = |f: &str| format!("guard.{f}");
+        must(g.drain_grace_ms <= MOST_MS, at("drain_grace_ms"), "a day at most");
+        must(g.cold_from > 0.0 && g.cold_from <= 1.0, at("cold_from"), "above 0, at most 1");
+        must(g.cold_time_ms <= MOST_MS, at("cold_time_ms"), "a day at most");
+        must(g.overload_factor >= 1.0 && g.overload_factor <= 1e3, at("overload_factor"), "1 to 1000");
+        must((1..=MOST_MS).contains(&g.fall_time_ms), at("fall_time_ms"), "1 ms to a day");
+        must((100..=MOST_MS).contains(&g.ask_within_ms), at("ask_within_ms"), "100 ms to a day");
+        must(g.answer_margin_ms <= 10_000, at("answer_margin_ms"), "10 s at most");
+        must((1..=64).contains(&self.rights.most_picks), "rights.most_picks".into(), "1 to 64");
+        must(self.rights.longest_wait_ms <= MOST_MS, "rights.longest_wait_ms".into(), "a day at most");
+        must((1..=MOST_ZONES).contains(&self.zones.len()), "zones".into(), "1 to 64 are wanted");
+        let zones: BTreeSet<&String> = self.zones.iter().collect();
+        must(zones.len() == self.zones.len(), "zones".into(), "one given twice");
+        for (i, z) in self.zones.iter().enumerate() {
+            must(plain(z), format!("zones[{i}]"), "1 to 64 letters, digits, '-', '_' or '.'");
+        }
+        must((1..=MOST_FRONTS).contains(&self.fronts.len()), "fronts".into(), "1 to 5000 are wanted");
+        must((1..=MOST_PLACES).contains(&self.places.len()), "places".into(), "1 to 5000 are wanted");
+        let (fronts, places) = (self.fronts.iter().enumerate(), self.places.iter().enumerate());
+        let named = fronts.map(|(i, f)| (format!("fronts[{i}]"), &f.name, &f.zone));
+        let mut names = BTreeSet::new();
+        for (at, name, zone) in named.chain(places.map(|(i, p)| (format!("places[{i}]"), &p.name, &p.zone))) {
+            must(plain(name), format!("{at}.name"), "1 to 64 letters, digits, '-', '_' or '.'");
+            must(names.insert(name), format!("{at}.name"), "given twice");
+            must(zones.contains(zone), format!("{at}.zone"), "not among zones");
+        }
+        for (i, p) in self.places.iter().enumerate() {
+            must(p.weight > 0.0 && p.weight <= 1e6, format!("places[{i}].weight"), "above 0, at most 1e6");
+        }
+        must((1..65_536).contains(&self.first_build), "first_build".into(), "1 to 65535");
+        must(share(self.cross_zone_price), "cross_zone_price".into(), "0 to 1");
+        wrong
+    }
+
+    pub fn zone(&self, name: &str) -> u32 {
+        self.zones.iter().position(|z| z == name).unwrap_or(0) as u32
+    }
+
+    pub fn method(&self, name: &str) -> Option<usize> {
+        self.methods.iter().position(|m| m.name == name)
+    }
+
+    /// What the front of this name is told at start.
+    pub fn post(&self, front: &str, seed: u64) -> Option<Post> {
+        let rank = self.fronts.iter().position(|f| f.name == front)?;
+        let ms = |n: u64| n as Ns * MS;
+        let (r, g) = (&self.rollout, &self.guard);
+        Some(Post {
+            fronts: self.fronts.len() as u32,
+            rank: rank as u32,
+            zone: self.zone(&self.fronts[rank].zone),
+            seed,
+            ask_roster: true,
+            // The loop's turns are far shorter; this is what a time-out may be late by on a busy machine.
+            step: 5 * MS,
+            cross_zone_price: self.cross_zone_price,
+            methods: self
+                .methods
+                .iter()
+                .map(|m| Method {
+                    soft_deadline: ms(m.soft_deadline_ms),
+                    utility: m.utility,
+                    repeat: match m.repeat {
+                        Repeats::Idempotent => Repeat::Idempotent,
+                        Repeats::Tokened => Repeat::Tokened,
+                        Repeats::NonIdempotent => Repeat::NonIdempotent,
+                    },
+                    group: match m.group {
+                        GroupOf::All => Group::All,
+                        GroupOf::Zone => Group::Zone,
+                        GroupOf::Cell => Group::Cell,
+                    },
+                    remembered: ms(m.remembered_ms),
+                })
+                .collect(),
+            rollout: Rollout {
+                control: r.control(),
+                parallel: r.parallel,
+                caps: r.caps.clone(),
+                free: r.free,
+                window: ms(r.window_ms),
+                cap_per_method: r.cap_per_method,
+                guarded_stages: r.guarded_stages,
+                one_way: r.one_way,
+                dwell: ms(r.dwell_ms),
+                vote_life: ms(r.vote_life_ms),
+                call_timeout: ms(r.call_timeout_ms),
+                back_votes: r.back_votes,
+            },
+            guard: Guard {
+                ask_within: ms(g.ask_within_ms),
+                cold_from: g.cold_from,
+                cold_time: ms(g.cold_time_ms),
+                overload_factor: g.overload_factor,
+                fall_time: ms(g.fall_time_ms),
+            },
+            rights: Rights {
+                most_picks: self.rights.most_picks,
+                notes: self.rights.notes,
+                longest_wait: ms(self.rights.longest_wait_ms),
+            },
+        })
+    }
+
+    /// A small charter to begin with: `rockpick settings --example`, rehearsals and tests.
+    pub fn example(fronts: usize, places: usize) -> Charter {
+        let zones = ["north", "south"];
+        let method = |name: &str, soft, deadline, utility, repeat| Row {
+            name: name.into(),
+            soft_deadline_ms: soft,
+            deadline_ms: deadline,
+            utility,
+            repeat,
+            group: GroupOf::All,
+            remembered_ms: 5_000,
+        };
+        let zone = |i: usize| zones[i % 2].to_string();
+        let share = |part: f64| ((fronts as f64 * part).ceil() as u32).max(1);
+        Charter {
+            methods: vec![
+                method("lookup", 800, 3_000, 2.0, Repeats::Idempotent),
+                method("save", 800, 3_000, 2.0, Repeats::Tokened),
+                method("lodge", 1_000, 3_000, 6.0, Repeats::NonIdempotent),
+            ],
+            rollout: Stages {
+                control: ControlBy::ByCount,
+                parallel: true,
+                stages: vec![0.1, 0.35, 1.0],
+                caps: vec![0.14, 0.49, 1.0],
+                free: 2.0,
+                window_ms: 3_000,
+                cap_per_method: false,
+                guarded_stages: 0,
+                one_way: false,
+                dwell_ms: 1_000,
+                step_ms: 0,
+                vote_life_ms: 4_000,
+                call_timeout_ms: 800,
+                votes_a_second: 80.0,
+                on_votes: share(0.6),
+                hold_votes: 1,
+                back_votes: share(0.25),
+                told_every_ms: 2_000,
+                tally_every_ms: 1_000,
+                tally_sample: 0.4,
+            },
+            guard: Limits {
+                drain_grace_ms: 1_000,
+                cold_from: 0.42,
+                cold_time_ms: 5_000,
+                overload_factor: 3.0,
+                fall_time_ms: 1_000,
+                ask_within_ms: 10_000,
+                answer_margin_ms: 40,
+            },
+            rights: Allowed { most_picks: 3, notes: true, longest_wait_ms: 2_000 },
+            zones: zones.map(String::from).to_vec(),
+            fronts: (0..fronts).map(|i| FrontSeat { name: format!("f{i}"), zone: zone(i) }).collect(),
+            places: (0..places)
+                .map(|i| Place { name: format!("p{i}"), zone: zone(i), cell: (i / 4) as u32, weight: 1.0 })
+                .collect(),
+            first_build: 1,
+            cross_zone_price: 0.01,
+        }
+    }
+}
+
+impl Stages {
+    pub fn control(&self) -> Control {
+        match self.control {
+            ControlBy::FirstVoice => Control::FirstVoice,
+            ControlBy::ByCount => Control::ByCount,
+            ControlBy::Automatic => Control::Automatic,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn errors_name_their_fields_by_path_and_all_at_once() {
+        let mut charter = Charter::example(2, 4);
+        assert_eq!(charter.check(), []);
+        charter.methods[1].utility = -1.0;
+        charter.rollout.caps.pop();
+        charter.places[3].zone = "west".into();
+        charter.guard.overload_factor = f64::NAN;
+        let fields: Vec<String> = charter.check().into_iter().map(|w| w.field).collect();
+        assert_eq!(fields, ["methods[1].utility", "rollout.caps", "guard.overload_factor", "places[3].zone"]);
+        let mut json = serde_json::to_value(Charter::example(2, 4)).unwrap();
+        json["methods"][2]["repeat"] = "perhaps".into();
+        let wrong = Charter::read(json.to_string().as_bytes()).unwrap_err();
+        assert_eq!(wrong[0].field, "methods[2].repeat");
+        assert!(Charter::read(b"{\"zoness\":1}").is_err() && Charter::read(b"[").is_err());
+    }
+}
--- /dev/null
+++ b/control/src/desk.rs
@@ -0,0 +1,637 @@
+//! The controller without its sockets: each request gets an answer, each pass the lines that watchers are
+//! due. Time is told by the caller; the only file is the snapshot, written by [`Desk::save`]'s caller.
+use crate::charter::{plain, Charter, Wrong};
+use crate::release::{Moot, Moved, Release, Running};
+use crate::roster::{Beat, Order, Roster, SETTLE};
+use rockpick::{Ns, Phase, State, Verdict};
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+
+const MS: Ns = 1_000_000;
+const SEC: Ns = 1_000 * MS;
+/// Rows that one report of counts may hold: all methods of a handful of builds.
+const MOST_ROWS: usize = 512;
+/// Most watchers: three times the fronts there may be, as old connections end late.
+const MOST_WATCHERS: usize = 15_000;
+
+pub enum Answer {
+    Now(u16, Value),
+    /// The connection becomes a watcher.
+    Watch,
+}
+
+struct Watcher {
+    pub front: String,
+    serial: Option<u64>,
+    staged: bool,
+    fronts: u64,
+    charter: u64,
+}
+
+#[derive(Clone, Serialize, Deserialize)]
+struct Kept {
+    build: u32,
+    stage: u32,
+    phase: String,
+    age_ms: f64,
+    ran_ms: f64,
+}
+
+/// The snapshot.
+#[derive(Clone, Serialize, Deserialize)]
+struct Snapshot {
+    version: u64,
+    charter: Charter,
+    earlier: u32,
+    newest: Option<Kept>,
+}
+
+#[derive(Clone, Default, Serialize)]
+struct FrontAt {
+    http: String,
+    notes: String,
+}
+
+#[derive(Default)]
+pub struct Desk {
+    pub charter: Option<Charter>,
+    pub version: u64,
+    pub release: Option<Release>,
+    pub roster: Roster,
+    watchers: BTreeMap<u64, Watcher>,
+    fronts: BTreeMap<String, FrontAt>,
+    fronts_serial: u64,
+    /// Votes that may still be taken, and as of when.
+    bucket: (f64, Ns),
+    counts: BTreeMap<(u32, usize), [u64; 2]>,
+    tallied: Ns,
+    told: Ns,
+    stage_changed: bool,
+    born: Ns,
+    /// Something changed that the snapshot must hold.
+    pub dirty: bool,
+    pub calls: u64,
+    pub votes: [u64; 3],
+}
+
+pub fn phase_word(phase: Phase) -> &'static str {
+    match phase {
+        Phase::OnTrial => "on-trial",
+        Phase::GoingBack => "going-back",
+        Phase::Released => "released",
+        Phase::Withdrawn => "withdrawn",
+    }
+}
+
+pub fn phase_of(word: &str) -> Option<Phase> {
+    [Phase::OnTrial, Phase::GoingBack, Phase::Released, Phase::Withdrawn]
+        .into_iter()
+        .find(|p| phase_word(*p) == word)
+}
+
+pub fn state_word(state: State) -> &'static str {
+    match state {
+        State::Up => "up",
+        State::Draining => "draining",
+        State::Gone => "gone",
+    }
+}
+
+pub fn state_of(word: &str) -> Option<State> {
+    [State::Up, State::Draining, State::Gone].into_iter().find(|s| state_word(*s) == word)
+}
+
+pub fn verdict_word(verdict: Verdict) -> &'static str {
+    match verdict {
+        Verdict::NoVote => "none",
+        Verdict::On => "on",
+        Verdict::Hold => "hold",
+        Verdict::Back => "back",
+    }
+}
+
+fn verdict_of(word: &str) -> Option<Verdict> {
+    [Verdict::NoVote, Verdict::On, Verdict::Hold, Verdict::Back]
+        .into_iter()
+        .find(|v| verdict_word(*v) == word)
+}
+
+fn ms(span: Ns) -> f64 {
+    span as f64 / MS as f64
+}
+
+fn no(status: u16, field: &str, why: impl Into<String>) -> Answer {
+    Answer::Now(status, json!({ "errors": [Wrong { field: field.into(), why: why.into() }] }))
+}
+
+fn log(moved: &Moved) {
+    let Moved { build, stage, phase, why } = moved;
+    tracing::info!(event = "stage", build, stage, phase = phase_word(*phase), why);
+}
+
+/// A field of a body, or an answer that names it.
+macro_rules! field {
+    ($body:expr, $name:literal, $read:ident) => {
+        match $body.get($name).and_then(Value::$read) {
+            Some(value) => value,
+            None => return no(400, $name, "missing, or not of the kind wanted"),
+        }
+    };
+}
+
+impl Desk {
+    /// Comes up from a snapshot, if there is one.
+    ///
+    /// # Errors
+    /// Says what is wrong with the snapshot; nothing is overwritten then.
+    pub fn open(now: Ns, snapshot: Option<&[u8]>) -> Result<Desk, String> {
+        let bucket = (f64::MAX, now);
+        let mut desk = Desk { born: now, tallied: now, told: now, bucket, ..Desk::default() };
+        let Some(text) = snapshot else { return Ok(desk) };
+        let kept: Snapshot = serde_json::from_slice(text).map_err(|err| format!("the snapshot: {err}"))?;
+        if let Some(Wrong { field, why }) = kept.charter.check().first() {
+            return Err(format!("the snapshot: {field}: {why}"));
+        }
+        let mut release = Release::new(&kept.charter);
+        let newest = match &kept.newest {
+            None => None,
+            Some(k) => {
+                let phase = phase_of(&k.phase).ok_or("the snapshot: newest.phase: not known")?;
+                Some((k.build, k.stage, phase, (k.age_ms * MS as f64) as Ns, (k.ran_ms * MS as f64) as Ns))
+            }
+        };
+        release.restore(now, kept.earlier, newest);
+        (desk.charter, desk.version, desk.release) = (Some(kept.charter), kept.version, Some(release));
+        Ok(desk)
+    }
+
+    /// The text to keep.
+    pub fn save(&mut self, now: Ns) -> Option<Vec<u8>> {
+        let (charter, release) = (self.charter.clone()?, self.release.as_ref()?);
+        self.dirty = false;
+        let newest = release.newest.as_ref().map(|t| Kept {
+            build: t.build,
+            stage: t.stage,
+            phase: phase_word(t.phase).into(),
+            age_ms: ms(now - t.since),
+            ran_ms: ms(t.ran),
+        });
+        let kept = Snapshot { version: self.version, charter, earlier: release.earlier, newest };
+        serde_json::to_vec_pretty(&kept).ok()
+    }
+
+    fn settled(&self, now: Ns) -> bool {
+        now - self.born >= SETTLE
+    }
+
+    fn wanted(&self) -> Running {
+        match (&self.release, &self.charter) {
+            (Some(release), Some(charter)) => release.wanted(charter, &self.roster.running()),
+            _ => Running::new(),
+        }
+    }
+
+    fn stage(&self, now: Ns) -> Value {
+        let (Some(release), Some(charter)) = (&self.release, &self.charter) else { return Value::Null };
+        let (build, stage, phase, cap, since) = release.standing(charter);
+        json!({ "build": build, "stage": stage, "phase": phase_word(phase), "cap": cap, "age_ms": ms(now - since),
+            "earlier": release.earlier })
+    }
+
+    fn member(&self, now: Ns, name: &str) -> Value {
+        let (m, charter) = (&self.roster.machines[name], self.charter.as_ref());
+        let place = charter.and_then(|c| c.places.get(m.place));
+        let zone = place.and_then(|p| charter.map(|c| c.zone(&p.zone))).unwrap_or(0);
+        json!({ "name": name, "addr": m.addr, "place": place.map(|p| &p.name), "zone": zone,
+            "cell": place.map_or(0, |p| p.cell), "weight": place.map_or(1.0, |p| p.weight), "build": m.build,
+            "run": m.run, "state": state_word(m.state), "age_ms": ms(now - m.started) })
+    }
+
+    fn roster_line(&self, now: Ns, since: Option<u64>) -> Value {
+        let fits = |changed: u64, state: State| match since {
+            Some(serial) => changed > serial,
+            None => state != State::Gone,
+        };
+        let named = self.roster.machines.iter().filter(|(_, m)| fits(m.changed, m.state));
+        let members: Vec<Value> = named.map(|(name, _)| self.member(now, name)).collect();
+        json!({ "roster": { "kind": if since.is_some() { "changes" } else { "whole" },
+            "serial": self.roster.serial, "members": members } })
+    }
+
+    /// One request; `conn` names the connection if it becomes a watcher.
+    pub fn request(&mut self, now: Ns, conn: u64, method: &str, target: &str, body: &[u8]) -> Answer {
+        self.calls += 1;
+        let (path, query) = target.split_once('?').unwrap_or((target, ""));
+        let asked = |name: &str| {
+            query.split('&').filter_map(|p| p.split_once('=')).find(|(n, _)| *n == name).map(|(_, v)| v)
+        };
+        let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+        if (method, parts.as_slice()) == ("PUT", &["settings"]) {
+            return self.put_settings(body);
+        }
+        let json: Value = match serde_json::from_slice(body) {
+            Ok(json) => json,
+            Err(_) if body.is_empty() => Value::Null,
+            Err(err) => return no(400, ".", err.to_string()),
+        };
+        if method == "GET" {
+            return match parts.as_slice() {
+                ["settings"] => match &self.charter {
+                    Some(charter) => {
+                        Answer::Now(200, json!({ "version": self.version, "settings": charter }))
+                    }
+                    None => no(404, "settings", "none were given yet"),
+                },
+                ["status"] => Answer::Now(200, self.status(now)),
+                ["stage"] if self.charter.is_some() => Answer::Now(200, self.stage(now)),
+                ["roster"] if self.charter.is_some() => Answer::Now(200, self.roster_line(now, None)),
+                ["wanted"] if self.charter.is_some() => Answer::Now(200, self.wanted_line()),
+                ["watch"] => self.watch(conn, asked("front"), asked("http"), asked("notes")),
+                ["stage" | "roster" | "wanted"] => no(409, "settings", "none were given yet"),
+                _ => no(404, "path", "no such thing here"),
+            };
+        }
+        if method != "POST" {
+            return no(405, "method", "GET, POST and PUT are known");
+        }
+        if self.charter.is_none() {
+            return no(409, "settings", "none were given yet");
+        }
+        match parts.as_slice() {
+            ["builds"] => self.offer(now, &json),
+            ["builds", build, "back"] => self.back(now, build),
+            ["votes"] => self.vote(now, &json),
+            ["counts"] => self.count(&json),
+            ["machines", name] => self.beat(now, name, &json),
+            _ => no(404, "path", "no such thing here"),
+        }
+    }
+
+    fn put_settings(&mut self, body: &[u8]) -> Answer {
+        let charter = match Charter::read(body) {
+            Ok(charter) => charter,
+            Err(wrong) => {
+                tracing::info!(event = "settings refused", field = wrong[0].field, why = wrong[0].why);
+                return Answer::Now(422, json!({ "errors": wrong }));
+            }
+        };
+        match &mut self.release {
+            None => self.release = Some(Release::new(&charter)),
+            Some(release) => {
+                // Machines are known by their places' numbers: those in use must stay where they are.
+                let old = self.charter.as_ref().map_or(&[][..], |c| &c.places);
+                let same = old.iter().zip(&charter.places).all(|(a, b)| a.name == b.name);
+                if !same || old.len() > charter.places.len() {
+                    return no(409, "places", "places may be added at the end, not moved or taken away");
+                }
+                if let Err(why) = release.under(&charter) {
+                    return no(409, "rollout.stages", why);
+                }
+            }
+        }
+        self.charter = Some(charter);
+        self.version += 1;
+        self.dirty = true;
+        tracing::info!(event = "settings", version = self.version);
+        Answer::Now(200, json!({ "version": self.version }))
+    }
+
+    fn offer(&mut self, now: Ns, json: &Value) -> Answer {
+        let build = field!(json, "build", as_u64);
+        let Some(release) = &mut self.release else { return no(409, "settings", "none were given yet") };
+        match release.offer(now, build.min(u64::from(u32::MAX)) as u32) {
+            Ok(off) => {
+                off.iter().for_each(log);
+                tracing::info!(event = "offer", build);
+                (self.dirty, self.stage_changed) = (true, true);
+                Answer::Now(201, self.stage(now))
+            }
+            Err(why) => no(409, "build", why),
+        }
+    }
+
+    fn back(&mut self, now: Ns, build: &str) -> Answer {
+        let Ok(build) = build.parse() else { return no(400, "build", "not a number") };
+        match self.release.as_mut().map(|r| r.back(now, build, "an operator's word")) {
+            Some(Ok(moved)) => {
+                log(&moved);
+                (self.dirty, self.stage_changed) = (true, true);
+                Answer::Now(200, self.stage(now))
+            }
+            _ => no(409, "build", "not a build that can be sent back"),
+        }
+    }
+
+    fn vote(&mut self, now: Ns, json: &Value) -> Answer {
+        let front = field!(json, "front", as_str);
+        let (build, stage) = (field!(json, "build", as_u64) as u32, field!(json, "stage", as_u64) as u32);
+        let Some(verdict) = verdict_of(field!(json, "verdict", as_str)) else {
+            return no(400, "verdict", "on, hold, back or none");
+        };
+        let (Some(release), Some(charter)) = (&mut self.release, &self.charter) else {
+            return no(409, "settings", "none were given yet");
+        };
+        if !charter.fronts.iter().any(|f| f.name == front) {
+            return no(403, "front", "not among the fronts");
+        }
+        let rate = charter.rollout.votes_a_second;
+        let saved = (now - self.bucket.1) as f64 / SEC as f64 * rate;
+        self.bucket = ((self.bucket.0 + saved).min(2.0 * rate), now);
+        if self.bucket.0 < 1.0 {
+            self.votes[2] += 1;
+            return no(429, "votes", "too many a second");
+        }
+        self.bucket.0 -= 1.0;
+        match release.vote(now, charter.rollout.control(), front, build, stage, verdict) {
+            Ok(()) => {
+                self.votes[0] += 1;
+                tracing::info!(event = "vote", front, build, stage, verdict = verdict_word(verdict));
+                Answer::Now(200, json!({ "counted": true, "stage": self.stage(now) }))
+            }
+            Err(moot) => {
+                self.votes[1] += 1;
+                let field = match moot {
+                    Moot::Build => "build",
+                    Moot::Stage => "stage",
+                    Moot::Verdict => "verdict",
+                };
+                let errors = [Wrong { field: field.into(), why: "moot: not the present one".into() }];
+                Answer::Now(409, json!({ "counted": false, "errors": errors, "stage": self.stage(now) }))
+            }
+        }
+    }
+
+    fn count(&mut self, json: &Value) -> Answer {
+        let Some(rows) = json.get("rows").and_then(Value::as_array).filter(|r| r.len() <= MOST_ROWS) else {
+            return no(400, "rows", "a list of at most 512 is wanted");
+        };
+        let methods = self.charter.as_ref().map_or(0, |c| c.methods.len());
+        let mut read = Vec::new();
+        for (i, row) in rows.iter().enumerate() {
+            let at = |j: usize| row.get(j).and_then(Value::as_u64).filter(|n| *n < 1 << 32);
+            match (at(0), at(1), at(2), at(3)) {
+                (Some(b), Some(m), Some(picks), Some(bad)) if (m as usize) < methods && bad <= picks => {
+                    read.push(((b as u32, m as usize), picks, bad));
+                }
+                _ => return no(400, &format!("rows[{i}]"), "build, method, picks and not ok are wanted"),
+            }
+        }
+        for (at, picks, bad) in read {
+            if self.counts.len() < MOST_ROWS || self.counts.contains_key(&at) {
+                let count = self.counts.entry(at).or_default();
+                *count = [count[0] + picks, count[1] + bad];
+            }
+        }
+        Answer::Now(200, json!({}))
+    }
+
+    fn beat(&mut self, now: Ns, name: &str, json: &Value) -> Answer {
+        if !plain(name) {
+            return no(400, "name", "1 to 64 letters, digits, '-', '_' or '.'");
+        }
+        let addr = field!(json, "addr", as_str);
+        if addr.parse::<std::net::SocketAddr>().is_err() {
+            return no(400, "addr", "an address and a port are wanted");
+        }
+        let beat = Beat {
+            name,
+            addr,
+            place: field!(json, "place", as_str),
+            build: field!(json, "build", as_u64).min(65_535) as u32,
+            run: field!(json, "run", as_u64),
+            age: (field!(json, "age_ms", as_f64).clamp(0.0, 1e12) * MS as f64) as Ns,
+            leaving: json.get("leaving").and_then(Value::as_bool).unwrap_or(false),
+            held: json.get("held").and_then(Value::as_u64).unwrap_or(0).min(1 << 20) as u32,
+        };
+        if json.get("left").and_then(Value::as_bool).unwrap_or(false) {
+            self.roster.leave(name, beat.run);
+            tracing::info!(event = "machine left", machine = name);
+            return Answer::Now(200, json!({ "order": "stop" }));
+        }
+        let known = self.roster.machines.get(name).map(|m| (m.run, m.state));
+        let wanted = self.wanted();
+        let Some(charter) = &self.charter else { return no(409, "settings", "none were given yet") };
+        let run = beat.run;
+        match self.roster.beat(now, charter, &wanted, beat) {
+            Err(why) => no(409, "place", why),
+            Ok(order) => {
+                let state = self.roster.machines[name].state;
+                if known != Some((run, state)) {
+                    tracing::info!(event = "machine", machine = name, state = state_word(state));
+                }
+                let word = match order {
+                    Order::Serve => "serve",
+                    Order::Drain => "drain",
+                    Order::Stop => "stop",
+                };
+                Answer::Now(200, json!({ "order": word }))
+            }
+        }
+    }
+
+    fn watch(&mut self, conn: u64, front: Option<&str>, http: Option<&str>, notes: Option<&str>) -> Answer {
+        if self.watchers.len() >= MOST_WATCHERS {
+            return no(503, "watch", "too many watchers");
+        }
+        let front = front.unwrap_or("").to_string();
+        let known = self.charter.as_ref().is_some_and(|c| c.fronts.iter().any(|f| f.name == front));
+        if !front.is_empty() && known {
+            let at = FrontAt { http: http.unwrap_or("").into(), notes: notes.unwrap_or("").into() };
+            let fits = |a: &str| a.is_empty() || a.parse::<std::net::SocketAddr>().is_ok();
+            if !fits(&at.http) || !fits(&at.notes) {
+                return no(400, "notes", "an address and a port are wanted");
+            }
+            self.fronts.insert(front.clone(), at);
+            self.fronts_serial += 1;
+            tracing::info!(event = "front watches", front);
+        }
+        let watcher = Watcher { front, serial: None, staged: false, fronts: 0, charter: self.version };
+        self.watchers.insert(conn, watcher);
+        Answer::Watch
+    }
+
+    pub fn unwatch(&mut self, conn: u64) {
+        self.watchers.remove(&conn);
+    }
+
+    fn wanted_line(&self) -> Value {
+        let (wanted, present) = (self.wanted(), self.roster.present());
+        let places = self.charter.as_ref().map_or(&[][..], |c| &c.places);
+        let line = |(p, b): &(usize, u32)| json!({ "place": places.get(*p).map(|p| &p.name), "build": b, "present": present.contains(&(*p, *b)) });
+        json!({ "wanted": wanted.iter().map(line).collect::<Vec<_>>() })
+    }
+
+    fn status(&self, now: Ns) -> Value {
+        let names = self.roster.machines.keys();
+        let machines: Vec<Value> = names.map(|name| self.member(now, name)).collect();
+        let votes: Vec<Value> = (self.release.iter().flat_map(Release::votes))
+            .map(|(front, v)| json!({ "front": front, "verdict": verdict_word(v) }))
+            .collect();
+        let watching: Vec<&String> =
+            self.watchers.values().map(|w| &w.front).filter(|f| !f.is_empty()).collect();
+        json!({ "settings_version": self.version, "stage": self.stage(now), "machines": machines, "votes": votes,
+            "fronts": self.fronts, "watching": watching, "calls": self.calls,
+            "votes_taken": self.votes[0], "votes_moot": self.votes[1], "votes_over_rate": self.votes[2] })
+    }
+
+    /// Lets time pass; returns the lines that watchers are due, by connection.
+    pub fn pass(&mut self, now: Ns) -> Vec<(u64, String)> {
+        if self.settled(now) {
+            let wanted = self.wanted();
+            for (name, state) in self.roster.sweep(now, &wanted) {
+                tracing::info!(event = "machine", machine = name, state = state_word(state));
+            }
+            let running = self.roster.running();
+            if let (Some(release), Some(charter)) = (&mut self.release, &self.charter) {
+                if let Some(moved) = release.tick(now, charter, &running) {
+                    log(&moved);
+                    (self.dirty, self.stage_changed) = (true, true);
+                }
+            }
+        }
+        let Some(charter) = &self.charter else { return Vec::new() };
+        let r = &charter.rollout;
+        let every = r.told_every_ms as Ns * MS;
+        let tell_stage = std::mem::take(&mut self.stage_changed) || now - self.told >= every;
+        if tell_stage {
+            self.told = now;
+        }
+        let mut tally = None;
+        if r.tally_every_ms > 0 && now - self.tallied >= r.tally_every_ms as Ns * MS {
+            self.tallied = now;
+            let row = |((b, m), [picks, bad]): (&(u32, usize), &[u64; 2])| json!([b, m, picks, bad]);
+            let rows: Vec<Value> = self.counts.iter().map(row).collect();
+            tally = (!rows.is_empty()).then(|| json!({ "tally": rows }).to_string());
+            self.counts.clear();
+        }
+        let stage = json!({ "stage": self.stage(now) }).to_string();
+        let rank = |name: &String| charter.fronts.iter().position(|f| f.name == *name);
+        let fronts: Vec<Value> = (self.fronts.iter())
+            .filter_map(|(name, at)| {
+                Some(json!({ "name": name, "rank": rank(name)?, "http": at.http, "notes": at.notes }))
+            })
+            .collect();
+        let fronts = json!({ "fronts": fronts }).to_string();
+        let settled = self.settled(now);
+        let whole = self.roster_line(now, None).to_string();
+        let mut watchers = std::mem::take(&mut self.watchers);
+        let mut lines = Vec::new();
+        let mut changes: BTreeMap<u64, String> = BTreeMap::new();
+        for (conn, w) in &mut watchers {
+            // The stage comes before the roster: a build listed but never told counts as in its first stage.
+            if tell_stage || !w.staged {
+                lines.push((*conn, stage.clone()));
+                w.staged = true;
+            }
+            if w.charter != self.version {
+                lines.push((*conn, json!({ "settings_version": self.version }).to_string()));
+                w.charter = self.version;
+            }
+            if w.fronts != self.fronts_serial {
+                lines.push((*conn, fronts.clone()));
+                w.fronts = self.fronts_serial;
+            }
+            match w.serial {
+                None if settled => lines.push((*conn, whole.clone())),
+                Some(since) if since != self.roster.serial => {
+                    let line = changes
+                        .entry(since)
+                        .or_insert_with(|| self.roster_line(now, Some(since)).to_string());
+                    lines.push((*conn, line.clone()));
+                }
+                _ => {}
+            }
+            if settled {
+                w.serial = Some(self.roster.serial);
+            }
+            lines.extend(tally.iter().map(|t| (*conn, t.clone())));
+        }
+        self.watchers = watchers;
+        lines
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn say(desk: &mut Desk, now: Ns, method: &str, path: &str, body: Value) -> (u16, Value) {
+        let text = if body.is_null() { String::new() } else { body.to_string() };
+        match desk.request(now, 9, method, path, text.as_bytes()) {
+            Answer::Now(status, value) => (status, value),
+            Answer::Watch => (0, Value::Null),
+        }
+    }
+
+    fn seated() -> Desk {
+        let mut desk = Desk::open(0, None).unwrap();
+        let charter = serde_json::to_value(Charter::example(2, 4)).unwrap();
+        assert_eq!(say(&mut desk, 0, "PUT", "/settings", charter).0, 200);
+        desk
+    }
+
+    #[test]
+    fn a_refused_setting_changes_nothing_and_names_its_field() {
+        let mut desk = seated();
+        let mut charter = serde_json::to_value(Charter::example(2, 4)).unwrap();
+        charter["guard"]["cold_from"] = json!(7);
+        let (status, said) = say(&mut desk, 0, "PUT", "/settings", charter.clone());
+        assert_eq!((status, said["errors"][0]["field"].as_str()), (422, Some("guard.cold_from")));
+        charter["guard"]["cold_from"] = json!(0.5);
+        charter["places"].as_array_mut().unwrap().pop();
+        assert_eq!(say(&mut desk, 0, "PUT", "/settings", charter).0, 409);
+        assert_eq!((desk.version, desk.charter.clone().unwrap()), (1, Charter::example(2, 4)));
+    }
+
+    #[test]
+    fn bad_calls_get_a_4xx_each() {
+        let mut desk = seated();
+        for (method, path, body, wanted) in [
+            ("POST", "/votes", json!({}), 400),
+            ("POST", "/votes", json!({"front":"f9","build":1,"stage":0,"verdict":"on"}), 403),
+            ("POST", "/votes", json!({"front":"f0","build":1,"stage":0,"verdict":"maybe"}), 400),
+            ("POST", "/votes", json!({"front":"f0","build":1,"stage":0,"verdict":"on"}), 409),
+            ("POST", "/builds", json!({"build":1}), 409),
+            ("POST", "/builds", json!({"build":"x"}), 400),
+            ("POST", "/builds/x/back", json!(null), 400),
+            ("POST", "/counts", json!({"rows":[[1,99,1,0]]}), 400),
+            ("POST", "/machines/a b", json!({}), 400),
+            ("POST", "/machines/a", json!({"addr":"nowhere"}), 400),
+            ("DELETE", "/stage", json!(null), 405),
+            ("GET", "/nothing", json!(null), 404),
+        ] {
+            assert_eq!(say(&mut desk, 0, method, path, body.clone()).0, wanted, "{method} {path} {body}");
+        }
+        assert!(matches!(desk.request(0, 9, "POST", "/votes", b"{"), Answer::Now(400, _)));
+    }
+
+    #[test]
+    fn after_a_restart_the_stage_is_told_at_once_and_the_roster_held_until_machines_have_beaten() {
+        let mut desk = seated();
+        assert_eq!(say(&mut desk, 0, "POST", "/builds", json!({"build":2})).0, 201);
+        let kept = desk.save(SEC).unwrap();
+        let mut desk = Desk::open(10 * SEC, Some(&kept)).unwrap();
+        assert_eq!(say(&mut desk, 10 * SEC, "GET", "/watch?front=f0&notes=127.0.0.1:9", json!(null)).0, 0);
+        let kinds = |lines: Vec<(u64, String)>| -> Vec<String> {
+            lines.iter().map(|(_, l)| l[2..].split('"').next().unwrap().to_string()).collect()
+        };
+        assert_eq!(kinds(desk.pass(10 * SEC)), ["stage", "fronts"]);
+        let beat = json!({"addr":"127.0.0.1:1","place":"p0","build":1,"run":5,"age_ms":60000.0});
+        assert_eq!(say(&mut desk, 11 * SEC, "POST", "/machines/m", beat).1["order"], "serve");
+        assert_eq!(kinds(desk.pass(11 * SEC)), Vec::<String>::new());
+        assert_eq!(kinds(desk.pass(12 * SEC)), ["stage", "roster"]);
+        assert!(Desk::open(0, Some(&kept[..kept.len() / 2])).is_err());
+    }
+
+    #[test]
+    fn votes_over_the_rate_do_not_count() {
+        let mut desk = seated();
+        say(&mut desk, 0, "POST", "/builds", json!({"build":2}));
+        let vote = json!({"front":"f0","build":2,"stage":0,"verdict":"on"});
+        let statuses: Vec<u16> =
+            (0..200).map(|_| say(&mut desk, SEC, "POST", "/votes", vote.clone()).0).collect();
+        assert_eq!(statuses.iter().filter(|s| **s == 200).count(), 160, "a burst of twice the rate");
+        assert_eq!(say(&mut desk, 2 * SEC, "POST", "/votes", vote).0, 200);
+    }
+}
--- /dev/null
+++ b/control/src/release.rs
@@ -0,0 +1,387 @@
+//! The release state machine: offers, stages, votes, going back. No I/O and no clock: every call is told
+//! the time and what runs where.
+use crate::charter::Charter;
+use rockpick::{Control, Ns, Phase, Verdict};
+use std::collections::{BTreeMap, BTreeSet};
+
+const MS: Ns = 1_000_000;
+/// A stage's clock starts when all its machines run, and this long after its order at the latest: one that
+/// can't start must not hold a stage for ever.
+const START_WITHIN: Ns = 8_000 * MS;
+
+/// What runs: place and build.
+pub type Running = BTreeSet<(usize, u32)>;
+
+#[derive(Clone, Debug, PartialEq)]
+struct Vote {
+    stage: u32,
+    verdict: Verdict,
+    at: Ns,
+}
+
+/// The newest build that was offered.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Trial {
+    pub build: u32,
+    pub stage: u32,
+    pub phase: Phase,
+    /// Since when it has been in this stage and phase.
+    pub since: Ns,
+    /// How long this stage has run, all its machines up and nobody holding.
+    pub ran: Ns,
+    clock: bool,
+    votes: BTreeMap<String, Vote>,
+}
+
+/// What moved, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Moved {
+    pub build: u32,
+    pub stage: u32,
+    pub phase: Phase,
+    pub why: String,
+}
+
+/// Why a vote does not count.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Moot {
+    /// Not the present build, or it can't be voted on any more.
+    Build,
+    /// Not the present stage.
+    Stage,
+    /// No such verdict under this kind of control.
+    Verdict,
+}
+
+#[derive(Clone, Debug)]
+pub struct Release {
+    /// The build to go back to.
+    pub earlier: u32,
+    pub newest: Option<Trial>,
+    /// Places in the order in which stages take them: zone by zone in turn.
+    order: Vec<usize>,
+    ticked: Ns,
+}
+
+/// Takes places zone by zone in turn, so that every stage meets every zone.
+fn order(charter: &Charter) -> Vec<usize> {
+    let mut zones: Vec<Vec<usize>> = vec![Vec::new(); charter.zones.len()];
+    for (i, place) in charter.places.iter().enumerate() {
+        zones[charter.zone(&place.zone) as usize].push(i);
+    }
+    let rounds = zones.iter().map(Vec::len).max().unwrap_or(0);
+    (0..rounds).flat_map(|r| zones.iter().filter_map(move |z| z.get(r).copied())).collect()
+}
+
+impl Release {
+    pub fn new(charter: &Charter) -> Release {
+        Release { earlier: charter.first_build, newest: None, order: order(charter), ticked: 0 }
+    }
+
+    /// Goes on under another charter; the trial's stage must exist there.
+    pub fn under(&mut self, charter: &Charter) -> Result<(), &'static str> {
+        let stages = charter.rollout.stages.len();
+        let on_trial = self.newest.as_ref().filter(|t| t.phase == Phase::OnTrial);
+        if on_trial.is_some_and(|t| t.stage as usize >= stages) {
+            return Err("the build on trial is past the last of these stages");
+        }
+        self.order = order(charter);
+        Ok(())
+    }
+
+    /// Brings back what a snapshot kept.
+    pub fn restore(&mut self, now: Ns, earlier: u32, newest: Option<(u32, u32, Phase, Ns, Ns)>) {
+        self.earlier = earlier;
+        self.ticked = now;
+        self.newest = newest.map(|(build, stage, phase, age, ran)| Trial {
+            build,
+            stage,
+            phase,
+            since: now - age,
+            ran,
+            clock: ran > 0,
+            votes: BTreeMap::new(),
+        });
+    }
+
+    /// Offers a build. One still on trial is taken off by it; one released becomes the one to go back to.
+    pub fn offer(&mut self, now: Ns, build: u32) -> Result<Option<Moved>, &'static str> {
+        let last = self.newest.as_ref().map_or(self.earlier, |t| t.build.max(self.earlier));
+        if build <= last {
+            return Err("a build's number must be above all before it");
+        }
+        if build > 65_535 {
+            return Err("builds go up to 65535");
+        }
+        let mut off = None;
+        match &self.newest {
+            Some(t) if t.phase == Phase::Released => self.earlier = t.build,
+            Some(t) if matches!(t.phase, Phase::OnTrial | Phase::GoingBack) => {
+                let why = format!("build {build} was offered");
+                off = Some(Moved { build: t.build, stage: t.stage, phase: Phase::Withdrawn, why });
+            }
+            _ => {}
+        }
+        self.newest = Some(Trial {
+            build,
+            stage: 0,
+            phase: Phase::OnTrial,
+            since: now,
+            ran: 0,
+            clock: false,
+            votes: BTreeMap::new(),
+        });
+        Ok(off)
+    }
+
+    /// A front's vote; it replaces the one before.
+    pub fn vote(
+        &mut self, now: Ns, control: Control, front: &str, build: u32, stage: u32, verdict: Verdict,
+    ) -> Result<(), Moot> {
+        let Some(t) = self.newest.as_mut().filter(|t| t.build == build) else { return Err(Moot::Build) };
+        let open = t.phase == Phase::OnTrial || t.phase == Phase::Released && verdict == Verdict::Back;
+        if !open && verdict != Verdict::NoVote {
+            return Err(Moot::Build);
+        }
+        let known = match verdict {
+            Verdict::On => control != Control::Automatic,
+            Verdict::Hold => control == Control::Automatic,
+            _ => true,
+        };
+        if !known {
+            return Err(Moot::Verdict);
+        }
+        if matches!(verdict, Verdict::On | Verdict::Hold) && stage != t.stage {
+            return Err(Moot::Stage);
+        }
+        t.votes.insert(front.into(), Vote { stage, verdict, at: now });
+        Ok(())
+    }
+
+    /// An operator sends the build back.
+    pub fn back(&mut self, now: Ns, build: u32, why: &str) -> Result<Moved, Moot> {
+        let t = self.newest.as_mut().filter(|t| t.build == build).ok_or(Moot::Build)?;
+        if !matches!(t.phase, Phase::OnTrial | Phase::Released) {
+            return Err(Moot::Build);
+        }
+        Ok(t.turn(now, t.stage, Phase::GoingBack, why.into()))
+    }
+
+    /// Lets time pass: counts standing votes, runs the stage's clock, moves on or back.
+    pub fn tick(&mut self, now: Ns, charter: &Charter, running: &Running) -> Option<Moved> {
+        let span = (now - std::mem::replace(&mut self.ticked, now)).max(0);
+        let r = &charter.rollout;
+        let life = r.vote_life_ms as Ns * MS;
+        let wanted = self.chosen(charter);
+        let earlier = self.earlier;
+        let t = self.newest.as_mut()?;
+        t.votes.retain(|_, v| now - v.at < life);
+        let count = |t: &Trial, verdict: Verdict, stage: Option<u32>| -> u32 {
+            let fits = |v: &&Vote| v.verdict == verdict && stage.is_none_or(|s| s == v.stage);
+            t.votes.values().filter(fits).count() as u32
+        };
+        let backs = count(t, Verdict::Back, None);
+        match t.phase {
+            Phase::OnTrial | Phase::Released if backs >= r.back_votes.max(1) => {
+                let fronts: Vec<&str> = t
+                    .votes
+                    .iter()
+                    .filter(|(_, v)| v.verdict == Verdict::Back)
+                    .map(|(f, _)| f.as_str())
+                    .collect();
+                let why = format!("back votes of {}", fronts.join(", "));
+                Some(t.turn(now, t.stage, Phase::GoingBack, why))
+            }
+            Phase::OnTrial => {
+                let all_up = wanted.iter().all(|p| running.contains(&(*p, t.build)));
+                let held = r.control() == Control::Automatic
+                    && count(t, Verdict::Hold, Some(t.stage)) >= r.hold_votes.max(1);
+                if t.clock && !held {
+                    t.ran += span;
+                }
+                t.clock |= all_up || now - t.since >= START_WITHIN;
+                let (ready, why) = match r.control() {
+                    Control::Automatic => (t.ran >= r.step_ms as Ns * MS, "its time is over".to_string()),
+                    control => {
+                        let ons = count(t, Verdict::On, Some(t.stage));
+                        let needed = if control == Control::FirstVoice { 1 } else { r.on_votes.max(1) };
+                        (t.ran >= r.dwell_ms as Ns * MS && ons >= needed, format!("on votes: {ons}"))
+                    }
+                };
+                if !ready || !t.clock {
+                    return None;
+                }
+                let last = t.stage as usize + 1 >= r.stages.len();
+                let phase = if last { Phase::Released } else { Phase::OnTrial };
+                let stage = if last { t.stage } else { t.stage + 1 };
+                Some(t.turn(now, stage, phase, why))
+            }
+            Phase::GoingBack => {
+                let gone = !running.iter().any(|(_, b)| *b == t.build);
+                let served = running.iter().any(|(_, b)| *b == earlier);
+                (gone && served).then(|| t.turn(now, t.stage, Phase::Withdrawn, "none of it runs".into()))
+            }
+            _ => None,
+        }
+    }
+
+    /// The places that the present stage gives to the newest build.
+    fn chosen(&self, charter: &Charter) -> Vec<usize> {
+        let Some(t) = &self.newest else { return Vec::new() };
+        let share = charter.rollout.stages.get(t.stage as usize).copied().unwrap_or(1.0);
+        let many = (share * self.order.len() as f64 - 1e-9).ceil() as usize;
+        self.order[..many.clamp(1, self.order.len())].to_vec()
+    }
+
+    /// What should run where, given what runs: machines not in it are drained.
+    pub fn wanted(&self, charter: &Charter, running: &Running) -> Running {
+        let all = || self.order.iter().copied();
+        let earlier = all().map(|p| (p, self.earlier));
+        let Some(t) = &self.newest else { return earlier.collect() };
+        let runs = |p: usize, b: u32| running.contains(&(p, b));
+        match t.phase {
+            Phase::Withdrawn => earlier.collect(),
+            Phase::Released => {
+                // In either layout the earlier build leaves a place only once the new one runs there.
+                let left = earlier.filter(|(p, _)| !runs(*p, t.build));
+                all().map(|p| (p, t.build)).chain(left.collect::<Vec<_>>()).collect()
+            }
+            Phase::OnTrial => {
+                let chosen: BTreeSet<usize> = self.chosen(charter).into_iter().collect();
+                let parallel = charter.rollout.parallel;
+                let stays = |p: usize| parallel || !chosen.contains(&p) || !runs(p, t.build);
+                let old = earlier.filter(|(p, _)| stays(*p)).collect::<Vec<_>>();
+                chosen.iter().map(|p| (*p, t.build)).chain(old).collect()
+            }
+            Phase::GoingBack => {
+                // It goes from a place once the earlier one runs there; nothing is sent to it meanwhile.
+                let new =
+                    all().filter(|p| runs(*p, t.build) && !runs(*p, self.earlier)).map(|p| (p, t.build));
+                earlier.clone().chain(new.collect::<Vec<_>>()).collect()
+            }
+        }
+    }
+
+    /// Build, stage, phase, cap and since when: what fronts are told.
+    pub fn standing(&self, charter: &Charter) -> (u32, u32, Phase, f64, Ns) {
+        let Some(t) = &self.newest else { return (self.earlier, 0, Phase::Released, 1.0, 0) };
+        let cap = match t.phase {
+            Phase::OnTrial => charter.rollout.caps.get(t.stage as usize).copied().unwrap_or(0.0),
+            Phase::Released => 1.0,
+            _ => 0.0,
+        };
+        (t.build, t.stage, t.phase, cap, t.since)
+    }
+
+    /// Standing votes, for whoever asks.
+    pub fn votes(&self) -> Vec<(String, Verdict)> {
+        let votes = self.newest.iter().flat_map(|t| &t.votes);
+        votes.map(|(front, v)| (front.clone(), v.verdict)).collect()
+    }
+}
+
+impl Trial {
+    fn turn(&mut self, now: Ns, stage: u32, phase: Phase, why: String) -> Moved {
+        (self.stage, self.phase, self.since, self.ran, self.clock) = (stage, phase, now, 0, false);
+        self.votes.retain(|_, v| v.verdict == Verdict::Back && phase == Phase::OnTrial);
+        Moved { build: self.build, stage, phase, why }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::charter::ControlBy;
+
+    const SEC: Ns = 1_000 * MS;
+
+    fn charter(control: ControlBy, parallel: bool) -> Charter {
+        let mut charter = Charter::example(5, 10);
+        (charter.rollout.control, charter.rollout.parallel) = (control, parallel);
+        (charter.rollout.on_votes, charter.rollout.back_votes) = (3, 2);
+        charter.rollout.step_ms = 3_000;
+        charter
+    }
+
+    fn reconcile(release: &Release, charter: &Charter, running: &mut Running) {
+        *running = release.wanted(charter, running);
+        *running = release.wanted(charter, running);
+    }
+
+    #[test]
+    fn by_count_moves_on_with_enough_votes_after_the_dwell_and_no_sooner() {
+        let charter = charter(ControlBy::ByCount, true);
+        let (mut release, mut running) = (Release::new(&charter), Running::new());
+        reconcile(&release, &charter, &mut running);
+        release.offer(0, 2).unwrap();
+        assert_eq!(release.wanted(&charter, &running).iter().filter(|(_, b)| *b == 2).count(), 1);
+        assert_eq!(release.wanted(&charter, &running).len(), 11, "the earlier machines stay");
+        release.tick(SEC, &charter, &running);
+        for f in ["f0", "f1", "f2"] {
+            release.vote(SEC, Control::ByCount, f, 2, 0, Verdict::On).unwrap();
+        }
+        assert_eq!(release.tick(2 * SEC, &charter, &running), None, "its machine does not run yet");
+        reconcile(&release, &charter, &mut running);
+        assert_eq!(release.tick(2 * SEC, &charter, &running), None, "the clock starts here");
+        assert_eq!(release.tick(2 * SEC + 999 * MS, &charter, &running), None);
+        assert_eq!(release.tick(3 * SEC, &charter, &running).unwrap().stage, 1);
+        assert_eq!(release.vote(3 * SEC, Control::ByCount, "f0", 2, 0, Verdict::On), Err(Moot::Stage));
+        for at in [13, 14, 24, 25] {
+            for f in ["f0", "f1", "f2"] {
+                let stage = release.newest.as_ref().unwrap().stage;
+                release.vote(at * SEC, Control::ByCount, f, 2, stage, Verdict::On).unwrap();
+            }
+            release.tick(at * SEC, &charter, &running);
+        }
+        assert_eq!(release.newest.as_ref().unwrap().phase, Phase::Released);
+        reconcile(&release, &charter, &mut running);
+        assert!(running.iter().all(|(_, b)| *b == 2));
+    }
+
+    #[test]
+    fn votes_lapse_and_only_enough_standing_ones_send_back_also_after_the_release() {
+        let charter = charter(ControlBy::ByCount, true);
+        let mut release = Release::new(&charter);
+        release.restore(0, 1, Some((2, 2, Phase::Released, SEC, 0)));
+        let mut running: Running = (0..10).map(|p| (p, 2)).collect();
+        release.vote(0, Control::ByCount, "f0", 2, 0, Verdict::Back).unwrap();
+        release.vote(5 * SEC, Control::ByCount, "f1", 2, 0, Verdict::Back).unwrap();
+        assert_eq!(release.tick(5 * SEC, &charter, &running), None, "f0's vote has lapsed");
+        release.vote(6 * SEC, Control::ByCount, "f0", 2, 0, Verdict::Back).unwrap();
+        assert_eq!(release.tick(6 * SEC, &charter, &running).unwrap().phase, Phase::GoingBack);
+        assert_eq!(release.standing(&charter).3, 0.0);
+        let wanted = release.wanted(&charter, &running);
+        assert_eq!(wanted.len(), 20, "the bad ones stay until the earlier ones run");
+        running = wanted;
+        running = release.wanted(&charter, &running);
+        assert_eq!(release.tick(7 * SEC, &charter, &running).unwrap().phase, Phase::Withdrawn);
+        assert_eq!(release.vote(8 * SEC, Control::ByCount, "f0", 2, 0, Verdict::Back), Err(Moot::Build));
+    }
+
+    #[test]
+    fn automatic_control_moves_by_time_and_stands_still_on_hold() {
+        let charter = charter(ControlBy::Automatic, false);
+        let (mut release, mut running) = (Release::new(&charter), Running::new());
+        reconcile(&release, &charter, &mut running);
+        release.offer(0, 2).unwrap();
+        reconcile(&release, &charter, &mut running);
+        assert_eq!(running.len(), 10, "in place: the earlier one leaves once its successor runs");
+        release.tick(0, &charter, &running);
+        assert_eq!(release.vote(0, Control::Automatic, "f0", 2, 0, Verdict::On), Err(Moot::Verdict));
+        release.tick(2 * SEC, &charter, &running);
+        release.vote(2 * SEC, Control::Automatic, "f0", 2, 0, Verdict::Hold).unwrap();
+        assert_eq!(release.tick(5 * SEC, &charter, &running), None, "held");
+        assert_eq!(release.tick(8 * SEC, &charter, &running).unwrap().stage, 1, "the hold has lapsed");
+    }
+
+    #[test]
+    fn a_newer_offer_takes_off_one_on_trial_and_an_older_one_is_refused() {
+        let charter = charter(ControlBy::FirstVoice, true);
+        let mut release = Release::new(&charter);
+        release.offer(0, 2).unwrap();
+        assert_eq!(release.offer(SEC, 3).unwrap().unwrap().build, 2);
+        assert!(release.offer(SEC, 3).is_err() && release.offer(SEC, 70_000).is_err());
+        assert_eq!(release.earlier, 1);
+        assert!(!release.wanted(&charter, &Running::new()).iter().any(|(_, b)| *b == 2));
+    }
+}
--- /dev/null
+++ b/control/src/roster.rs
@@ -0,0 +1,205 @@
+//! Which machines there are, as they report themselves; no I/O and no clock.
+use crate::charter::Charter;
+use crate::release::Running;
+use rockpick::{Ns, State};
+use std::collections::BTreeMap;
+
+const MS: Ns = 1_000_000;
+/// A machine unheard of for this long is gone: six of its beats.
+const SILENT: Ns = 3_000 * MS;
+/// A machine that has gone is forgotten after this; coming back later it is a new one.
+const FORGOTTEN: Ns = 60_000 * MS;
+/// After its start a controller holds its roster back this long: all machines have beaten by then, and an
+/// empty list would tell fronts that all are gone.
+pub const SETTLE: Ns = 2_000 * MS;
+/// A gap between sweeps beyond this means that the controller itself stood still; machines are not blamed.
+const STALL: Ns = 1_000 * MS;
+/// Most machines that may register: two builds at every place, and those that are going.
+const MOST: usize = 15_000;
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Machine {
+    pub addr: String,
+    pub place: usize,
+    pub build: u32,
+    /// Differs with every start of its process.
+    pub run: u64,
+    pub started: Ns,
+    pub state: State,
+    heard: Ns,
+    leaving: bool,
+    held: u32,
+    drained: Option<Ns>,
+    /// The serial of its last change.
+    pub changed: u64,
+}
+
+/// What a machine is to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Order {
+    Serve,
+    Drain,
+    Stop,
+}
+
+/// A machine's word for itself.
+pub struct Beat<'a> {
+    pub name: &'a str,
+    pub addr: &'a str,
+    pub place: &'a str,
+    pub build: u32,
+    pub run: u64,
+    pub age: Ns,
+    pub leaving: bool,
+    pub held: u32,
+}
+
+#[derive(Default)]
+pub struct Roster {
+    pub machines: BTreeMap<String, Machine>,
+    pub serial: u64,
+    swept: Ns,
+}
+
+impl Roster {
+    pub fn beat(
+        &mut self, now: Ns, charter: &Charter, wanted: &Running, beat: Beat,
+    ) -> Result<Order, &'static str> {
+        let Some(place) = charter.places.iter().position(|p| p.name == beat.place) else {
+            return Err("no such place");
+        };
+        if self.machines.len() >= MOST && !self.machines.contains_key(beat.name) {
+            return Err("too many machines");
+        }
+        let known = self.machines.get(beat.name).filter(|m| m.run == beat.run);
+        let twin = self.machines.iter().any(|(name, m)| {
+            name != beat.name && m.place == place && m.build == beat.build && m.state == State::Up
+        });
+        if known.is_none() && twin {
+            return Err("another machine runs this build at this place");
+        }
+        let mut m = known.cloned().unwrap_or(Machine {
+            addr: beat.addr.into(),
+            place,
+            build: beat.build,
+            run: beat.run,
+            started: now - beat.age.max(0),
+            state: State::Gone,
+            heard: now,
+            leaving: false,
+            held: 0,
+            drained: None,
+            changed: 0,
+        });
+        m.heard = now;
+        m.held = beat.held;
+        m.leaving |= beat.leaving;
+        let wants = wanted.contains(&(place, beat.build)) && !m.leaving;
+        let state = if wants { State::Up } else { State::Draining };
+        if state != m.state {
+            m.drained = (state == State::Draining).then_some(now);
+            m.state = state;
+            self.serial += 1;
+            m.changed = self.serial;
+        }
+        let grace = charter.guard.drain_grace_ms as Ns * MS;
+        let deadline = charter.methods.iter().map(|r| r.deadline_ms).max().unwrap_or(0) as Ns * MS;
+        let order = match m.drained {
+            None => Order::Serve,
+            // Fronts send for the grace after they were told, and what they sent may run to its deadline.
+            Some(at) if now - at > 2 * grace + deadline => Order::Stop,
+            Some(at) if now - at > 2 * grace && m.held == 0 => Order::Stop,
+            Some(_) => Order::Drain,
+        };
+        self.machines.insert(beat.name.into(), m);
+        Ok(order)
+    }
+
+    /// A machine says that it has ended.
+    pub fn leave(&mut self, name: &str, run: u64) {
+        if let Some(m) = self.machines.get_mut(name).filter(|m| m.run == run && m.state != State::Gone) {
+            m.state = State::Gone;
+            self.serial += 1;
+            m.changed = self.serial;
+        }
+    }
+
+    /// Finds those that have gone silent, and drains those no longer wanted.
+    pub fn sweep(&mut self, now: Ns, wanted: &Running) -> Vec<(String, State)> {
+        let gap = now - std::mem::replace(&mut self.swept, now);
+        if gap > STALL {
+            self.machines.values_mut().for_each(|m| m.heard += gap);
+        }
+        let mut moved = Vec::new();
+        self.machines.retain(|_, m| m.state != State::Gone || now - m.heard < FORGOTTEN);
+        for (name, m) in &mut self.machines {
+            let silent = now - m.heard > SILENT;
+            let state = match m.state {
+                State::Gone => continue,
+                _ if silent => State::Gone,
+                State::Up if !wanted.contains(&(m.place, m.build)) => State::Draining,
+                State::Draining if !m.leaving && wanted.contains(&(m.place, m.build)) => State::Up,
+                state => state,
+            };
+            if state != m.state {
+                m.drained = (state == State::Draining).then_some(now);
+                m.state = state;
+                self.serial += 1;
+                m.changed = self.serial;
+                moved.push((name.clone(), state));
+            }
+        }
+        moved
+    }
+
+    /// What runs: machines that are up.
+    pub fn running(&self) -> Running {
+        let up = self.machines.values().filter(|m| m.state == State::Up);
+        up.map(|m| (m.place, m.build)).collect()
+    }
+
+    /// What is there in any way, draining too: a host must not start a second one beside it.
+    pub fn present(&self) -> Running {
+        let there = self.machines.values().filter(|m| m.state != State::Gone);
+        there.map(|m| (m.place, m.build)).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SEC: Ns = 1_000 * MS;
+
+    fn beat<'a>(name: &'a str, place: &'a str, held: u32) -> Beat<'a> {
+        Beat { name, addr: "127.0.0.1:1", place, build: 1, run: 7, age: 0, leaving: false, held }
+    }
+
+    #[test]
+    fn a_drained_machine_stops_after_the_grace_when_it_holds_nothing() {
+        let charter = Charter::example(1, 2);
+        let (mut roster, wanted) = (Roster::default(), Running::from([(0, 1)]));
+        assert_eq!(roster.beat(0, &charter, &wanted, beat("a", "p0", 0)), Ok(Order::Serve));
+        assert_eq!(roster.sweep(SEC / 2, &Running::new()), [("a".to_string(), State::Draining)]);
+        let none = Running::new();
+        assert_eq!(roster.beat(SEC, &charter, &none, beat("a", "p0", 0)), Ok(Order::Drain));
+        assert_eq!(roster.beat(3 * SEC, &charter, &none, beat("a", "p0", 1)), Ok(Order::Drain));
+        assert_eq!(roster.beat(4 * SEC, &charter, &none, beat("a", "p0", 0)), Ok(Order::Stop));
+        assert!(roster.beat(4 * SEC, &charter, &wanted, beat("b", "p9", 0)).is_err());
+    }
+
+    #[test]
+    fn silence_is_gone_but_not_when_the_controller_itself_stood_still() {
+        let charter = Charter::example(1, 2);
+        let (mut roster, wanted) = (Roster::default(), Running::from([(0, 1)]));
+        roster.beat(0, &charter, &wanted, beat("a", "p0", 0)).unwrap();
+        roster.sweep(0, &wanted);
+        assert_eq!(roster.sweep(60 * SEC, &wanted), [], "a minute's stall");
+        for tenth in 1..40 {
+            roster.sweep(60 * SEC + tenth * SEC / 10, &wanted);
+        }
+        assert_eq!(roster.machines["a"].state, State::Gone);
+        assert_eq!(roster.beat(65 * SEC, &charter, &wanted, beat("a", "p0", 0)), Ok(Order::Serve));
+        assert_eq!(roster.machines["a"].started, 0, "the same run keeps its start");
+    }
+}
--- a/net/src/http.rs
+++ b/net/src/http.rs
@@ -172,7 +172,11 @@
     let said = |word: &str| {
         lines.all("connection").any(|v| v.split(',').any(|w| w.trim().eq_ignore_ascii_case(word)))
     };
-    if old { said("keep-alive") } else { !said("close") }
+    if old {
+        said("keep-alive")
+    } else {
+        !said("close")
+    }
 }
 
 fn explain(err: httparse::Error) -> Refusal {
@@ -220,14 +224,8 @@
     let framing = framing(&lines, old)?.unwrap_or(Framing::Length(0));
     let keep = keeps(&lines, old);
     let head_only = method == "HEAD";
-    let message = Request {
-        method: method.into(),
-        target: target.into(),
-        lines,
-        body: Vec::new(),
-        keep,
-        head_only,
-    };
+    let message =
+        Request { method: method.into(), target: target.into(), lines, body: Vec::new(), keep, head_only };
     Ok(Some(Head { message, framing, long, expects }))
 }
 
@@ -246,7 +244,12 @@
     let told = framing(&lines, old)?;
     let framing = if empty { Framing::Length(0) } else { told.unwrap_or(Framing::Close) };
     let keep = keeps(&lines, old) && framing != Framing::Close;
-    Ok(Some(Head { message: Response { status, lines, body: Vec::new(), keep }, framing, long, expects: false }))
+    Ok(Some(Head {
+        message: Response { status, lines, body: Vec::new(), keep },
+        framing,
+        long,
+        expects: false,
+    }))
 }
 
 /// Takes a body apart as it arrives.
@@ -386,7 +389,9 @@
 }
 
 /// Writes an answer; `body` none: a head that opens a chunked stream.
-pub fn answer(out: &mut Vec<u8>, status: u16, lines: &[(&str, &str)], body: Option<&[u8]>, keep: bool, bare: bool) {
+pub fn answer(
+    out: &mut Vec<u8>, status: u16, lines: &[(&str, &str)], body: Option<&[u8]>, keep: bool, bare: bool,
+) {
     use std::io::Write;
     let _ = write!(out, "HTTP/1.1 {status} {}\r\n", reason(status));
     for (name, value) in lines {
@@ -473,6 +478,9 @@
             let mut body = Body::new(Framing::Chunked, 100);
             assert!(body.take(bad.as_bytes(), &mut Vec::new()).is_err(), "{bad:?}");
         }
-        assert_eq!(Body::new(Framing::Chunked, 3).take(b"4\r\nWiki", &mut Vec::new()).unwrap_err().status, 413);
+        assert_eq!(
+            Body::new(Framing::Chunked, 3).take(b"4\r\nWiki", &mut Vec::new()).unwrap_err().status,
+            413
+        );
     }
 }
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -4,9 +4,11 @@
 //! Bounds, and the answer when one is met, stand beside their constants here and in [`http`].
 pub mod http;
 mod net;
+mod often;
 mod timers;
 
 pub use net::{Call, End, Event, Id, Net, LINGER, MAX_BACKLOG, MAX_CALLS, MAX_IDLE};
+pub use often::Often;
 pub use timers::{Ns, Timers};
 
 pub const MS: Ns = 1_000_000;
--- a/net/src/net.rs
+++ b/net/src/net.rs
@@ -50,16 +50,35 @@
 #[derive(Debug)]
 pub enum Event {
     /// A whole request; the connection waits for [`Net::answer`] or [`Net::open_stream`].
-    Request { conn: Id, request: Request },
+    Request {
+        conn: Id,
+        request: Request,
+    },
     /// The client closed its side while an answer was owed: nothing can be sent any more.
-    Left { conn: Id },
+    Left {
+        conn: Id,
+    },
     /// A call has ended; nothing more comes of it.
-    Ended { call: Id, end: End },
+    Ended {
+        call: Id,
+        end: End,
+    },
     /// A piece of a streamed answer.
-    Piece { call: Id, status: u16, bytes: Vec<u8> },
-    Woke { tag: u64 },
-    Datagram { from: SocketAddr, bytes: Vec<u8> },
-    Signal { number: i32 },
+    Piece {
+        call: Id,
+        status: u16,
+        bytes: Vec<u8>,
+    },
+    Woke {
+        tag: u64,
+    },
+    Datagram {
+        from: SocketAddr,
+        bytes: Vec<u8>,
+    },
+    Signal {
+        number: i32,
+    },
 }
 
 /// How a call ended.
@@ -91,7 +110,10 @@
     Head,
     Body(Box<(Request, Body)>),
     /// The caller owes the answer.
-    Work { keep: bool, bare: bool },
+    Work {
+        keep: bool,
+        bare: bool,
+    },
     Stream,
     /// The last answer is sent; what still comes is dropped.
     Lingering,
@@ -189,7 +211,8 @@
 impl Net {
     pub fn new(most_clients: usize) -> io::Result<Net> {
         let mut full = Vec::new();
-        let lines = [("Rockpick-Answer", "pushed-back"), ("Retry-After", "1"), ("Rockpick-Retry-After-Ms", "250")];
+        let lines =
+            [("Rockpick-Answer", "pushed-back"), ("Retry-After", "1"), ("Rockpick-Retry-After-Ms", "250")];
         http::answer(&mut full, 503, &lines, Some(b"too many connections\n"), false, false);
         Ok(Net {
             poll: epoll::create(epoll::CreateFlags::CLOEXEC)?,
@@ -367,7 +390,9 @@
 
     /// A piece of a stream; false when the connection has gone, also for being too slow.
     pub fn stream(&mut self, conn: Id, bytes: &[u8]) -> bool {
-        let Some(client) = self.client(conn).filter(|c| matches!(c.serve, Serve::Stream)) else { return false };
+        let Some(client) = self.client(conn).filter(|c| matches!(c.serve, Serve::Stream)) else {
+            return false;
+        };
         if client.out.len() - client.sent + bytes.len() > MAX_BACKLOG {
             self.drop_sock(conn);
             return false;
@@ -733,7 +758,14 @@
             client.serve = Serve::Head;
             let lines = [("Rockpick-Answer", "not-taken"), ("Content-Type", "text/plain")];
             let body = format!("{}\n", refusal.why);
-            http::answer(&mut client.out, refusal.status.max(400), &lines, Some(body.as_bytes()), false, false);
+            http::answer(
+                &mut client.out,
+                refusal.status.max(400),
+                &lines,
+                Some(body.as_bytes()),
+                false,
+                false,
+            );
             self.flush_client(id);
         }
     }
@@ -879,9 +911,7 @@
 
     fn sweep_calls(&mut self, events: &mut Vec<Event>) {
         let now = self.now;
-        let late = |s: &Slot| {
-            matches!(&s.sock, Sock::Server(c) if matches!(c.step, Step::Connecting) && c.until <= now)
-        };
+        let late = |s: &Slot| matches!(&s.sock, Sock::Server(c) if matches!(c.step, Step::Connecting) && c.until <= now);
         for id in self.ids(late) {
             self.lost(events, id, "");
         }
@@ -891,7 +921,8 @@
         let now = self.now;
         self.swept = now;
         self.sweep_calls(events);
-        let idle = |s: &Slot| matches!(&s.sock, Sock::Server(c) if matches!(c.step, Step::Idle) && c.until <= now);
+        let idle =
+            |s: &Slot| matches!(&s.sock, Sock::Server(c) if matches!(c.step, Step::Idle) && c.until <= now);
         self.ids(idle).into_iter().for_each(|id| self.drop_sock(id));
         for id in self.ids(|s| matches!(&s.sock, Sock::Client(c) if c.until <= now)) {
             let Some(client) = self.client(id) else { continue };
