--- /dev/null
+++ b/cli/src/ask.rs
@@ -0,0 +1,98 @@
+//! Calls to the controller from the command line.
+use crate::Bad2;
+use rockpick_control::Charter;
+use rockpick_net::http::Response;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+/// One call, waited for; five seconds at most.
+pub fn call(to: SocketAddr, method: &str, target: &str, body: &str) -> Result<Response, Bad2> {
+    rockpick_rehearse::call(to, method, target, body).map_err(Bad2)
+}
+
+/// A call whose answer is printed.
+pub fn say(to: SocketAddr, method: &str, target: &str, body: &str) -> Result<ExitCode, Bad2> {
+    let answer = call(to, method, target, body)?;
+    let text = String::from_utf8_lossy(&answer.body);
+    let value: Value = serde_json::from_str(&text).unwrap_or(Value::Null);
+    if answer.status >= 400 {
+        match value["errors"].as_array() {
+            Some(errors) => errors.iter().for_each(|e| {
+                eprintln!("{}: {}", e["field"].as_str().unwrap_or(""), e["why"].as_str().unwrap_or(""));
+            }),
+            None => eprintln!("{text}"),
+        }
+        return Ok(ExitCode::from(1));
+    }
+    println!("{}", serde_json::to_string_pretty(&value).unwrap_or_default());
+    Ok(ExitCode::SUCCESS)
+}
+
+fn json(to: SocketAddr, target: &str) -> Result<Value, Bad2> {
+    let answer = call(to, "GET", target, "")?;
+    let value = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
+    if answer.status == 200 {
+        Ok(value)
+    } else {
+        Err(Bad2(format!("GET {target}: {value}")))
+    }
+}
+
+pub fn settings(to: SocketAddr) -> Result<Charter, Bad2> {
+    let text = json(to, "/settings")?["settings"].to_string();
+    Charter::read(text.as_bytes()).map_err(|wrong| Bad2(format!("{}: {}", wrong[0].field, wrong[0].why)))
+}
+
+/// Names and addresses of the fronts that have watched.
+pub fn fronts(to: SocketAddr) -> Result<(Vec<String>, Vec<SocketAddr>), Bad2> {
+    let status = json(to, "/status")?;
+    let fronts = status["fronts"].as_object().cloned().unwrap_or_default();
+    let addr = |at: &Value| -> Option<SocketAddr> { at["http"].as_str()?.parse().ok() };
+    Ok(fronts.iter().filter_map(|(name, at)| Some((name.clone(), addr(at)?))).unzip())
+}
+
+pub fn status(to: SocketAddr, raw: bool) -> Result<ExitCode, Bad2> {
+    let status = json(to, "/status")?;
+    if raw {
+        println!("{}", serde_json::to_string_pretty(&status).unwrap_or_default());
+        return Ok(ExitCode::SUCCESS);
+    }
+    let stage = &status["stage"];
+    if stage.is_null() {
+        println!("no settings were given yet");
+        return Ok(ExitCode::SUCCESS);
+    }
+    let seconds = |ms: &Value| ms.as_f64().unwrap_or(0.0) / 1e3;
+    println!(
+        "build {} stage {} {}, cap {}, for {:.1} s; earlier build {}; settings {}",
+        stage["build"],
+        stage["stage"],
+        stage["phase"].as_str().unwrap_or(""),
+        stage["cap"],
+        seconds(&stage["age_ms"]),
+        stage["earlier"],
+        status["settings_version"]
+    );
+    for vote in status["votes"].as_array().into_iter().flatten() {
+        println!("vote {} {}", vote["front"].as_str().unwrap_or(""), vote["verdict"].as_str().unwrap_or(""));
+    }
+    println!("{:<16} {:<22} {:>6} {:<9} {:>9}", "machine", "address", "build", "state", "age s");
+    for m in status["machines"].as_array().into_iter().flatten() {
+        println!(
+            "{:<16} {:<22} {:>6} {:<9} {:>9.1}",
+            m["name"].as_str().unwrap_or(""),
+            m["addr"].as_str().unwrap_or(""),
+            m["build"],
+            m["state"].as_str().unwrap_or(""),
+            seconds(&m["age_ms"])
+        );
+    }
+    let watching: Vec<&str> =
+        status["watching"].as_array().into_iter().flatten().filter_map(Value::as_str).collect();
+    for (name, at) in status["fronts"].as_object().into_iter().flatten() {
+        let word = if watching.contains(&name.as_str()) { "watching" } else { "away" };
+        println!("front {name} {} {word}", at["http"].as_str().unwrap_or(""));
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/front/src/hall.rs
@@ -0,0 +1,669 @@
+//! The front's loop: sockets and timers in, calls to the module out.
+use crate::saved::{self, Saved, Writer};
+use crate::wire::{read_note, wait_lines, What, Wire, LAPSE, MODULE, TICK};
+use crate::{fresh, Opening};
+use rockpick::{Front, Member, Ns, Outcome, Reply, Roll, Standing};
+use rockpick_control::charter::Repeats;
+use rockpick_control::desk::{phase_of, phase_word, state_of};
+use rockpick_control::Charter;
+use rockpick_net::http::Request;
+use rockpick_net::{End, Event, Id, Net, MS, SEC};
+use serde_json::{json, Value};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+/// Most RPCs open at once; one more is pushed back without the module.
+const MOST_OPEN: usize = 30_000;
+/// Most machines known over a front's life; a roster that names more is cut there.
+const MOST_MACHINES: usize = 60_000;
+/// Longest line of a watch: a roster of 10,000 machines.
+const MOST_LINE: usize = 8 * 1024 * 1024;
+/// The front's own beat: counts, snapshot, silence of the watch.
+const TICK_EVERY: Ns = 250 * MS;
+/// A front without settings asks for them this often.
+const ASK_EVERY: Ns = 500 * MS;
+const SIGTERM: i32 = 15;
+const SIGINT: i32 = 2;
+
+struct Hall {
+    wire: Wire,
+    /// The module, and its former lives whose RPCs are not all answered: settings came since.
+    lives: VecDeque<(u64, Front)>,
+    born: Ns,
+    version: u64,
+    line: Vec<u8>,
+    heard: Ns,
+    /// The stage as last told, whole, and when it is to be told to the module once more.
+    stage: Option<Value>,
+    again: Option<Ns>,
+    writer: Option<Writer>,
+    dirty: bool,
+    counted: Ns,
+    ticked: Ns,
+    leaving: Option<Ns>,
+    asking: bool,
+    no_settings: bool,
+}
+
+/// Runs a front until a signal ends it; `ready` hears the address taken.
+///
+/// # Errors
+/// An address that can't be listened on, a snapshot that makes no sense.
+pub fn run(opening: Opening, ready: impl FnOnce(SocketAddr)) -> Result<(), String> {
+    let say = |err: std::io::Error| err.to_string();
+    let mut net = Net::new(opening.most_clients).map_err(say)?;
+    for signal in [SIGTERM, SIGINT] {
+        net.on_signal(signal).map_err(say)?;
+    }
+    let file = opening.state.as_ref().map(|dir| dir.join(format!("{}.json", opening.name)));
+    if let Some(dir) = &opening.state {
+        std::fs::create_dir_all(dir).map_err(|err| format!("{}: {err}", dir.display()))?;
+    }
+    let kept = match &file {
+        Some(file) => saved::load(file)?,
+        None => None,
+    };
+    let (_, at) = net.listen(opening.listen).map_err(|err| format!("{}: {err}", opening.listen))?;
+    let (notes, notes_at) = net.datagrams(SocketAddr::new(at.ip(), 0)).map_err(say)?;
+    let no_settings = kept.is_none();
+    let charter = kept.as_ref().map_or_else(|| Charter::example(1, 1), |k| k.settings.clone());
+    let wire = Wire::new(opening, charter, net, notes, at, notes_at);
+    let mut hall = Hall {
+        wire,
+        lives: VecDeque::new(),
+        born: 0,
+        version: 0,
+        line: Vec::new(),
+        heard: 0,
+        stage: None,
+        again: None,
+        writer: file.map(Writer::new),
+        dirty: false,
+        counted: 0,
+        ticked: 0,
+        leaving: None,
+        asking: false,
+        no_settings,
+    };
+    if let Some(kept) = kept {
+        hall.restore(kept)?;
+    }
+    ready(at);
+    tracing::info!(event = "front up", at = %at, settings_version = hall.version, saved = !no_settings);
+    hall.tick();
+    hall.work()
+}
+
+impl Hall {
+    fn work(mut self) -> Result<(), String> {
+        let mut events = Vec::new();
+        loop {
+            events.append(&mut self.wire.made);
+            self.wire.net.turn(&mut events, SEC).map_err(|err| err.to_string())?;
+            for event in events.drain(..) {
+                self.event(event);
+                self.settle();
+            }
+            if let Some(by) = self.leaving {
+                let open = self.wire.open.iter().flatten().count();
+                if open == 0 || self.wire.net.now() > by {
+                    // Answers still in the sockets' buffers go out with the linger of a closing connection.
+                    let mut last = Vec::new();
+                    let _ = self.wire.net.turn(&mut last, 0);
+                    let saved = self.snapshot();
+                    if let Some(writer) = self.writer.take() {
+                        writer.close(saved);
+                    }
+                    tracing::info!(event = "front down", open);
+                    return Ok(());
+                }
+            }
+        }
+    }
+
+    /// Makes a call to every life of the module, oldest first.
+    fn each(&mut self, mut call: impl FnMut(&mut Front, &mut Wire)) {
+        for (number, front) in &mut self.lives {
+            self.wire.acting = *number;
+            let began = self.wire.opening.profile.then(|| self.wire.net.clock());
+            call(front, &mut self.wire);
+            if let Some(began) = began {
+                self.wire.in_module += self.wire.net.clock() - began;
+            }
+        }
+    }
+
+    fn one(&mut self, life: u64, call: impl FnOnce(&mut Front, &mut Wire)) {
+        if let Some((number, front)) = self.lives.iter_mut().find(|(n, _)| *n == life) {
+            self.wire.acting = *number;
+            let began = self.wire.opening.profile.then(|| self.wire.net.clock());
+            call(front, &mut self.wire);
+            if let Some(began) = began {
+                self.wire.in_module += self.wire.net.clock() - began;
+            }
+        }
+    }
+
+    /// Tells the module of ends that came while it was at work.
+    fn settle(&mut self) {
+        while let Some((rpc, pick, outcome, _)) = self.wire.owed.pop() {
+            self.pick_over(rpc, pick, outcome, None);
+        }
+    }
+
+    fn event(&mut self, event: Event) {
+        match event {
+            Event::Request { conn, request } => self.request(conn, request),
+            Event::Left { conn } => {
+                if let Some(rpc) = self.wire.door.rpc(conn).filter(|rpc| !self.wire.door.finished(*rpc)) {
+                    self.wire.tolls.left += 1;
+                    self.wire.door.finish(rpc);
+                    let life = self.wire.open[rpc].as_ref().map_or(0, |o| o.life);
+                    self.one(life, |front, _| front.left(rpc));
+                    self.wire.sweep(rpc);
+                }
+            }
+            Event::Ended { call, end } => self.ended(call, end),
+            Event::Piece { call, status, bytes } => {
+                if self.wire.watch == Some(call) && status == 200 {
+                    self.piece(&bytes);
+                }
+            }
+            Event::Woke { tag } if tag & MODULE != 0 => {
+                let (life, tag) = ((tag & !MODULE) >> 8, tag & 0xff);
+                self.one(life, |front, wire| front.woke(wire, tag));
+            }
+            Event::Woke { tag: LAPSE } => {
+                while let Some(call) = self.wire.lapsed() {
+                    self.lapsed(call);
+                    self.settle();
+                }
+            }
+            Event::Woke { tag: TICK } => self.tick(),
+            Event::Woke { .. } => {}
+            Event::Datagram { from, bytes } => {
+                // A note counts only from where the controller says that this front is.
+                if let Some((rank, note)) =
+                    read_note(&bytes).filter(|(r, _)| self.wire.peers.get(r) == Some(&from))
+                {
+                    self.each(|front, wire| front.heard(wire, rank as usize, note));
+                }
+            }
+            Event::Signal { number } => {
+                tracing::info!(event = "signal", number);
+                if self.leaving.is_none() {
+                    let longest = self.wire.charter.methods.iter().map(|m| m.deadline_ms).max().unwrap_or(0);
+                    self.leaving = Some(self.wire.net.now() + longest as Ns * MS + SEC);
+                    self.wire.net.stop_listening();
+                }
+            }
+        }
+    }
+
+    fn request(&mut self, conn: Id, request: Request) {
+        let path = request.path().to_string();
+        if let Some(method) = path.strip_prefix("/rpc/") {
+            return self.rpc(conn, method, request);
+        }
+        let (status, value) = match (request.method.as_str(), path.as_str()) {
+            ("GET" | "HEAD", "/status") => (200, self.status()),
+            ("POST", "/dispute") => self.dispute(&request.body),
+            (_, "/status" | "/dispute") => (405, json!({ "error": "GET /status or POST /dispute" })),
+            _ => (404, json!({ "error": "POST /rpc/METHOD, POST /dispute and GET /status are known" })),
+        };
+        let body = format!("{value}\n");
+        self.wire.net.answer(conn, status, &[("Content-Type", "application/json")], body.as_bytes());
+    }
+
+    /// Refuses to take an RPC; the client may send it again as it likes.
+    fn not_taken(&mut self, conn: Id, status: u16, why: &str) {
+        self.wire.tolls.not_taken += 1;
+        let body = format!("{why}\n");
+        let [seconds, ms] = wait_lines(SEC / 4);
+        let back = [
+            ("Rockpick-Answer", "pushed-back"),
+            ("Retry-After", &*seconds),
+            ("Rockpick-Retry-After-Ms", &*ms),
+        ];
+        let lines: &[(&str, &str)] = if status == 503 { &back } else { &[("Rockpick-Answer", "not-taken")] };
+        self.wire.net.answer(conn, status, lines, body.as_bytes());
+    }
+
+    fn rpc(&mut self, conn: Id, name: &str, request: Request) {
+        if request.method != "POST" {
+            return self.not_taken(conn, 405, "RPCs are POSTed");
+        }
+        if self.leaving.is_some() || self.lives.is_empty() {
+            return self.not_taken(conn, 503, "not taking RPCs now");
+        }
+        if self.wire.door.in_use() >= MOST_OPEN {
+            return self.not_taken(conn, 503, "too many RPCs are open");
+        }
+        let Some(method) = self.wire.charter.method(name) else {
+            return self.not_taken(conn, 404, "no such method");
+        };
+        let row = &self.wire.charter.methods[method];
+        let whole = row.deadline_ms as Ns * MS;
+        let left = match request.lines.get("rockpick-time-left-ms").map(str::parse::<f64>) {
+            None => whole,
+            Some(Ok(ms)) if ms.is_finite() && ms > 0.0 => ((ms * MS as f64) as Ns).min(whole),
+            Some(_) => return self.not_taken(conn, 400, "Rockpick-Time-Left-Ms: a number above 0 is wanted"),
+        };
+        if row.repeat == Repeats::Tokened && request.lines.get("idempotency-key").is_none_or(str::is_empty) {
+            return self.not_taken(conn, 400, "Idempotency-Key: wanted for this method");
+        }
+        let key = request.lines.get("rockpick-key").map(key_of);
+        let (rpc, by) = self.wire.take(conn, method, left, request);
+        let life = self.wire.life;
+        self.one(life, |front, wire| front.taken(wire, rpc, method, key, by));
+        self.settle();
+        self.wire.sweep(rpc);
+    }
+
+    fn pick_over(
+        &mut self, rpc: usize, pick: usize, outcome: Outcome, response: Option<rockpick_net::http::Response>,
+    ) {
+        if let Some((life, took, last)) = self.wire.pick_ended(rpc, pick, outcome, response) {
+            self.one(life, |front, wire| front.ended(wire, rpc, pick, outcome, took, last));
+            self.wire.sweep(rpc);
+        }
+    }
+
+    fn ended(&mut self, call: Id, end: End) {
+        let Some(what) = self.wire.calls.remove(&call) else { return };
+        match (what, end) {
+            (What::Pick(rpc, pick), end) => {
+                let (outcome, response) = match end {
+                    End::Answer(r) if r.status == 503 && r.lines.get("rockpick-never-ran") == Some("1") => {
+                        (Outcome::Full, None)
+                    }
+                    End::Answer(r) if r.status >= 500 => (Outcome::Error, None),
+                    End::Answer(r) => (Outcome::Ok, Some(r)),
+                    End::Unreachable | End::Unsent => (Outcome::Unreachable, None),
+                    End::Broken(_) => (Outcome::Broken, None),
+                };
+                self.pick_over(rpc, pick, outcome, response);
+            }
+            (What::Vote, end) => {
+                self.wire.voting = None;
+                let (reply, news) = match end {
+                    End::Answer(r) => {
+                        let said: Value = serde_json::from_slice(&r.body).unwrap_or(Value::Null);
+                        let counted = r.status == 200;
+                        (if counted { Reply::Counted } else { Reply::Refused }, said.get("stage").cloned())
+                    }
+                    End::Broken(_) => (Reply::TimedOut, None),
+                    End::Unreachable | End::Unsent => (Reply::Refused, None),
+                };
+                self.told(reply, news.filter(Value::is_object));
+            }
+            (What::Watch, _) => {
+                self.wire.watch = None;
+                self.line.clear();
+                tracing::warn!(event = "watch lost");
+                self.each(|front, wire| front.members(wire, Roll::Failed, &[]));
+            }
+            (What::Fetch, End::Answer(r)) if r.status == 200 => {
+                match serde_json::from_slice::<Value>(&r.body) {
+                    Ok(line) => self.news(&line),
+                    Err(_) => self.each(|front, wire| front.members(wire, Roll::Failed, &[])),
+                }
+            }
+            (What::Fetch, _) => self.each(|front, wire| front.members(wire, Roll::Failed, &[])),
+            (What::Settings, End::Answer(r)) if r.status == 200 => {
+                self.asking = false;
+                self.settings(&r.body);
+            }
+            (What::Settings, _) => self.asking = false,
+            (What::Else, _) => {}
+        }
+    }
+
+    /// A call's time is over.
+    fn lapsed(&mut self, call: Id) {
+        let Some(what) = self.wire.calls.remove(&call) else { return };
+        self.wire.net.cancel(call);
+        match what {
+            What::Pick(rpc, pick) => self.pick_over(rpc, pick, Outcome::TimedOut, None),
+            What::Vote => {
+                self.wire.voting = None;
+                self.told(Reply::TimedOut, None);
+            }
+            What::Settings => self.asking = false,
+            What::Fetch => self.each(|front, wire| front.members(wire, Roll::Failed, &[])),
+            What::Watch | What::Else => {}
+        }
+    }
+
+    fn piece(&mut self, bytes: &[u8]) {
+        self.heard = self.wire.net.now();
+        self.line.extend_from_slice(bytes);
+        if self.line.len() > MOST_LINE {
+            self.line.clear();
+            return self.drop_watch("a line too long");
+        }
+        while let Some(end) = self.line.iter().position(|b| *b == b'\n') {
+            let rest = self.line.split_off(end + 1);
+            let line = std::mem::replace(&mut self.line, rest);
+            match serde_json::from_slice::<Value>(&line) {
+                Ok(line) => self.news(&line),
+                Err(_) => return self.drop_watch("a line that is no JSON"),
+            }
+        }
+    }
+
+    fn drop_watch(&mut self, why: &str) {
+        tracing::warn!(event = "watch dropped", why);
+        if let Some(watch) = self.wire.watch.take() {
+            self.wire.calls.remove(&watch);
+            self.wire.net.cancel(watch);
+        }
+        self.line.clear();
+        self.each(|front, wire| front.members(wire, Roll::Failed, &[]));
+    }
+
+    /// One line of the watch; kinds that are not known are passed over.
+    fn news(&mut self, line: &Value) {
+        if let Some(stage) = line.get("stage").filter(|s| s.is_object()) {
+            self.told(Reply::News, Some(stage.clone()));
+        }
+        if let Some(roster) = line.get("roster") {
+            let changes = roster.get("kind").and_then(Value::as_str) == Some("changes");
+            let empty = Vec::new();
+            let members = roster.get("members").and_then(Value::as_array).unwrap_or(&empty);
+            self.members(if changes { Roll::Changes } else { Roll::Whole }, members, 0.0);
+        }
+        if let Some(rows) = line.get("tally").and_then(Value::as_array) {
+            for row in rows {
+                let at = |i: usize| row.get(i).and_then(Value::as_u64).unwrap_or(0);
+                let (build, method, picks, bad) = (at(0) as u32, at(1) as usize, at(2) as u32, at(3) as u32);
+                if method < self.wire.charter.methods.len() {
+                    self.each(|front, wire| front.tallied(wire, build, method, picks, bad));
+                }
+            }
+        }
+        if let Some(fronts) = line.get("fronts").and_then(Value::as_array) {
+            let peer = |f: &Value| {
+                let rank = f.get("rank")?.as_u64()? as u32;
+                Some((rank, f.get("notes")?.as_str()?.parse().ok()?))
+            };
+            self.wire.peers = fronts.iter().filter_map(peer).collect();
+        }
+        if line.get("settings_version").and_then(Value::as_u64).is_some_and(|v| v != self.version) {
+            self.ask_settings();
+        }
+    }
+
+    fn standing(&self, stage: &Value, older: f64) -> Option<Standing> {
+        let now = self.wire.net.now();
+        let number = |name: &str| stage.get(name).and_then(Value::as_f64);
+        Some(Standing {
+            build: number("build")? as u32,
+            stage: number("stage")? as u32,
+            phase: phase_of(stage.get("phase")?.as_str()?)?,
+            cap: number("cap")?.clamp(0.0, 1.0),
+            since: now - ((number("age_ms")?.clamp(0.0, 1e12) + older) * MS as f64) as Ns,
+        })
+    }
+
+    fn told(&mut self, reply: Reply, stage: Option<Value>) {
+        self.told_older(reply, stage, 0.0);
+    }
+
+    fn told_older(&mut self, reply: Reply, stage: Option<Value>, older: f64) {
+        let news = stage.as_ref().and_then(|s| self.standing(s, older));
+        let (now, window) = (self.wire.net.now(), self.wire.charter.rollout.window_ms as Ns * MS);
+        let mut held = None;
+        if let Some(news) = news {
+            let before = self.wire.standing.replace(news);
+            let moved =
+                before.is_none_or(|b| (b.build, b.stage, b.phase) != (news.build, news.stage, news.phase));
+            if moved {
+                let (build, stage) = (news.build, news.stage);
+                tracing::info!(event = "told", build, stage, phase = phase_word(news.phase), cap = news.cap);
+                self.dirty = true;
+            }
+            let (may, again) = fresh::standing(news, self.born, now, window);
+            if again.is_some() && self.again.is_none() {
+                self.wire.net.wake_at(self.born + window, TICK);
+            }
+            self.again = again;
+            held = Some(may);
+            self.stage = stage;
+        }
+        // A reply is the newest life's; the others hear the news alone.
+        let newest = self.wire.life;
+        for life in self.lives.iter().map(|(n, _)| *n).collect::<Vec<_>>() {
+            let reply = if life == newest { reply } else { Reply::News };
+            self.one(life, |front, wire| front.told(wire, reply, held));
+        }
+    }
+
+    fn members(&mut self, roll: Roll, lines: &[Value], older: f64) {
+        let now = self.wire.net.now();
+        let mut entries = Vec::with_capacity(lines.len());
+        if roll != Roll::Changes {
+            self.wire.places.iter_mut().for_each(|p| p.gone = true);
+        }
+        for line in lines {
+            let word = |name: &str| line.get(name).and_then(Value::as_str);
+            let number = |name: &str| line.get(name).and_then(Value::as_f64).filter(|x| *x >= 0.0);
+            let (Some(name), Some(state)) = (word("name"), word("state").and_then(state_of)) else {
+                continue;
+            };
+            if self.wire.door.known(name).is_none() && self.wire.door.machines() >= MOST_MACHINES {
+                continue;
+            }
+            let machine = self.wire.door.machine(name);
+            if self.wire.places.len() <= machine {
+                self.wire.places.resize_with(machine + 1, Default::default);
+            }
+            let run = line.get("run").and_then(Value::as_u64).unwrap_or(0);
+            let place = &mut self.wire.places[machine];
+            // The same run keeps its start, whatever the clock of the telling did meanwhile.
+            if place.run != run || place.started.is_none() {
+                let age = number("age_ms").unwrap_or(0.0).min(1e12) + older;
+                place.started = Some(now - (age * MS as f64) as Ns);
+            }
+            (place.run, place.addr) = (run, word("addr").and_then(|a| a.parse().ok()));
+            place.build = number("build").unwrap_or(0.0) as u32;
+            place.gone = state == rockpick::State::Gone;
+            (place.line, place.at) = (line.clone(), now - (older * MS as f64) as Ns);
+            if let Some(addr) = place.addr.filter(|_| place.gone) {
+                self.wire.net.close_idle(addr);
+            }
+            entries.push(Member {
+                machine,
+                tag: rockpick_door::tag(name),
+                zone: number("zone").unwrap_or(0.0) as u32,
+                cell: number("cell").unwrap_or(0.0) as u32,
+                build: self.wire.places[machine].build,
+                state,
+                weight: number("weight").filter(|w| *w > 0.0).unwrap_or(1.0),
+                started: self.wire.places[machine].started,
+            });
+            if state == rockpick::State::Draining {
+                tracing::info!(event = "drain", machine = name);
+            }
+        }
+        self.each(|front, wire| front.members(wire, roll, &entries));
+        self.dirty |= roll != Roll::Saved;
+    }
+
+    fn ask_settings(&mut self) {
+        if !self.asking {
+            self.asking = true;
+            self.wire.ask(What::Settings, "GET", "/settings", "", Some(2 * SEC));
+        }
+    }
+
+    /// New settings begin a new life of the module; the former one finishes its RPCs.
+    fn settings(&mut self, body: &[u8]) {
+        let Ok(said) = serde_json::from_slice::<Value>(body) else { return };
+        let version = said.get("version").and_then(Value::as_u64).unwrap_or(0);
+        let text = said.get("settings").map(Value::to_string).unwrap_or_default();
+        match Charter::read(text.as_bytes()) {
+            Ok(charter) if version != self.version => {
+                self.begin(charter, version);
+                self.dirty = true;
+            }
+            Ok(_) => {}
+            Err(wrong) => {
+                tracing::warn!(event = "settings refused", field = wrong[0].field, why = wrong[0].why);
+            }
+        }
+    }
+
+    fn begin(&mut self, charter: Charter, version: u64) {
+        let opening = &self.wire.opening;
+        let Some(post) = charter.post(&opening.name, opening.seed ^ (self.wire.life + 1)) else {
+            if !std::mem::replace(&mut self.no_settings, true) || self.version != version {
+                tracing::warn!(
+                    event = "not among the fronts",
+                    name = opening.name,
+                    settings_version = version
+                );
+            }
+            self.version = version;
+            return;
+        };
+        self.wire.charter = charter;
+        (self.version, self.no_settings) = (version, false);
+        self.wire.life += 1;
+        self.wire.acting = self.wire.life;
+        // Its memory is empty like that of a restarted front.
+        self.born = self.wire.net.now();
+        let front = Front::start(post, &mut self.wire);
+        self.lives.push_back((self.wire.life, front));
+        tracing::info!(event = "settings", version, life = self.wire.life);
+        // It begins with what is known; the watch that it has just asked for brings the rest.
+        if let Some(stage) = self.stage.clone() {
+            self.told(Reply::News, Some(stage));
+        }
+        let known: Vec<Value> = self.known();
+        if !known.is_empty() {
+            self.members(Roll::Saved, &known, 0.0);
+        }
+    }
+
+    /// The roster's lines with their present ages.
+    fn known(&self) -> Vec<Value> {
+        let now = self.wire.net.now();
+        let aged = |p: &crate::wire::Place| {
+            let mut line = p.line.clone();
+            let age = line.get("age_ms").and_then(Value::as_f64).unwrap_or(0.0);
+            line["age_ms"] = json!(age + (now - p.at) as f64 / MS as f64);
+            line
+        };
+        self.wire.places.iter().filter(|p| !p.gone && p.line.is_object()).map(aged).collect()
+    }
+
+    fn snapshot(&self) -> Option<Saved> {
+        if self.lives.is_empty() {
+            return None;
+        }
+        Some(Saved {
+            settings_version: self.version,
+            settings: self.wire.charter.clone(),
+            stage: self.stage.clone(),
+            members: self.known(),
+            saved_ms: saved::wall_ms(),
+        })
+    }
+
+    fn restore(&mut self, kept: Saved) -> Result<(), String> {
+        let older = kept.age_ms();
+        self.begin(kept.settings.clone(), kept.settings_version);
+        if self.lives.is_empty() {
+            return Ok(()); // not among the fronts any more: it waits for settings that name it
+        }
+        self.told_older(Reply::News, kept.stage, older);
+        self.members(Roll::Saved, &kept.members, older);
+        Ok(())
+    }
+
+    fn tick(&mut self) {
+        let now = self.wire.net.now();
+        if let Some(at) = self.again.filter(|at| *at <= now) {
+            self.again = None;
+            let age = self.wire.standing.map_or(0.0, |s| (now - s.since) as f64 / MS as f64);
+            if let Some(mut stage) = self.stage.clone() {
+                stage["age_ms"] = json!(age);
+                self.told(Reply::News, Some(stage));
+            }
+            tracing::info!(event = "window over", since_start_ms = (at - self.born) / MS);
+        }
+        if now - self.ticked < TICK_EVERY && self.ticked > 0 {
+            return;
+        }
+        self.ticked = now;
+        self.wire.net.wake_at(now + TICK_EVERY, TICK);
+        if self.lives.is_empty() && now - self.heard >= ASK_EVERY {
+            self.heard = now;
+            self.ask_settings();
+        }
+        // A watch that has gone silent is dropped: three times the period at which the stage is told.
+        let silent = 3 * self.wire.charter.rollout.told_every_ms as Ns * MS + SEC;
+        if self.wire.watch.is_some() && now - self.heard > silent && !self.lives.is_empty() {
+            self.heard = now;
+            self.drop_watch("silent");
+        }
+        let every = self.wire.charter.rollout.tally_every_ms as Ns * MS;
+        if every > 0 && now - self.counted >= every && !self.wire.counts.is_empty() {
+            self.counted = now;
+            let row = |((b, m), [picks, bad]): (&(u32, usize), &[u32; 2])| json!([b, m, picks, bad]);
+            let rows: Vec<Value> = self.wire.counts.iter().map(row).collect();
+            self.wire.counts.clear();
+            let body = json!({ "front": self.wire.opening.name, "rows": rows }).to_string();
+            self.wire.ask(What::Else, "POST", "/counts", &body, Some(SEC));
+        }
+        let newest = self.wire.life;
+        let wire = &self.wire;
+        self.lives.retain(|(life, _)| *life == newest || !wire.idle(*life));
+        if self.dirty && self.writer.is_some() {
+            if let Some(saved) = self.snapshot() {
+                self.dirty = !self.writer.as_ref().is_some_and(|w| w.keep(saved));
+            }
+        }
+    }
+
+    fn dispute(&mut self, body: &[u8]) -> (u16, Value) {
+        let said: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
+        let name = said.get("machine").and_then(Value::as_str);
+        let age = said.get("age_ms").and_then(Value::as_f64).filter(|a| (0.0..1e9).contains(a));
+        let (Some(name), Some(age)) = (name, age) else {
+            return (400, json!({ "error": "machine and age_ms are wanted" }));
+        };
+        let Some(machine) = self.wire.door.known(name) else {
+            return (404, json!({ "error": "machine: not known" }));
+        };
+        let sent = self.wire.net.now() - (age * MS as f64) as Ns;
+        self.each(|front, wire| front.disputed(wire, machine, sent));
+        (202, json!({}))
+    }
+
+    fn status(&self) -> Value {
+        let t = &self.wire.tolls;
+        let now = self.wire.net.now();
+        let stage = self.wire.standing.map(|s| {
+            json!({ "build": s.build, "stage": s.stage, "phase": phase_word(s.phase), "cap": s.cap,
+                "age_ms": (now - s.since) / MS })
+        });
+        let (clients, calls) = self.wire.net.open();
+        let listed = self.wire.places.iter().filter(|p| !p.gone).count();
+        json!({ "name": self.wire.opening.name, "settings_version": self.version, "stage": stage,
+            "machines": listed, "watching": self.wire.watch.is_some(), "heard_ms_ago": (now - self.heard) / MS,
+            "open": self.wire.door.in_use(), "clients": clients, "calls": calls, "taken": t.taken, "ok": t.ok,
+            "pushed_back": t.pushed_back, "aborted": t.aborted, "left": t.left, "late": t.late, "picks": t.picks,
+            "not_taken": t.not_taken, "refused_connections": self.wire.net.refused,
+            "peers": self.wire.peers.len(), "module_ms": self.wire.in_module / MS, "up_ms": now / MS })
+    }
+}
+
+/// A key as the module wants it: a number as it is, any other text by its hash (FNV-1a, 64 bits).
+fn key_of(text: &str) -> u64 {
+    text.parse().unwrap_or_else(|_| {
+        text.bytes()
+            .fold(0xcbf2_9ce4_8422_2325, |h: u64, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+    })
+}
--- a/front/src/lib.rs
+++ b/front/src/lib.rs
@@ -1,1 +1,25 @@
+//! The running front. It reports every event of the interface to the decision module and carries out what
+//! the module says ([`wire`]); it decides nothing itself. What a restarted front may do is in [`fresh`].
+pub mod fresh;
+mod hall;
+mod saved;
+mod wire;
 
+pub use hall::run;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// What a front is given on its command line.
+#[derive(Clone)]
+pub struct Opening {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub controller: SocketAddr,
+    pub state: Option<PathBuf>,
+    pub seed: u64,
+    /// Measure the time spent in the module (a clock reading before and after each call).
+    pub profile: bool,
+    pub most_clients: usize,
+    /// Where other fronts are told to send notes, if not to the socket's own address.
+    pub notes_at: Option<SocketAddr>,
+}
--- a/net/src/net.rs
+++ b/net/src/net.rs
@@ -196,6 +196,8 @@
     spare: Option<OwnedFd>,
     scratch: Vec<u8>,
     pub refused: u64,
+    /// Words that came after an answer, or with no call on the connection.
+    pub stray: u64,
     /// Answer to a connection over the bound.
     full: Vec<u8>,
 }
@@ -231,6 +233,7 @@
             spare: spare(),
             scratch: vec![0; READ],
             refused: 0,
+            stray: 0,
             full,
         })
     }
@@ -833,10 +836,13 @@
 
     fn digest(&mut self, events: &mut Vec<Event>, id: Id) {
         let Some(server) = self.server(id) else { return };
+        if matches!(server.step, Step::Idle) {
+            self.stray += 1;
+            return self.drop_sock(id);
+        }
         let most = if server.stream { usize::MAX } else { http::MAX_BODY };
         let step: Result<bool, Refusal> = (|| loop {
             match &mut server.step {
-                Step::Idle => return Err(Refusal { status: 0, why: "words on an idle connection" }),
                 Step::Head => {
                     let Some(head) = http::response_head(&server.buf)? else { return Ok(false) };
                     server.buf.drain(..head.long);
@@ -853,7 +859,7 @@
                     server.buf.drain(..used);
                     return Ok(state.1.done());
                 }
-                Step::Connecting => return Ok(false),
+                Step::Connecting | Step::Idle => return Ok(false),
             }
         })();
         let done = match step {
@@ -869,7 +875,9 @@
         if done {
             let response = std::mem::take(&mut state.0);
             // Words beyond the answer, or an answer before the request was whole: not a connection to keep.
+            let stray = !server.buf.is_empty();
             let keep = response.keep && server.buf.is_empty() && server.sent == server.out.len();
+            self.stray += u64::from(stray);
             self.park(id, keep);
             events.push(Event::Ended { call: id, end: End::Answer(response) });
         }
--- /dev/null
+++ b/rehearse/src/crew.rs
@@ -0,0 +1,645 @@
+//! The processes of a rehearsal: started, stopped and killed by the script; a host that starts the machines
+//! which the controller wants; the clients; and the judgement at the end.
+use crate::day::{self, Act, Plan};
+use crate::judge::{self, Evidence, Judgement};
+use crate::relay::Relay;
+use crate::{call, watch};
+use rockpick_control::Charter;
+use rockpick_standin::record::{clock, Record};
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+const SEC: i64 = 1_000_000_000;
+/// The rehearsal looks after its processes this often.
+const BEAT: Duration = Duration::from_millis(20);
+/// The host asks what is wanted this often.
+const HOST: i64 = SEC / 4;
+/// A machine's process starts after a while, as builds do.
+const BOOT: i64 = SEC / 2;
+/// All must be up within this.
+const UP_WITHIN: i64 = 20 * SEC;
+/// After the last arrival: the longest deadline and the time to end.
+const END_WITHIN: i64 = 12 * SEC;
+
+struct Proc {
+    child: Child,
+    at: SocketAddr,
+}
+
+impl Proc {
+    fn start(args: &[String], log: &Path) -> Result<Proc, String> {
+        let program = std::env::current_exe().map_err(|err| err.to_string())?;
+        let log = File::options().create(true).append(true).open(log).map_err(|err| err.to_string())?;
+        let mut child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(log)
+            .spawn()
+            .map_err(|err| err.to_string())?;
+        let mut line = String::new();
+        if let Some(out) = child.stdout.take() {
+            let mut out = BufReader::new(out);
+            let _ = out.read_line(&mut line);
+            // What it still prints is let go; the pipe must not fill.
+            std::thread::spawn(move || {
+                let mut rest = String::new();
+                while out.read_line(&mut rest).is_ok_and(|n| n > 0) {
+                    rest.clear();
+                }
+            });
+        }
+        let at = line.trim().strip_prefix("listening ").and_then(|at| at.parse().ok());
+        match at {
+            Some(at) => Ok(Proc { child, at }),
+            None => {
+                let _ = child.kill();
+                let _ = child.wait();
+                Err(format!("'rockpick {}' did not come up", args.join(" ")))
+            }
+        }
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Some(pid) = Pid::from_raw(self.child.id() as i32) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    fn ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+}
+
+impl Drop for Proc {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+struct Crew {
+    plan: Plan,
+    charter: Charter,
+    out: PathBuf,
+    acts: Record,
+    controller: Option<Proc>,
+    control_at: SocketAddr,
+    fronts: Vec<Option<Proc>>,
+    front_at: Vec<SocketAddr>,
+    machines: BTreeMap<String, Proc>,
+    clients: Option<Proc>,
+    /// Machines on their way: when their process starts.
+    booting: BTreeMap<(String, u32), i64>,
+    bad: BTreeMap<u32, String>,
+    fault: Option<Value>,
+    shared: f64,
+    relay: Relay,
+    hosted: i64,
+    pending: Vec<(i64, Pending)>,
+    warm: bool,
+    starts: u64,
+}
+
+enum Pending {
+    StartFront(usize),
+    ContFront(usize),
+    ContController,
+    StartController,
+    KillMachine(String),
+}
+
+fn words(args: &[&str]) -> Vec<String> {
+    args.iter().map(|a| a.to_string()).collect()
+}
+
+pub fn play(plan: Plan) -> Result<bool, String> {
+    if plan.trouble.iter().any(|t| t == "list") {
+        day::TROUBLES.iter().for_each(|(name, what)| println!("{name:<15} {what}"));
+        return Ok(true);
+    }
+    let sized = (1..=200).contains(&plan.fronts) && (2..=500).contains(&plan.machines);
+    if !sized || !(1.0..1e5).contains(&plan.rate) {
+        return Err("--fronts 1 to 200, --machines 2 to 500, --rate 1 to 100000".into());
+    }
+    if rockpick_standin::Bad::read(&plan.bad).is_none() {
+        return Err(format!("--bad {}: KIND:SIZE is wanted", plan.bad));
+    }
+    let (script, lasts) = day::script(&plan)?;
+    let mut charter = Charter::example(plan.fronts, plan.machines);
+    let control = serde_json::from_value(json!(plan.control));
+    charter.rollout.control =
+        control.map_err(|_| format!("--control {}: first-voice, by-count or automatic", plan.control))?;
+    charter.rollout.step_ms = 4_000;
+    (charter.rollout.parallel, charter.rollout.one_way) = (!plan.in_place, plan.one_way);
+    let out = plan.out.clone().unwrap_or_else(|| {
+        std::env::temp_dir().join(format!("rockpick-rehearsal-{}-{}", std::process::id(), clock() / SEC))
+    });
+    std::fs::create_dir_all(&out).map_err(|err| format!("{}: {err}", out.display()))?;
+    if std::fs::read_dir(&out).map_err(|err| err.to_string())?.next().is_some() {
+        return Err(format!("--out {}: not empty", out.display()));
+    }
+    let mut crew = Crew::assemble(plan, charter, out)?;
+    crew.day(&script, lasts)
+}
+
+impl Crew {
+    fn log(&self, name: &str) -> PathBuf {
+        self.out.join(format!("{name}.log"))
+    }
+
+    fn assemble(plan: Plan, charter: Charter, out: PathBuf) -> Result<Crew, String> {
+        let say = |err: std::io::Error| err.to_string();
+        let acts = Record::open(Some(&out.join("acts.jsonl"))).map_err(say)?;
+        let relay = Relay::begin(plan.fronts).map_err(say)?;
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut crew = Crew {
+            fronts: (0..plan.fronts).map(|_| None).collect(),
+            front_at: vec![nowhere; plan.fronts],
+            plan,
+            charter,
+            out,
+            acts,
+            controller: None,
+            control_at: nowhere,
+            machines: BTreeMap::new(),
+            clients: None,
+            booting: BTreeMap::new(),
+            bad: BTreeMap::new(),
+            fault: None,
+            shared: 0.0,
+            relay,
+            hosted: 0,
+            pending: Vec::new(),
+            warm: true,
+            starts: 0,
+        };
+        crew.start_controller()?;
+        let settings = serde_json::to_string(&crew.charter).map_err(|err| err.to_string())?;
+        let put = call(crew.control_at, "PUT", "/settings", &settings)?;
+        if put.status != 200 {
+            return Err(format!("settings: {}", String::from_utf8_lossy(&put.body)));
+        }
+        for front in 0..crew.fronts.len() {
+            crew.start_front(front)?;
+        }
+        let by = clock() + UP_WITHIN;
+        loop {
+            crew.host()?;
+            let status = call(crew.control_at, "GET", "/status", "")?;
+            let status: Value = serde_json::from_slice(&status.body).unwrap_or(Value::Null);
+            let up = status["machines"].as_array().map_or(0, Vec::len);
+            let watching = status["watching"].as_array().map_or(0, Vec::len);
+            if up >= crew.plan.machines && watching >= crew.plan.fronts {
+                break;
+            }
+            if clock() > by {
+                return Err(format!("only {up} machines and {watching} fronts came up"));
+            }
+            std::thread::sleep(BEAT);
+        }
+        crew.warm = false;
+        Ok(crew)
+    }
+
+    fn start_controller(&mut self) -> Result<(), String> {
+        let state = self.out.join("controller");
+        let args = words(&[
+            "controller",
+            "--listen",
+            &self.control_at.to_string(),
+            "--state",
+            &state.to_string_lossy(),
+            "--log",
+            "json",
+        ]);
+        let proc = Proc::start(&args, &self.log("controller"))?;
+        self.control_at = proc.at;
+        self.controller = Some(proc);
+        Ok(())
+    }
+
+    fn start_front(&mut self, front: usize) -> Result<(), String> {
+        let name = self.charter.fronts[front].name.clone();
+        let (listen, controller) = (self.front_at[front].to_string(), self.control_at.to_string());
+        let seed = (self.plan.seed.wrapping_mul(1_000) + front as u64 + self.starts * 7_919).to_string();
+        self.starts += 1;
+        let state = self.out.join(&name);
+        let (state, notes) = (state.to_string_lossy().into_owned(), self.relay.seats[front].to_string());
+        let args = match self.plan.faulty {
+            Some(rule) => words(&[
+                "faulty",
+                "--listen",
+                &listen,
+                "--controller",
+                &controller,
+                "--name",
+                &name,
+                "--breaks",
+                &rule.to_string(),
+                "--seed",
+                &seed,
+            ]),
+            None => words(&[
+                "front",
+                "--listen",
+                &listen,
+                "--controller",
+                &controller,
+                "--name",
+                &name,
+                "--state",
+                &state,
+                "--seed",
+                &seed,
+                "--notes-at",
+                &notes,
+                "--log",
+                "json",
+            ]),
+        };
+        let proc = Proc::start(&args, &self.log(&name))?;
+        self.front_at[front] = proc.at;
+        self.fronts[front] = Some(proc);
+        Ok(())
+    }
+
+    /// Starts what the controller wants and is not there; clears away what has ended.
+    fn host(&mut self) -> Result<(), String> {
+        let now = clock();
+        self.machines.retain(|_, m| !m.ended());
+        if now - self.hosted < HOST {
+            return Ok(());
+        }
+        self.hosted = now;
+        // While the controller stands still, nothing is started.
+        let still =
+            self.pending.iter().any(|(_, p)| matches!(p, Pending::ContController | Pending::StartController));
+        if still {
+            return Ok(());
+        }
+        let Ok(answer) = call(self.control_at, "GET", "/wanted", "") else { return Ok(()) };
+        let wanted: Value = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
+        for w in wanted["wanted"].as_array().into_iter().flatten() {
+            let (place, build) =
+                (w["place"].as_str().unwrap_or("").to_string(), w["build"].as_u64().unwrap_or(0) as u32);
+            let name = format!("{place}..{build}");
+            if w["present"] == true || self.machines.contains_key(&name) {
+                self.booting.remove(&(place, build));
+                continue;
+            }
+            let due =
+                *self.booting.entry((place.clone(), build)).or_insert(now + if self.warm { 0 } else { BOOT });
+            if due <= now {
+                self.start_machine(&name, &place, build)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn start_machine(&mut self, name: &str, place: &str, build: u32) -> Result<(), String> {
+        let seed = (self.plan.seed + self.starts * 104_729).to_string();
+        self.starts += 1;
+        let record = self.out.join(format!("machine-{name}.jsonl"));
+        let mut args = words(&[
+            "machine",
+            "--controller",
+            &self.control_at.to_string(),
+            "--name",
+            name,
+            "--place",
+            place,
+            "--build",
+            &build.to_string(),
+            "--record",
+            &record.to_string_lossy(),
+            "--seed",
+            &seed,
+        ]);
+        if self.warm {
+            args.push("--warm".into());
+        }
+        if let Some(bad) = self.bad.get(&build) {
+            args.extend(["--bad".into(), bad.clone()]);
+        }
+        let proc = Proc::start(&args, &self.log("machines"))?;
+        if let Some(fault) = &self.fault {
+            let _ = call(proc.at, "POST", "/fault", &fault.to_string());
+        }
+        self.machines.insert(name.into(), proc);
+        Ok(())
+    }
+
+    fn note(&mut self, act: &str, who: &str) {
+        self.acts.put(json!({ "act": act, "who": who }));
+    }
+
+    fn act(&mut self, act: &Act) -> Result<(), String> {
+        let now = clock();
+        let after = |ms: u64| now + ms as i64 * 1_000_000;
+        match act {
+            Act::Offer { build, bad } => {
+                if let Some(bad) = bad {
+                    self.bad.insert(*build, bad.clone());
+                    if let Some(size) = bad.strip_prefix("shared:") {
+                        self.shared = size.parse().unwrap_or(0.0);
+                    }
+                }
+                let body = json!({ "build": build }).to_string();
+                let _ = call(self.control_at, "POST", "/builds", &body);
+                self.note("offer", &format!("build {build}"));
+            }
+            Act::Leave(nth) => {
+                if let Some((name, m)) = self.machines.iter().nth(*nth % self.machines.len().max(1)) {
+                    m.signal(Signal::TERM);
+                    let name = name.clone();
+                    self.note("leave", &name);
+                }
+            }
+            Act::KillFront { front, down_ms } => {
+                let name = self.charter.fronts[*front].name.clone();
+                self.note("kill", &name);
+                self.fronts[*front] = None;
+                self.pending.push((after(*down_ms), Pending::StartFront(*front)));
+            }
+            Act::StopFront { front, ms } => {
+                if let Some(proc) = &self.fronts[*front] {
+                    proc.signal(Signal::STOP);
+                    let name = self.charter.fronts[*front].name.clone();
+                    self.note("stop", &name);
+                    self.pending.push((after(*ms), Pending::ContFront(*front)));
+                }
+            }
+            Act::StopController { ms } => {
+                if let Some(proc) = &self.controller {
+                    proc.signal(Signal::STOP);
+                    self.note("stop", "controller");
+                    self.pending.push((after(*ms), Pending::ContController));
+                }
+            }
+            Act::KillController { down_ms } => {
+                self.note("kill", "controller");
+                self.controller = None;
+                self.pending.push((after(*down_ms), Pending::StartController));
+            }
+            Act::Vanish { machine, ms } => {
+                if let Some((name, m)) = self.machines.iter().nth(*machine % self.machines.len().max(1)) {
+                    m.signal(Signal::STOP);
+                    let name = name.clone();
+                    self.note("vanish", &name);
+                    self.pending.push((after(*ms), Pending::KillMachine(name)));
+                }
+            }
+            Act::Fault { share, fault } => {
+                let many = (share * self.machines.len() as f64).ceil() as usize;
+                self.note("fault", &fault.to_string());
+                let to: Vec<SocketAddr> = self.machines.values().take(many).map(|m| m.at).collect();
+                for at in to {
+                    let _ = call(at, "POST", "/fault", &fault.to_string());
+                }
+                self.fault = (*share >= 1.0).then(|| fault.clone());
+            }
+            Act::Heal => {
+                self.fault = None;
+                self.note("heal", "all");
+                for m in self.machines.values() {
+                    let _ = call(m.at, "POST", "/fault", "{}");
+                }
+            }
+            Act::Load(load) => {
+                self.note("load", &load.to_string());
+                if let Some(clients) = &self.clients {
+                    let _ = call(clients.at, "POST", "/load", &load.to_string());
+                }
+            }
+            Act::LoseNotes(lose) => {
+                self.note(if *lose { "lose notes" } else { "carry notes" }, "fronts");
+                self.relay.lose.store(*lose, Ordering::Relaxed);
+            }
+        }
+        Ok(())
+    }
+
+    fn due(&mut self) -> Result<(), String> {
+        let now = clock();
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.pending).into_iter().partition(|p| p.0 <= now);
+        self.pending = later;
+        for (_, pending) in due {
+            match pending {
+                Pending::StartFront(front) => {
+                    self.start_front(front)?;
+                    let name = self.charter.fronts[front].name.clone();
+                    self.note("start", &name);
+                }
+                Pending::ContFront(front) => {
+                    if let Some(proc) = &self.fronts[front] {
+                        proc.signal(Signal::CONT);
+                        let name = self.charter.fronts[front].name.clone();
+                        self.note("cont", &name);
+                    }
+                }
+                Pending::ContController => {
+                    if let Some(proc) = &self.controller {
+                        proc.signal(Signal::CONT);
+                        self.note("cont", "controller");
+                    }
+                }
+                Pending::StartController => {
+                    self.start_controller()?;
+                    self.note("start", "controller");
+                }
+                Pending::KillMachine(name) => {
+                    if self.machines.remove(&name).is_some() {
+                        self.note("kill", &name);
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// A build that slows all machines in step with its traffic: as long as it runs, by its share.
+    fn share_slowness(&mut self) {
+        if self.shared <= 0.0 {
+            return;
+        }
+        let bad = |name: &String| self.bad.keys().any(|b| name.ends_with(&format!("..{b}")));
+        let part = self.machines.keys().filter(|n| bad(n)).count() as f64 / self.machines.len().max(1) as f64;
+        let fault = json!({ "slow": 1.0 + 2.0 * self.shared * part });
+        for m in self.machines.values() {
+            let _ = call(m.at, "POST", "/fault", &fault.to_string());
+        }
+    }
+
+    fn day(&mut self, script: &[(f64, Act)], lasts: f64) -> Result<bool, String> {
+        let stop = Arc::new(AtomicBool::new(false));
+        let (at, file, flag) = (self.control_at, self.out.join("watch.jsonl"), stop.clone());
+        let watcher = std::thread::spawn(move || watch::watch(at, &file, flag));
+        let fronts: Vec<String> = self.front_at.iter().map(SocketAddr::to_string).collect();
+        let record = self.out.join("clients.jsonl");
+        let args = words(&[
+            "client",
+            "--controller",
+            &self.control_at.to_string(),
+            "--fronts",
+            &fronts.join(","),
+            "--rate",
+            &self.plan.rate.to_string(),
+            "--seconds",
+            &lasts.to_string(),
+            "--work-ms",
+            &self.plan.work_ms.to_string(),
+            "--record",
+            &record.to_string_lossy(),
+            "--seed",
+            &self.plan.seed.to_string(),
+        ]);
+        self.clients = Some(Proc::start(&args, &self.log("clients"))?);
+        let began = clock();
+        self.say(&format!(
+            "{} fronts, {} machines, {} RPCs/s for {lasts} s; record in {}",
+            self.plan.fronts,
+            self.plan.machines,
+            self.plan.rate,
+            self.out.display()
+        ));
+        let mut left = script.iter().peekable();
+        let (mut told, mut slowed) = (0, began);
+        let by = began + (lasts * SEC as f64) as i64 + END_WITHIN;
+        loop {
+            let now = clock();
+            let at = (now - began) as f64 / SEC as f64;
+            while let Some((_, act)) = left.next_if(|(due, _)| *due <= at) {
+                self.say(&format!("{at:5.1} s  {act:?}"));
+                self.act(act)?;
+            }
+            self.due()?;
+            self.host()?;
+            if now - slowed > SEC {
+                slowed = now;
+                self.share_slowness();
+            }
+            if at as u64 / 5 > told {
+                told = at as u64 / 5;
+                self.progress(at);
+            }
+            if self.clients.as_mut().is_none_or(Proc::ended) {
+                break;
+            }
+            if now > by {
+                return Err("the clients did not come to an end".into());
+            }
+            std::thread::sleep(BEAT);
+        }
+        self.clients = None;
+        // Machines finish what runs on them; then all may go.
+        std::thread::sleep(Duration::from_millis(300));
+        stop.store(true, Ordering::Relaxed);
+        let _ = watcher.join();
+        for proc in self.fronts.iter().flatten() {
+            proc.signal(Signal::TERM);
+        }
+        self.machines.clear();
+        self.controller = None;
+        self.fronts.iter_mut().for_each(|f| *f = None);
+        let evidence = self.evidence()?;
+        let judgement = judge::judge(&self.charter, &evidence);
+        print(&judgement);
+        Ok(judgement.breaches.is_empty())
+    }
+
+    fn say(&self, text: &str) {
+        if !self.plan.quiet {
+            println!("{text}");
+        }
+    }
+
+    fn progress(&self, at: f64) {
+        let still =
+            self.pending.iter().any(|(_, p)| matches!(p, Pending::ContController | Pending::StartController));
+        if self.plan.quiet || still {
+            return;
+        }
+        let Ok(answer) = call(self.control_at, "GET", "/stage", "") else { return };
+        let stage: Value = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
+        let machines = self.machines.len();
+        println!(
+            "{at:5.1} s  build {} stage {} {}; {machines} machines",
+            stage["build"],
+            stage["stage"],
+            stage["phase"].as_str().unwrap_or("")
+        );
+    }
+
+    fn evidence(&self) -> Result<Evidence, String> {
+        let mut evidence = Evidence::default();
+        let entries = std::fs::read_dir(&self.out).map_err(|err| err.to_string())?;
+        let mut files: Vec<PathBuf> = entries.flatten().map(|e| e.path()).collect();
+        files.sort();
+        for file in files {
+            let name = file.file_name().and_then(|n| n.to_str()).unwrap_or("").to_string();
+            let into = match name.as_str() {
+                "clients.jsonl" => &mut evidence.clients,
+                "acts.jsonl" => &mut evidence.acts,
+                "watch.jsonl" => &mut evidence.watch,
+                _ if name.starts_with("machine-") && name.ends_with(".jsonl") => &mut evidence.machines,
+                _ => continue,
+            };
+            let text = std::fs::read(&file).map_err(|err| err.to_string())?;
+            let lines: Vec<&[u8]> = text.split(|b| *b == b'\n').filter(|l| !l.is_empty()).collect();
+            for (i, line) in lines.iter().enumerate() {
+                match serde_json::from_slice(line) {
+                    Ok(value) => into.push(value),
+                    // A killed machine may leave its last line torn; any other must be whole.
+                    Err(_) if i + 1 == lines.len() && name.starts_with("machine-") => {}
+                    Err(err) => return Err(format!("{name}, line {}: {err}", i + 1)),
+                }
+            }
+        }
+        Ok(evidence)
+    }
+}
+
+fn print(judgement: &Judgement) {
+    println!("\nstages as told:");
+    for (at, build, stage, phase) in &judgement.stages {
+        println!("{:6.1} s  build {build} stage {stage} {phase}", *at as f64 / SEC as f64);
+    }
+    println!(
+        "\n{:<10} {:>7} {:>7} {:>8} {:>12} {:>8} {:>11} {:>7}",
+        "method", "RPCs", "ok", "in time", "pushed back", "aborted", "unanswered", "picks"
+    );
+    for (method, r) in &judgement.rows {
+        println!(
+            "{method:<10} {:>7} {:>7} {:>8} {:>12} {:>8} {:>11} {:>7}",
+            r.rpcs, r.ok, r.in_time, r.pushed_back, r.aborted, r.unanswered, r.picks
+        );
+    }
+    println!("\nservice {:.3} (utility within the soft deadline over utility asked for, loopback); {} picks at builds on trial",
+        judgement.service, judgement.trial_picks);
+    let many = judgement.breaches.len();
+    for breach in judgement.breaches.iter().take(20) {
+        println!("rule {}: {}", breach.rule, breach.what);
+    }
+    if many > 20 {
+        println!("... and {} more", many - 20);
+    }
+    match many {
+        0 => println!("rules: kept"),
+        n => println!("rules: broken {n}"),
+    }
+}
--- /dev/null
+++ b/rehearse/src/day.rs
@@ -0,0 +1,222 @@
+//! What a day holds: its acts by the second, from a name or from troubles.
+use clap::Args;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{json, Value};
+use std::path::PathBuf;
+
+#[derive(Args, Clone, Debug)]
+pub struct Plan {
+    /// morning (a bad build, a burst on a drain, a killed front, a silent machine, a controller that stands
+    /// still), quiet (one good build) or short (fourteen seconds, one build on trial).
+    #[arg(long, default_value = "morning")]
+    pub day: String,
+    /// A kind of trouble, for a day of its own; may be given several times. `list` names them.
+    #[arg(long)]
+    pub trouble: Vec<String>,
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    #[arg(long, default_value_t = 3)]
+    pub fronts: usize,
+    /// Machines at the start; two builds side by side take as many again.
+    #[arg(long, default_value_t = 20)]
+    pub machines: usize,
+    /// RPCs a second.
+    #[arg(long, default_value_t = 100.0)]
+    pub rate: f64,
+    /// Mean work of an RPC, ms.
+    #[arg(long, default_value_t = 60.0)]
+    pub work_ms: f64,
+    /// Seconds of traffic; the day's own if left out.
+    #[arg(long)]
+    pub seconds: Option<f64>,
+    /// Folder for the record; a new one under the system's temporary folder if left out.
+    #[arg(long)]
+    pub out: Option<PathBuf>,
+    /// How builds come in.
+    #[arg(long, default_value = "by-count")]
+    pub control: String,
+    /// Machines are replaced in place.
+    #[arg(long)]
+    pub in_place: bool,
+    /// Keys may not go back to the earlier build.
+    #[arg(long)]
+    pub one_way: bool,
+    /// The bad build of the day: errors, method, slow, load, late, wrong or shared, and how much.
+    #[arg(long, default_value = "late:0.4")]
+    pub bad: String,
+    /// Puts small faulty fronts in place of real ones, to see that the checker catches rule 1 to 5.
+    #[arg(long, hide = true)]
+    pub faulty: Option<u8>,
+    /// Says less while it runs.
+    #[arg(long)]
+    pub quiet: bool,
+}
+
+/// One thing that the rehearsal does.
+#[derive(Clone, Debug)]
+pub enum Act {
+    Offer {
+        build: u32,
+        bad: Option<String>,
+    },
+    /// A machine is asked to leave (a drain); a front to go down and come up.
+    Leave(usize),
+    KillFront {
+        front: usize,
+        down_ms: u64,
+    },
+    StopFront {
+        front: usize,
+        ms: u64,
+    },
+    StopController {
+        ms: u64,
+    },
+    KillController {
+        down_ms: u64,
+    },
+    /// A machine goes silent: accepts, never answers, and comes back cold.
+    Vanish {
+        machine: usize,
+        ms: u64,
+    },
+    /// A fault for a share of the machines; `Null` for all ends it.
+    Fault {
+        share: f64,
+        fault: Value,
+    },
+    Heal,
+    Load(Value),
+    LoseNotes(bool),
+}
+
+/// What each kind of trouble is, for `list`.
+pub const TROUBLES: [(&str, &str); 21] = [
+    ("answer_lost", "a fifth of the answers of most machines get lost on the way, by silence or reset"),
+    ("bad_build", "the build of the day is bad (--bad)"),
+    ("balancer_roll", "fronts are killed and restarted in batches"),
+    ("balancer_stall", "most fronts stand still for a second, again and again"),
+    ("burst", "traffic doubles for five seconds"),
+    ("conn_squeeze", "machines take few connections"),
+    ("control_down", "the controller stands still for nine seconds"),
+    ("fast_errors", "a fifth of the machines quickly fail most RPCs"),
+    ("give_up", "most clients leave early and come back at once"),
+    ("heavy_tail", "two in a hundred RPCs of a method cost fifteen times the work"),
+    ("hot_caller", "one front carries a quarter more of the traffic"),
+    ("hot_key", "two keys draw a fifth of the traffic"),
+    ("neighbour", "on half the machines others take half the machine, on and off"),
+    ("one_sided", "half the machines lose most answers to one front alone"),
+    ("peer_down", "notes between fronts are lost"),
+    ("probe_fail", "probes fail while machines serve"),
+    ("shared_slow", "all machines are twice as slow"),
+    ("shift", "half the traffic moves to the fronts of one zone"),
+    ("slow", "a fifth of the machines are five times slower"),
+    ("slow_link", "half the machines are far away for half the fronts, and some answers get lost"),
+    ("vanish", "a tenth of the machines go silent and come back cold"),
+];
+
+pub fn troubles() -> impl Iterator<Item = &'static str> {
+    TROUBLES.iter().map(|(name, _)| *name)
+}
+
+pub fn days() -> [&'static str; 3] {
+    ["morning", "quiet", "short"]
+}
+
+/// The acts of a trouble from second `at`, and when it is over.
+fn trouble(name: &str, plan: &Plan, at: f64, chance: &mut StdRng) -> Option<Vec<(f64, Act)>> {
+    let fault = |share: f64, fault: Value| vec![(at, Act::Fault { share, fault }), (at + 10.0, Act::Heal)];
+    let load = |on: Value, off: Value, long: f64| vec![(at, Act::Load(on)), (at + long, Act::Load(off))];
+    let machines = plan.machines.max(1);
+    let some: usize = chance.random_range(0..machines);
+    let names: Vec<String> = (0..plan.fronts).map(|i| format!("f{i}")).collect();
+    Some(match name {
+        "answer_lost" => fault(0.6, json!({ "lost": 0.2, "reset": chance.random::<bool>() })),
+        "bad_build" => Vec::new(),
+        "balancer_roll" => {
+            let batch = plan.fronts.div_ceil(3);
+            let down_ms = chance.random_range(200..1_200);
+            let kill = |f: usize| (at + 4.0 * (f / batch) as f64, Act::KillFront { front: f, down_ms });
+            (0..plan.fronts).map(kill).collect()
+        }
+        "balancer_stall" => {
+            let most = (plan.fronts * 3).div_ceil(4);
+            let turn =
+                |i: usize| (at + 3.0 * (i / most) as f64, Act::StopFront { front: i % most, ms: 1_000 });
+            (0..3 * most).map(turn).collect()
+        }
+        "burst" => load(json!({ "rate": 2.0 * plan.rate }), json!({ "rate": plan.rate }), 5.0),
+        "conn_squeeze" => fault(0.8, json!({ "connections": 2 * plan.fronts })),
+        "control_down" => vec![(at, Act::StopController { ms: 9_000 })],
+        "fast_errors" => fault(0.2, json!({ "errors": 0.8 })),
+        "give_up" => load(json!({ "hasty": 0.6, "patience": 0.4, "leave": 1 }), json!({ "hasty": 0 }), 10.0),
+        "heavy_tail" => load(json!({ "tail": 0.02, "tail_times": 15 }), json!({ "tail": 0 }), 10.0),
+        "hot_caller" => load(json!({ "caller": 0.25 }), json!({ "caller": 0 }), 10.0),
+        "hot_key" => load(json!({ "hot": 0.2, "hot_keys": 2 }), json!({ "hot": 0 }), 10.0),
+        "neighbour" => fault(0.5, json!({ "neighbour": 0.55, "turn_ms": 2_000 })),
+        "one_sided" => fault(0.5, json!({ "lost": 0.8, "fronts": [names[0]] })),
+        "peer_down" => vec![(at, Act::LoseNotes(true)), (at + 12.0, Act::LoseNotes(false))],
+        "probe_fail" => fault(0.7, json!({ "probes": 1.0 })),
+        "shared_slow" => fault(1.0, json!({ "slow": 2.0 })),
+        "shift" => load(json!({ "shift": 0.5 }), json!({ "shift": 0 }), 12.0),
+        "slow" => fault(0.2, json!({ "slow": 5.0 })),
+        "slow_link" => {
+            let far: Vec<&String> = names.iter().step_by(2).collect();
+            fault(0.5, json!({ "delay_ms": 300, "lost": 0.1, "fronts": far }))
+        }
+        "vanish" => {
+            let many = machines.div_ceil(10);
+            (0..many).map(|i| (at, Act::Vanish { machine: (some + i) % machines, ms: 8_000 })).collect()
+        }
+        _ => return None,
+    })
+}
+
+/// The acts of a plan in order of time, and how long its traffic lasts, s.
+pub fn script(plan: &Plan) -> Result<(Vec<(f64, Act)>, f64), String> {
+    let mut chance = StdRng::seed_from_u64(plan.seed);
+    let offer =
+        |at: f64, build: u32, bad: bool| (at, Act::Offer { build, bad: bad.then(|| plan.bad.clone()) });
+    let (mut acts, lasts) = if !plan.trouble.is_empty() {
+        let mut acts = vec![offer(3.0, 2, plan.trouble.iter().any(|t| t == "bad_build"))];
+        for name in &plan.trouble {
+            let at = chance.random_range(6.0..9.0);
+            let list = || troubles().collect::<Vec<_>>().join(", ");
+            acts.extend(
+                trouble(name, plan, at, &mut chance)
+                    .ok_or_else(|| format!("--trouble {name}: one of {}", list()))?,
+            );
+        }
+        (acts, 26.0)
+    } else {
+        match plan.day.as_str() {
+            "morning" => {
+                let front = plan.fronts - 1;
+                let burst = json!({ "rate": 2.0 * plan.rate });
+                (
+                    vec![
+                        offer(3.0, 2, false),
+                        // A burst arrives just as a machine drains.
+                        (10.0, Act::Leave(0)),
+                        (10.0, Act::Load(burst)),
+                        (14.0, Act::Load(json!({ "rate": plan.rate }))),
+                        (22.0, Act::Vanish { machine: 1, ms: 8_000 }),
+                        offer(26.0, 3, true),
+                        (31.0, Act::KillFront { front, down_ms: 800 }),
+                        (46.0, Act::StopController { ms: 6_000 }),
+                        offer(54.0, 4, false),
+                        (58.0, Act::KillFront { front: 0, down_ms: 300 }),
+                        (61.0, Act::KillController { down_ms: 1_000 }),
+                    ],
+                    70.0,
+                )
+            }
+            "quiet" => (vec![offer(3.0, 2, false)], 26.0),
+            "short" => (vec![offer(2.0, 2, false), (4.0, Act::Leave(0))], 11.0),
+            other => return Err(format!("--day {other}: one of {}", days().join(", "))),
+        }
+    };
+    acts.sort_by(|a, b| a.0.total_cmp(&b.0));
+    Ok((acts, plan.seconds.unwrap_or(lasts)))
+}
--- a/rehearse/src/lib.rs
+++ b/rehearse/src/lib.rs
@@ -1,1 +1,48 @@
+//! A rehearsal: controller, fronts, machines and clients as processes of their own on loopback, a scripted
+//! day of troubles, and a judgement by [`judge`] of what crossed the sockets.
+mod crew;
+mod day;
+pub mod judge;
+mod relay;
+mod watch;
 
+pub use day::{days, troubles, Plan};
+use rockpick_net::http::{self, Response};
+use rockpick_net::{Call, End, Event, Net, MS, SEC};
+use std::net::SocketAddr;
+
+/// One call to an HTTP server, waited for: five seconds at most.
+///
+/// # Errors
+/// Says what became of the call.
+pub fn call(to: SocketAddr, method: &str, target: &str, body: &str) -> Result<Response, String> {
+    let mut net = Net::new(1).map_err(|err| err.to_string())?;
+    let lines = [("Content-Type", "application/json")];
+    let request = http::ask(method, target, &to.to_string(), &lines, body.as_bytes());
+    let mut events = Vec::new();
+    net.call(
+        &mut events,
+        Call { to, request: &request, connect_within: SEC, stream: false, head_only: false },
+    );
+    while net.now() < 5 * SEC {
+        for event in events.drain(..) {
+            if let Event::Ended { end, .. } = event {
+                return match end {
+                    End::Answer(answer) => Ok(answer),
+                    End::Unreachable | End::Unsent => Err(format!("{to}: no connection")),
+                    End::Broken(why) => Err(format!("{to}: {why}")),
+                };
+            }
+        }
+        net.turn(&mut events, 100 * MS).map_err(|err| err.to_string())?;
+    }
+    Err(format!("{to}: no answer within 5 s"))
+}
+
+/// Plays a day; true when no rule was broken.
+///
+/// # Errors
+/// A plan that makes no sense, processes that can't be started.
+pub fn run(plan: Plan) -> Result<bool, String> {
+    crew::play(plan)
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,1 +1,10 @@
+//! Stand-ins for what surrounds the product in service: machines that run builds, and clients. They keep
+//! records of what crossed their ends of the sockets, from which a rehearsal is judged.
+pub mod client;
+pub mod faulty;
+pub mod machine;
+pub mod record;
 
+pub use client::{Clients, Load};
+pub use faulty::Faulty;
+pub use machine::{Bad, Machine};
