Tests over sockets: hard cases of the front, faulty fronts caught, a crowd reconnecting

Cause: each failure that the code handles must be caused by a test. Change: scripted controller and machines around the real binary; kill in mid-effect, restart in mid-window, drain while connecting, silent controller, half answers, wrong lengths, descriptors used up; five faulty fronts, one a rule; thirty fronts back at a restarted controller, which then take new settings in their running.

--- /dev/null
+++ b/cli/tests/peers/mod.rs
@@ -0,0 +1,255 @@
+//! Scripted peers for tests of the running binary: a controller that tells what the test says, machines
+//! that answer as the test says, processes that end with the test.
+#![allow(dead_code)]
+use rockpick_control::Charter;
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// What a wait is worth before a test is given up.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Waits until something holds.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !holds() {
+        assert!(began.elapsed() < PATIENCE, "in vain: {what}");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
+pub struct Proc {
+    pub child: Child,
+    pub at: SocketAddr,
+}
+
+impl Drop for Proc {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Starts the binary, under a shell's `prefix` if one is given, and waits for its address.
+pub fn start_under(prefix: &str, args: &[&str]) -> Proc {
+    let program = env!("CARGO_BIN_EXE_rockpick");
+    let mut command = Command::new("sh");
+    command.arg("-c").arg(format!("{prefix} exec \"$0\" \"$@\"")).arg(program).args(args);
+    let mut child =
+        command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::null()).spawn().unwrap();
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+    let at =
+        line.trim().strip_prefix("listening ").unwrap_or_else(|| panic!("{args:?}: {line}")).parse().unwrap();
+    Proc { child, at }
+}
+
+pub fn start(args: &[&str]) -> Proc {
+    start_under("", args)
+}
+
+pub fn front(controller: SocketAddr, more: &[&str]) -> Proc {
+    let controller = controller.to_string();
+    let mut args = vec!["front", "--name", "f0", "--controller", &controller];
+    args.extend(more);
+    start(&args)
+}
+
+/// One request head and body, read whole.
+fn read_request(io: &mut BufReader<TcpStream>) -> Option<(String, Vec<u8>)> {
+    let (mut head, mut long) = (String::new(), 0);
+    loop {
+        let mut line = String::new();
+        if io.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        if let Some(n) = line.to_ascii_lowercase().strip_prefix("content-length:") {
+            long = n.trim().parse().ok()?;
+        }
+        if line == "\r\n" {
+            break;
+        }
+        head.push_str(&line);
+    }
+    let mut body = vec![0; long];
+    io.read_exact(&mut body).ok()?;
+    Some((head, body))
+}
+
+/// A value of a head's line.
+pub fn line_of(head: &str, name: &str) -> String {
+    let found = head.lines().filter_map(|l| l.split_once(':')).find(|(n, _)| n.eq_ignore_ascii_case(name));
+    found.map_or(String::new(), |(_, v)| v.trim().to_string())
+}
+
+/// A controller that tells what the test says.
+pub struct Teller {
+    pub at: SocketAddr,
+    pub votes: Arc<Mutex<Vec<Value>>>,
+    /// Connections that asked to watch.
+    pub watches: Arc<AtomicU64>,
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+impl Teller {
+    pub fn begin(charter: Charter) -> Teller {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let teller = Teller {
+            at: listener.local_addr().unwrap(),
+            votes: Arc::default(),
+            watches: Arc::default(),
+            lines: Arc::default(),
+        };
+        let (votes, watches, lines) = (teller.votes.clone(), teller.watches.clone(), teller.lines.clone());
+        std::thread::spawn(move || {
+            for io in listener.incoming().flatten() {
+                let (votes, watches, lines) = (votes.clone(), watches.clone(), lines.clone());
+                let charter = charter.clone();
+                std::thread::spawn(move || serve(io, &charter, &votes, &watches, &lines));
+            }
+        });
+        teller
+    }
+
+    /// Adds a line; every watch gets all lines from the first on.
+    pub fn tell(&self, line: Value) {
+        self.lines.lock().unwrap().push(line.to_string());
+    }
+
+    /// Forgets the lines so far: watches that begin from now on start with the next.
+    pub fn anew(&self) {
+        self.lines.lock().unwrap().clear();
+    }
+
+    pub fn stage(&self, build: u32, stage: u32, phase: &str, cap: f64) {
+        self.tell(
+            json!({ "stage": { "build": build, "stage": stage, "phase": phase, "cap": cap, "age_ms": 10 } }),
+        );
+    }
+
+    /// Tells the whole roster: name, address, build, state; all are long warm.
+    pub fn roster(&self, kind: &str, members: &[(&str, SocketAddr, u32, &str)]) {
+        let line = |(name, addr, build, state): &(&str, SocketAddr, u32, &str)| {
+            json!({ "name": name, "addr": addr.to_string(), "zone": 0, "cell": 0, "build": build, "run": 1,
+                "weight": 1.0, "state": state, "age_ms": 3_600_000.0 })
+        };
+        let members: Vec<Value> = members.iter().map(line).collect();
+        self.tell(json!({ "roster": { "kind": kind, "serial": 1, "members": members } }));
+    }
+}
+
+fn serve(
+    io: TcpStream, charter: &Charter, votes: &Mutex<Vec<Value>>, watches: &AtomicU64,
+    lines: &Mutex<Vec<String>>,
+) {
+    let mut out = io.try_clone().unwrap();
+    let mut io = BufReader::new(io);
+    while let Some((head, body)) = read_request(&mut io) {
+        let answer = if head.starts_with("GET /watch") {
+            watches.fetch_add(1, Ordering::SeqCst);
+            let _ = out.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            let mut told = 0;
+            loop {
+                let fresh: Vec<String> = lines.lock().unwrap().iter().skip(told).cloned().collect();
+                told += fresh.len();
+                for line in fresh {
+                    if out.write_all(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes()).is_err() {
+                        return;
+                    }
+                }
+                std::thread::sleep(Duration::from_millis(2));
+            }
+        } else if head.starts_with("GET /settings") {
+            json!({ "version": 1, "settings": charter })
+        } else {
+            if head.starts_with("POST /votes") {
+                votes.lock().unwrap().push(serde_json::from_slice(&body).unwrap());
+            }
+            json!({ "counted": true })
+        };
+        let text = answer.to_string();
+        if write!(out, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len()).is_err() {
+            return;
+        }
+    }
+}
+
+/// A machine that answers as told; what it got comes out of `got`.
+pub struct Scripted {
+    pub at: SocketAddr,
+    pub got: Receiver<String>,
+}
+
+/// What a scripted machine does with a request.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Does {
+    Answers,
+    /// 500.
+    Fails,
+    Never,
+    Half,
+    /// Longer than what comes.
+    WrongLength,
+    /// Closes without a word.
+    Closes,
+    /// 503 that says it never ran.
+    Full,
+}
+
+impl Scripted {
+    pub fn begin(does: Does) -> Scripted {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let at = listener.local_addr().unwrap();
+        let (to, got) = channel();
+        std::thread::spawn(move || {
+            for io in listener.incoming().flatten() {
+                let to = to.clone();
+                std::thread::spawn(move || {
+                    let mut out = io.try_clone().unwrap();
+                    let mut io = BufReader::new(io);
+                    while let Some((head, _)) = read_request(&mut io) {
+                        let _ = to.send(head);
+                        let said: &[u8] = match does {
+                            Does::Answers => b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood",
+                            Does::Fails => b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+                            Does::Full => {
+                                b"HTTP/1.1 503 No\r\nRockpick-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n"
+                            }
+                            Does::Half => b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nha",
+                            Does::WrongLength => b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ngood",
+                            Does::Never => continue,
+                            Does::Closes => return,
+                        };
+                        if out.write_all(said).is_err() || matches!(does, Does::Half | Does::WrongLength) {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        Scripted { at, got }
+    }
+}
+
+/// Sends an RPC and reads its whole answer: status, head and body. Status 0: none came.
+pub fn rpc(front: SocketAddr, method: &str, lines: &str) -> (u16, String) {
+    let Ok(mut io) = TcpStream::connect(front) else { return (0, String::new()) };
+    io.set_read_timeout(Some(PATIENCE)).unwrap();
+    let text = format!(
+        "POST /rpc/{method} HTTP/1.1\r\nHost: f\r\nConnection: close\r\n{lines}Content-Length: 2\r\n\r\nhi"
+    );
+    io.write_all(text.as_bytes()).unwrap();
+    let mut said = String::new();
+    let _ = io.read_to_string(&mut said);
+    (said.get(9..12).and_then(|s| s.parse().ok()).unwrap_or(0), said)
+}
+
+pub fn get(at: SocketAddr, target: &str) -> Value {
+    let answer = rockpick_rehearse::call(at, "GET", target, "").unwrap();
+    serde_json::from_slice(&answer.body).unwrap()
+}
--- a/net/src/net.rs
+++ b/net/src/net.rs
@@ -26,8 +26,8 @@
 pub const LINGER: Ns = SEC;
 /// Refused connections that may linger at once; one more is closed unanswered.
 const MAX_LINGERING: usize = 64;
-/// A head must be whole this long after its first byte, a body after its head, else 408: slow senders hold
-/// a connection no longer than other servers let them.
+/// How long a head and a body may take unless told otherwise: slow senders hold a connection no longer than
+/// other servers let them.
 const HEAD_TIME: Ns = 10 * SEC;
 const BODY_TIME: Ns = 30 * SEC;
 /// An idle client connection is closed after this; machines' idle ones sooner, so that the machine seldom
@@ -192,6 +192,9 @@
     answered: Vec<Id>,
     /// Most client connections; one more is answered 503 at once.
     pub most_clients: usize,
+    /// A head must be whole this long after its first byte, and a body after its head, else 408.
+    pub head_time: Ns,
+    pub body_time: Ns,
     /// Held back so that a connection can be refused in words when descriptors have run out.
     spare: Option<OwnedFd>,
     scratch: Vec<u8>,
@@ -230,6 +233,8 @@
             lingering: 0,
             answered: Vec::new(),
             most_clients,
+            head_time: HEAD_TIME,
+            body_time: BODY_TIME,
             spare: spare(),
             scratch: vec![0; READ],
             refused: 0,
@@ -668,7 +673,7 @@
         if flags.contains(epoll::EventFlags::OUT) {
             self.flush_client(id);
         }
-        let now = self.now;
+        let by = self.now + self.head_time;
         let mut scratch = std::mem::take(&mut self.scratch);
         let Some(client) = self.client(id) else {
             self.scratch = scratch;
@@ -685,7 +690,7 @@
                     let fresh = client.buf.is_empty();
                     client.buf.extend_from_slice(&scratch[..n]);
                     if matches!(client.serve, Serve::Head) && fresh {
-                        client.until = now + HEAD_TIME;
+                        client.until = by;
                     }
                     self.parse(events, id);
                 }
@@ -710,7 +715,7 @@
 
     /// Reads requests from the buffer, one at a time: the next waits until this one is answered.
     fn parse(&mut self, events: &mut Vec<Event>, id: Id) {
-        let now = self.now;
+        let by = self.now + self.body_time;
         let Some(client) = self.client(id) else { return };
         let step: Result<(), Refusal> = (|| {
             if let Serve::Head = client.serve {
@@ -722,7 +727,7 @@
                 if head.expects && head.framing != Framing::Length(0) && client.buf.is_empty() {
                     client.out.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
                 }
-                client.until = now + BODY_TIME;
+                client.until = by;
                 client.serve = Serve::Body(Box::new((head.message, Body::new(head.framing, http::MAX_BODY))));
             }
             if let Serve::Body(state) = &mut client.serve {
@@ -775,9 +780,9 @@
 
     /// After an answer: pipelined requests that wait in the buffer come up now.
     fn resume(&mut self, events: &mut Vec<Event>, conn: Id) {
-        let now = self.now;
+        let (now, head) = (self.now, self.head_time);
         if let Some(client) = self.client(conn).filter(|c| matches!(c.serve, Serve::Head)) {
-            client.until = now + if client.buf.is_empty() { CLIENT_IDLE } else { HEAD_TIME };
+            client.until = now + if client.buf.is_empty() { CLIENT_IDLE } else { head };
             if !client.buf.is_empty() {
                 self.parse(events, conn);
                 self.flush_client(conn);
--- a/rehearse/src/crew.rs
+++ b/rehearse/src/crew.rs
@@ -27,6 +27,8 @@
 const BOOT: i64 = SEC / 2;
 /// All must be up within this.
 const UP_WITHIN: i64 = 20 * SEC;
+/// Breaches printed of each rule.
+const SHOWN: usize = 8;
 /// After the last arrival: the longest deadline and the time to end.
 const END_WITHIN: i64 = 12 * SEC;
 
@@ -632,11 +634,12 @@
     println!("\nservice {:.3} (utility within the soft deadline over utility asked for, loopback); {} picks at builds on trial",
         judgement.service, judgement.trial_picks);
     let many = judgement.breaches.len();
-    for breach in judgement.breaches.iter().take(20) {
-        println!("rule {}: {}", breach.rule, breach.what);
-    }
-    if many > 20 {
-        println!("... and {} more", many - 20);
+    for rule in 1..=5u8 {
+        let ours: Vec<&judge::Breach> = judgement.breaches.iter().filter(|b| b.rule == rule).collect();
+        ours.iter().take(SHOWN).for_each(|b| println!("rule {rule}: {}", b.what));
+        if ours.len() > SHOWN {
+            println!("rule {rule}: ... and {} more", ours.len() - SHOWN);
+        }
     }
     match many {
         0 => println!("rules: kept"),
