--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! The command line: `rockpick`. Exit codes: 0 good, 1 a rule broken or a check failed, 2 bad use.
 mod ask;
+mod bench;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use rockpick_control::Charter;
@@ -176,6 +177,17 @@
         #[arg(long)]
         json: bool,
     },
+    /// Measures.
+    Bench {
+        #[command(subcommand)]
+        what: Bench,
+    },
+}
+
+#[derive(Subcommand)]
+enum Bench {
+    /// One front on one core against direct calls and a plain proxy, in one run.
+    Front(bench::Front),
 }
 
 #[derive(Subcommand)]
@@ -309,6 +321,7 @@
         }
         What::Back { at, build } => ask::say(at.controller, "POST", &format!("/builds/{build}/back"), ""),
         What::Status { at, json } => ask::status(at.controller, json),
+        What::Bench { what: Bench::Front(front) } => front.run(),
     }
 }
 
--- a/front/src/hall.rs
+++ b/front/src/hall.rs
@@ -656,7 +656,7 @@
             "open": self.wire.door.in_use(), "clients": clients, "calls": calls, "taken": t.taken, "ok": t.ok,
             "pushed_back": t.pushed_back, "aborted": t.aborted, "left": t.left, "late": t.late, "picks": t.picks,
             "not_taken": t.not_taken, "refused_connections": self.wire.net.refused,
-            "peers": self.wire.peers.len(), "module_ms": self.wire.in_module / MS, "up_ms": now / MS })
+            "peers": self.wire.peers.len(), "module_ms": (self.wire.in_module - self.wire.in_actions) / MS, "up_ms": now / MS })
     }
 }
 
--- a/front/src/wire.rs
+++ b/front/src/wire.rs
@@ -135,8 +135,9 @@
     pub tolls: Tolls,
     pub standing: Option<Standing>,
     pub often: Often,
-    /// Time spent in the module, where it is asked for.
+    /// Time spent in the module, and of that in carrying its actions out, where it is asked for.
     pub in_module: Ns,
+    pub in_actions: Ns,
 }
 
 /// Tags of the loop's timers: the module's carry the life that set them.
@@ -174,6 +175,7 @@
             standing: None,
             often: Often::new(LOG_LINES),
             in_module: 0,
+            in_actions: 0,
         }
     }
 
@@ -278,28 +280,8 @@
     }
 }
 
-/// An answer that would come after the client has given up is not sent: the connection is closed.
-fn send(
-    net: &mut Net, tolls: &mut Tolls, conn: Id, by: Ns, status: u16, lines: &[(&str, &str)], body: &[u8],
-) {
-    if net.clock() >= by {
-        tolls.late += 1;
-        return net.close(conn);
-    }
-    net.answer(conn, status, lines, body);
-}
-
-/// A pushback's lines: when to return, in whole seconds for any client and in ms for those that know.
-pub fn wait_lines(wait: Ns) -> [String; 2] {
-    [((wait + SEC - 1) / SEC).max(1).to_string(), ((wait + MS - 1) / MS).max(0).to_string()]
-}
-
-impl Ctl for Wire {
-    fn now(&self) -> Ns {
-        self.net.now()
-    }
-
-    fn pick(&mut self, rpc: usize, machine: usize, time_out: Ns) {
+impl Wire {
+    fn send_pick(&mut self, rpc: usize, machine: usize, time_out: Ns) {
         let Some(open) = self.open.get_mut(rpc).and_then(Option::as_mut) else { return };
         let place = &self.places[machine];
         let number = open.picks.len();
@@ -333,7 +315,36 @@
         self.calls.insert(id, What::Pick(rpc, number));
         self.lapse_at(now + time_out, id);
     }
+}
+
+/// An answer that would come after the client has given up is not sent: the connection is closed.
+fn send(
+    net: &mut Net, tolls: &mut Tolls, conn: Id, by: Ns, status: u16, lines: &[(&str, &str)], body: &[u8],
+) {
+    if net.clock() >= by {
+        tolls.late += 1;
+        return net.close(conn);
+    }
+    net.answer(conn, status, lines, body);
+}
+
+/// A pushback's lines: when to return, in whole seconds for any client and in ms for those that know.
+pub fn wait_lines(wait: Ns) -> [String; 2] {
+    [((wait + SEC - 1) / SEC).max(1).to_string(), ((wait + MS - 1) / MS).max(0).to_string()]
+}
+
+impl Ctl for Wire {
+    fn now(&self) -> Ns {
+        self.net.now()
+    }
 
+    fn pick(&mut self, rpc: usize, machine: usize, time_out: Ns) {
+        let began = self.opening.profile.then(|| self.net.clock());
+        self.send_pick(rpc, machine, time_out);
+        if let Some(began) = began {
+            self.in_actions += self.net.clock() - began;
+        }
+    }
     fn cancel(&mut self, rpc: usize, pick: u32) {
         let open = self.open.get(rpc).and_then(Option::as_ref);
         if let Some(p) = open.and_then(|o| o.picks.get(pick as usize)).filter(|p| p.out) {
--- a/net/src/http.rs
+++ b/net/src/http.rs
@@ -25,7 +25,7 @@
 /// Names and values of a head's lines, kept as ranges of one buffer.
 #[derive(Clone, Debug, Default)]
 pub struct Lines {
-    text: Vec<u8>,
+    text: String,
     spans: Vec<(Range<u32>, Range<u32>)>,
 }
 
@@ -40,9 +40,7 @@
     }
 
     pub fn iter(&self) -> impl Iterator<Item = (&str, &str)> {
-        let part = |r: &Range<u32>| {
-            std::str::from_utf8(&self.text[r.start as usize..r.end as usize]).unwrap_or("").trim()
-        };
+        let part = |r: &Range<u32>| &self.text[r.start as usize..r.end as usize];
         self.spans.iter().map(move |(n, v)| (part(n), part(v)))
     }
 }
@@ -124,18 +122,23 @@
     Ok(None)
 }
 
-fn lines_of(head: &[u8], headers: &[httparse::Header]) -> Lines {
+/// Keeps a head's lines; text that is no UTF-8 is refused, as nothing here could pass it on unharmed.
+fn lines_of(head: &[u8], headers: &[httparse::Header]) -> Result<Lines, Refusal> {
     let base = head.as_ptr() as usize;
     let span = |part: &[u8]| {
+        let part = part.trim_ascii();
         let start = (part.as_ptr() as usize).wrapping_sub(base);
         if part.is_empty() || start > head.len() {
             return 0..0;
         }
         start as u32..(start + part.len()) as u32
     };
-    Lines {
-        text: head.to_vec(),
-        spans: headers.iter().map(|h| (span(h.name.as_bytes()), span(h.value))).collect(),
+    match std::str::from_utf8(head) {
+        Ok(text) => Ok(Lines {
+            text: text.into(),
+            spans: headers.iter().map(|h| (span(h.name.as_bytes()), span(h.value))).collect(),
+        }),
+        Err(_) => refuse(400, "a head that is no UTF-8"),
     }
 }
 
@@ -208,7 +211,7 @@
     }
     let (method, target) = (parsed.method.unwrap_or(""), parsed.path.unwrap_or(""));
     let old = parsed.version == Some(0);
-    let lines = lines_of(&buf[..long], parsed.headers);
+    let lines = lines_of(&buf[..long], parsed.headers)?;
     let hosts = lines.all("host").count();
     if hosts > 1 || hosts == 0 && !old {
         return refuse(400, "one Host line is wanted");
@@ -239,7 +242,7 @@
         _ => return refuse(0, "a malformed head"),
     }
     let (status, old) = (parsed.code.unwrap_or(0), parsed.version == Some(0));
-    let lines = lines_of(&buf[..long], parsed.headers);
+    let lines = lines_of(&buf[..long], parsed.headers)?;
     let empty = status < 200 || status == 204 || status == 304;
     let told = framing(&lines, old)?;
     let framing = if empty { Framing::Length(0) } else { told.unwrap_or(Framing::Close) };
--- a/net/src/net.rs
+++ b/net/src/net.rs
@@ -172,6 +172,8 @@
 
 struct Slot {
     generation: u32,
+    /// The generation under which epoll knows the socket; a kept connection's calls have later ones.
+    born: u32,
     flags: epoll::EventFlags,
     sock: Sock,
 }
@@ -268,7 +270,7 @@
         let slot = self.socks.vacant_entry();
         let id = u64::from(generation) << 32 | slot.key() as u64;
         epoll::add(&self.poll, sock.fd(), epoll::EventData::new_u64(id), flags)?;
-        slot.insert(Slot { generation, flags, sock });
+        slot.insert(Slot { generation, born: generation, flags, sock });
         Ok(id)
     }
 
@@ -316,7 +318,8 @@
         let index = (id & 0xffff_ffff) as usize;
         if let Some(slot) = self.socks.get_mut(index).filter(|s| s.flags != flags) {
             slot.flags = flags;
-            let _ = epoll::modify(&self.poll, slot.sock.fd(), epoll::EventData::new_u64(id), flags);
+            let data = epoll::EventData::new_u64(u64::from(slot.born) << 32 | index as u64);
+            let _ = epoll::modify(&self.poll, slot.sock.fd(), data, flags);
         }
     }
 
@@ -579,13 +582,14 @@
         let due = self.timers.next().unwrap_or(Ns::MAX).min(self.swept + SWEEP);
         let wait = if events.is_empty() { (due - self.now).clamp(0, most) } else { 0 };
         let wait = rustix::event::Timespec { tv_sec: wait / SEC, tv_nsec: wait % SEC };
-        let mut ready: Vec<epoll::Event> = Vec::with_capacity(EVENTS);
-        match epoll::wait(&self.poll, rustix::buffer::spare_capacity(&mut ready), Some(&wait)) {
-            Ok(_) | Err(Errno::INTR) => {}
+        let mut space = [const { std::mem::MaybeUninit::<epoll::Event>::uninit() }; EVENTS];
+        let ready: &[epoll::Event] = match epoll::wait(&self.poll, &mut space[..], Some(&wait)) {
+            Ok((ready, _)) => ready,
+            Err(Errno::INTR) => &[],
             Err(err) => return Err(err.into()),
-        }
+        };
         self.now = self.clock();
-        for event in &ready {
+        for event in ready {
             self.ready(events, event.data.u64(), event.flags);
         }
         if self.now >= self.swept + SWEEP {
@@ -601,8 +605,12 @@
         Ok(())
     }
 
-    fn ready(&mut self, events: &mut Vec<Event>, id: Id, flags: epoll::EventFlags) {
-        let Some(slot) = self.get(id) else { return };
+    /// Word of a socket, by its slot and the generation under which epoll knows it.
+    fn ready(&mut self, events: &mut Vec<Event>, known: u64, flags: epoll::EventFlags) {
+        let index = (known & 0xffff_ffff) as usize;
+        let ours = |s: &&mut Slot| s.born == (known >> 32) as u32;
+        let Some(slot) = self.socks.get_mut(index).filter(ours) else { return };
+        let id = u64::from(slot.generation) << 32 | index as u64;
         match &mut slot.sock {
             Sock::Listener(_) => self.accept(id),
             Sock::Client(_) => self.serve(events, id, flags),
@@ -897,15 +905,13 @@
         if !keep || kept >= MAX_IDLE {
             return self.drop_sock(id);
         }
-        // Its next call must not have this one's id: the slot is renewed under a new generation.
+        // Its next call must not have this one's id.
         self.generation = self.generation.wrapping_add(1);
         let generation = self.generation;
         let index = (id & 0xffff_ffff) as usize;
         let fresh = u64::from(generation) << 32 | index as u64;
         let Some(slot) = self.socks.get_mut(index) else { return };
         slot.generation = generation;
-        slot.flags = epoll::EventFlags::IN | epoll::EventFlags::RDHUP;
-        let _ = epoll::modify(&self.poll, slot.sock.fd(), epoll::EventData::new_u64(fresh), slot.flags);
         if let Sock::Server(server) = &mut slot.sock {
             server.step = Step::Idle;
             server.out.clear();
