--- /dev/null
+++ b/trust/src/meta.rs
@@ -0,0 +1,267 @@
+//! Metadata as the TUF specification 1.0 has it (sections 4.2 to 4.6): canonical JSON, keys, signatures,
+//! thresholds, versions, expiry.
+use ed25519_dalek::{Signature, VerifyingKey};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use sha2::{Digest, Sha256};
+use std::collections::{BTreeMap, BTreeSet};
+
+pub const SPEC: &str = "1.0.31";
+pub const ROLES: [&str; 4] = ["root", "targets", "snapshot", "timestamp"];
+
+/// Why metadata is not trusted. Each names the check that failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// Not the JSON that is wanted.
+    Malformed(String),
+    /// Fewer valid signatures than the threshold asks for.
+    Signatures {
+        role: String,
+        valid: usize,
+        wanted: usize,
+    },
+    /// Not the version that must come now.
+    Version {
+        role: String,
+        got: u64,
+        wanted: u64,
+    },
+    /// Older than what was trusted before.
+    Rollback(String),
+    Expired {
+        role: String,
+        at: String,
+    },
+    /// Another length or hash than was signed for.
+    Other(String),
+    /// Something that must be there is not.
+    Missing(String),
+}
+
+impl std::fmt::Display for Refused {
+    fn fmt(&self, out: &mut std::fmt::Formatter) -> std::fmt::Result {
+        match self {
+            Refused::Malformed(why) => write!(out, "malformed: {why}"),
+            Refused::Signatures { role, valid, wanted } => {
+                write!(out, "{role}: {valid} valid signatures where {wanted} are wanted")
+            }
+            Refused::Version { role, got, wanted } => {
+                write!(out, "{role}: version {got} where {wanted} must come")
+            }
+            Refused::Rollback(what) => write!(out, "rolled back: {what}"),
+            Refused::Expired { role, at } => write!(out, "{role}: expired at {at}"),
+            Refused::Other(what) => write!(out, "not what was signed for: {what}"),
+            Refused::Missing(what) => write!(out, "missing: {what}"),
+        }
+    }
+}
+
+pub fn malformed(why: impl std::fmt::Display) -> Refused {
+    Refused::Malformed(why.to_string())
+}
+
+/// Bytes that are signed and hashed: OLPC canonical JSON.
+pub fn canonical(value: &Value) -> Result<Vec<u8>, Refused> {
+    let mut out = Vec::new();
+    let mut ser = serde_json::Serializer::with_formatter(&mut out, olpc_cjson::CanonicalFormatter::new());
+    value.serialize(&mut ser).map_err(malformed)?;
+    Ok(out)
+}
+
+pub fn sha256(bytes: &[u8]) -> String {
+    hex::encode(Sha256::digest(bytes))
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+pub struct Key {
+    pub keytype: String,
+    pub scheme: String,
+    pub keyval: BTreeMap<String, String>,
+}
+
+impl Key {
+    pub fn ed25519(public: &[u8; 32]) -> Key {
+        let keyval = BTreeMap::from([("public".to_string(), hex::encode(public))]);
+        Key { keytype: "ed25519".into(), scheme: "ed25519".into(), keyval }
+    }
+
+    /// Section 4.2: the hash of the key's canonical form.
+    pub fn id(&self) -> Result<String, Refused> {
+        Ok(sha256(&canonical(&serde_json::to_value(self).map_err(malformed)?)?))
+    }
+
+    fn public(&self) -> Option<VerifyingKey> {
+        if self.keytype != "ed25519" || self.scheme != "ed25519" {
+            return None;
+        }
+        let bytes: [u8; 32] = hex::decode(self.keyval.get("public")?).ok()?.try_into().ok()?;
+        VerifyingKey::from_bytes(&bytes).ok()
+    }
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+pub struct Role {
+    pub keyids: Vec<String>,
+    pub threshold: usize,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+pub struct Root {
+    #[serde(rename = "_type")]
+    pub kind: String,
+    pub spec_version: String,
+    pub consistent_snapshot: bool,
+    pub version: u64,
+    pub expires: String,
+    pub keys: BTreeMap<String, Key>,
+    pub roles: BTreeMap<String, Role>,
+}
+
+/// A line that tells of another metadata file, or of a target.
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+pub struct File {
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<u64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub length: Option<u64>,
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub hashes: BTreeMap<String, String>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub custom: Option<Value>,
+}
+
+/// Timestamp and snapshot: what they tell of other files.
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+pub struct Index {
+    #[serde(rename = "_type")]
+    pub kind: String,
+    pub spec_version: String,
+    pub version: u64,
+    pub expires: String,
+    pub meta: BTreeMap<String, File>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+pub struct Targets {
+    #[serde(rename = "_type")]
+    pub kind: String,
+    pub spec_version: String,
+    pub version: u64,
+    pub expires: String,
+    pub targets: BTreeMap<String, File>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+pub struct Sig {
+    pub keyid: String,
+    pub sig: String,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Signed {
+    pub signatures: Vec<Sig>,
+    pub signed: Value,
+}
+
+/// Most signatures looked at: more than any threshold in use.
+const MOST_SIGNATURES: usize = 64;
+
+impl Signed {
+    pub fn read(bytes: &[u8]) -> Result<Signed, Refused> {
+        let signed: Signed = serde_json::from_slice(bytes).map_err(malformed)?;
+        if signed.signatures.len() > MOST_SIGNATURES {
+            return Err(malformed("too many signatures"));
+        }
+        let spec = signed.signed["spec_version"].as_str().unwrap_or("");
+        if !spec.starts_with("1.") {
+            return Err(malformed(format!("spec_version '{spec}' where 1.x is wanted")));
+        }
+        Ok(signed)
+    }
+
+    /// The signed part, of this type.
+    pub fn part<T: for<'a> Deserialize<'a>>(&self, kind: &str) -> Result<T, Refused> {
+        if self.signed["_type"] != kind {
+            return Err(malformed(format!("_type {} where {kind} is wanted", self.signed["_type"])));
+        }
+        serde_json::from_value(self.signed.clone()).map_err(malformed)
+    }
+
+    /// Section 5.3.4 and like it: a threshold of distinct keys of the role has signed. A key under two ids
+    /// counts once, and an id that is not its key's hash not at all.
+    pub fn signed_by(&self, root: &Root, role: &str) -> Result<(), Refused> {
+        let Some(wanted) = root.roles.get(role) else { return Err(Refused::Missing(format!("role {role}"))) };
+        if wanted.threshold == 0 {
+            return Err(malformed(format!("{role}: a threshold of 0")));
+        }
+        let bytes = canonical(&self.signed)?;
+        let mut valid = BTreeSet::new();
+        let mut seen = BTreeSet::new();
+        for Sig { keyid, sig } in &self.signatures {
+            if !wanted.keyids.contains(keyid) || !seen.insert(keyid) {
+                continue;
+            }
+            let Some(key) = root.keys.get(keyid).filter(|k| k.id().as_ref() == Ok(keyid)) else { continue };
+            let Some(sig) = hex::decode(sig).ok().and_then(|s| Signature::from_slice(&s).ok()) else {
+                continue;
+            };
+            if key.public().is_some_and(|public| public.verify_strict(&bytes, &sig).is_ok()) {
+                valid.insert(&key.keyval);
+            }
+        }
+        if valid.len() < wanted.threshold {
+            let (valid, wanted) = (valid.len(), wanted.threshold);
+            return Err(Refused::Signatures { role: role.into(), valid, wanted });
+        }
+        Ok(())
+    }
+}
+
+/// Seconds since 1970 of `YYYY-MM-DDTHH:MM:SSZ` (the one form that section 4.2 allows).
+///
+/// ```
+/// use rockpick_trust::meta::{date, seconds};
+/// assert_eq!(seconds("2026-12-01T13:00:00Z"), Some(1_796_130_000));
+/// assert_eq!(date(1_796_130_000), "2026-12-01T13:00:00Z");
+/// assert_eq!(seconds("2026-13-01T13:00:00Z"), None);
+/// ```
+pub fn seconds(text: &str) -> Option<i64> {
+    let b = text.as_bytes();
+    let shape =
+        b.len() == 20 && b[4] == b'-' && b[7] == b'-' && b[10] == b'T' && b[13] == b':' && b[16] == b':';
+    if !shape || b[19] != b'Z' {
+        return None;
+    }
+    let n = |from: usize, to: usize| -> Option<i64> {
+        let part = text.get(from..to)?;
+        part.bytes().all(|c| c.is_ascii_digit()).then(|| part.parse().ok())?
+    };
+    let (y, m, d) = (n(0, 4)?, n(5, 7)?, n(8, 10)?);
+    let (h, min, s) = (n(11, 13)?, n(14, 16)?, n(17, 19)?);
+    if !(1..=12).contains(&m) || !(1..=31).contains(&d) || h > 23 || min > 59 || s > 59 {
+        return None;
+    }
+    Some(days(y, m, d) * 86_400 + h * 3_600 + min * 60 + s)
+}
+
+/// Days since 1970-01-01 in the Gregorian calendar, by eras of 400 years that begin in March.
+fn days(y: i64, m: i64, d: i64) -> i64 {
+    let y = if m <= 2 { y - 1 } else { y };
+    let era = y.div_euclid(400);
+    let year = y.rem_euclid(400);
+    let day = (153 * (m + if m > 2 { -3 } else { 9 }) + 2) / 5 + d - 1;
+    era * 146_097 + year * 365 + year / 4 - year / 100 + day - 719_468
+}
+
+pub fn date(at: i64) -> String {
+    let (day, second) = (at.div_euclid(86_400), at.rem_euclid(86_400));
+    let z = day + 719_468;
+    let (era, of_era) = (z.div_euclid(146_097), z.rem_euclid(146_097));
+    let year = (of_era - of_era / 1_460 + of_era / 36_524 - of_era / 146_096) / 365;
+    let of_year = of_era - (365 * year + year / 4 - year / 100);
+    let mp = (5 * of_year + 2) / 153;
+    let (d, m) = (of_year - (153 * mp + 2) / 5 + 1, if mp < 10 { mp + 3 } else { mp - 9 });
+    let y = year + era * 400 + i64::from(m <= 2);
+    let (h, min, s) = (second / 3_600, second / 60 % 60, second % 60);
+    format!("{y:04}-{m:02}-{d:02}T{h:02}:{min:02}:{s:02}Z")
+}
