Agent on each server: fetches, checks, starts, drains and takes back signed builds

Cause: somebody has to put the build on a machine, and only one that was signed for. Change: package agent, whose decisions are a module without I/O (orders with generations, backoff, what is kept); processes outlive it and are found again by id and start time. The controller serves the repository with ranges, gives orders by generation, leaves out places whose agents fail, and in place replaces no more at once than leaves the told share serving. rockpick agent and rockpick repo.

--- a/cli/src/bench.rs
+++ b/cli/src/bench.rs
@@ -205,7 +205,7 @@
         let (to, from) = std::sync::mpsc::channel();
         std::thread::spawn(move || {
             let listen = SocketAddr::from(([127, 0, 0, 1], 0));
-            Controller { listen, state: None }.run(|at| {
+            Controller { listen, state: None, repo: None }.run(|at| {
                 let _ = to.send(at);
             })
         });
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -54,6 +54,36 @@
         /// Folder of the snapshot; without it nothing outlives the process.
         #[arg(long)]
         state: Option<PathBuf>,
+        /// The repository of signed builds, served under /repo.
+        #[arg(long)]
+        repo: Option<PathBuf>,
+    },
+    /// Runs the agent of a place: fetches, checks, starts, drains and takes back builds.
+    Agent {
+        #[command(flatten)]
+        at: At,
+        /// Its place among the settings' places.
+        #[arg(long)]
+        machine: String,
+        /// Folder for what it trusts, artefacts and records of processes.
+        #[arg(long)]
+        state: PathBuf,
+        /// The root to trust, where none is trusted yet.
+        #[arg(long)]
+        root: Option<PathBuf>,
+        /// Most bytes a second that a fetch takes.
+        #[arg(long, default_value_t = 50e6)]
+        rate: f64,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Builds end with the agent; else they run on without it.
+        #[arg(long)]
+        take_down: bool,
+    },
+    /// Keeps a repository of signed builds.
+    Repo {
+        #[command(subcommand)]
+        what: RepoDo,
     },
     /// Runs a front.
     Front {
@@ -108,6 +138,9 @@
         /// It has run for long: warm from the start.
         #[arg(long)]
         warm: bool,
+        /// An agent speaks for it.
+        #[arg(long)]
+        agent: bool,
     },
     /// Runs stand-in clients.
     Client {
@@ -184,6 +217,59 @@
     },
 }
 
+#[derive(Args)]
+struct At2 {
+    /// Folder of the repository.
+    #[arg(long)]
+    dir: PathBuf,
+    /// Folder of the keys; only those of the roles that sign need be there.
+    #[arg(long)]
+    keys: PathBuf,
+}
+
+#[derive(Subcommand)]
+enum RepoDo {
+    /// Makes a repository, and keys of its own for each role.
+    Init {
+        #[command(flatten)]
+        at: At2,
+        /// Keys of each role, all of which must sign.
+        #[arg(long, default_value_t = 1)]
+        many: usize,
+    },
+    /// Takes a build in.
+    Add {
+        #[command(flatten)]
+        at: At2,
+        #[arg(long)]
+        build: u32,
+        /// Pack it with zstd.
+        #[arg(long)]
+        pack: bool,
+        artefact: PathBuf,
+    },
+    /// Signs a role anew, with a new version and expiry.
+    Sign {
+        #[command(flatten)]
+        at: At2,
+        role: String,
+    },
+    /// Gives a role new keys in place of its old ones.
+    Rotate {
+        #[command(flatten)]
+        at: At2,
+        role: String,
+    },
+    /// Walks a client's way through all of it, from a trusted root.
+    Verify {
+        #[arg(long)]
+        dir: PathBuf,
+        /// The root to begin with; the repository's first if left out.
+        #[arg(long)]
+        root: Option<PathBuf>,
+    },
+}
+
 #[derive(Subcommand)]
 enum Bench {
     /// One front on one core against direct calls and a plain proxy, in one run.
@@ -241,8 +327,8 @@
 fn act(what: What) -> Result<ExitCode, Bad2> {
     let good = Ok(ExitCode::SUCCESS);
     match what {
-        What::Controller { listen, state } => {
-            rockpick_control::Controller { listen: listen.listen, state }.run(ready).map_err(Bad2)?;
+        What::Controller { listen, state, repo } => {
+            rockpick_control::Controller { listen: listen.listen, state, repo }.run(ready).map_err(Bad2)?;
             good
         }
         What::Front { listen, at, name, state, seed, clients, profile, notes_at } => {
@@ -259,7 +345,18 @@
             rockpick_front::run(opening, ready).map_err(Bad2)?;
             good
         }
-        What::Machine { listen, at, name, place, build, cores, speed, bad, record, seed, warm } => {
+        What::Agent { at, machine, state, root, rate, seed, take_down } => {
+            if !(1e3..=1e12).contains(&rate) {
+                return Err(Bad2("--rate: 1000 to 1e12 bytes a second".into()));
+            }
+            let controller = at.controller;
+            let agent =
+                rockpick_agent::Agent { place: machine, controller, state, root, rate, seed, take_down };
+            agent.run(|| println!("agent up")).map_err(Bad2)?;
+            good
+        }
+        What::Repo { what } => repo(what),
+        What::Machine { listen, at, name, place, build, cores, speed, bad, record, seed, warm, agent } => {
             let bad = match bad {
                 None => None,
                 Some(text) => {
@@ -270,7 +367,20 @@
                 return Err(Bad2("--speed: above 0; --cores: 1 to 1024".into()));
             }
             let (listen, controller) = (listen.listen, at.controller);
-            let m = Machine { name, place, build, listen, controller, cores, speed, bad, record, seed, warm };
+            let m = Machine {
+                name,
+                place,
+                build,
+                listen,
+                controller,
+                cores,
+                speed,
+                bad,
+                record,
+                seed,
+                warm,
+                agent,
+            };
             m.run(ready).map_err(Bad2)?;
             good
         }
@@ -325,6 +435,32 @@
     }
 }
 
+fn repo(what: RepoDo) -> Result<ExitCode, Bad2> {
+    use rockpick_trust::repo::Repo;
+    let wall = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    let now = wall.map_or(0, |d| d.as_secs() as i64);
+    let open = |dir: PathBuf| Repo { dir, now };
+    match what {
+        RepoDo::Init { at, many } => open(at.dir).init(&at.keys, many).map_err(Bad2)?,
+        RepoDo::Add { at, build, pack, artefact } => {
+            println!("{}", open(at.dir).add(&at.keys, build, &artefact, pack).map_err(Bad2)?);
+        }
+        RepoDo::Sign { at, role } => open(at.dir).sign(&at.keys, &role).map_err(Bad2)?,
+        RepoDo::Rotate { at, role } => open(at.dir).rotate(&at.keys, &role).map_err(Bad2)?,
+        RepoDo::Verify { dir, root } => {
+            let root = read(&root.unwrap_or_else(|| dir.join("metadata/1.root.json")))?;
+            match open(dir).verify(&root) {
+                Ok(builds) => println!("good: {}", builds.join(" ")),
+                Err(why) => {
+                    println!("refused: {why}");
+                    return Ok(ExitCode::from(1));
+                }
+            }
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 fn read(file: &std::path::Path) -> Result<Vec<u8>, Bad2> {
     let mut text = Vec::new();
     let done = if file.as_os_str() == "-" {
--- a/control/src/charter.rs
+++ b/control/src/charter.rs
@@ -102,6 +102,9 @@
     #[serde(default = "one")]
     pub back_votes: u32,
     pub told_every_ms: u64,
+    /// In place: the share of places that goes on serving warm while others are replaced.
+    #[serde(default = "three_quarters")]
+    pub serving_share: f64,
     /// 0: no tallies.
     #[serde(default)]
     pub tally_every_ms: u64,
@@ -109,6 +112,10 @@
     pub tally_sample: f64,
 }
 
+fn three_quarters() -> f64 {
+    0.75
+}
+
 fn one() -> u32 {
     1
 }
@@ -233,6 +240,7 @@
         let tallies = r.tally_every_ms == 0 || (100..=60_000).contains(&r.tally_every_ms);
         must(tallies, at("tally_every_ms"), "0, or 100 ms to a minute");
         must(share(r.tally_sample), at("tally_sample"), "0 to 1");
+        must((0.0..1.0).contains(&r.serving_share), at("serving_share"), "0 to under 1");
         let g = &self.guard;
         let at = |f: &str| format!("guard.{f}");
         must(g.drain_grace_ms <= MOST_MS, at("drain_grace_ms"), "a day at most");
@@ -377,6 +385,7 @@
                 hold_votes: 1,
                 back_votes: share(0.25),
                 told_every_ms: 2_000,
+                serving_share: 0.75,
                 tally_every_ms: 1_000,
                 tally_sample: 0.4,
             },
--- a/control/src/desk.rs
+++ b/control/src/desk.rs
@@ -12,6 +12,8 @@
 const SEC: Ns = 1_000 * MS;
 /// Rows that one report of counts may hold: all methods of a handful of builds.
 const MOST_ROWS: usize = 512;
+/// Builds that one agent may tell of.
+const MOST_BUILDS: usize = 16;
 /// Most watchers: three times the fronts there may be, as old connections end late.
 const MOST_WATCHERS: usize = 15_000;
 
@@ -45,6 +47,18 @@
     charter: Charter,
     earlier: u32,
     newest: Option<Kept>,
+    /// Of the last order; none given later may have a lower one.
+    #[serde(default)]
+    generation: u64,
+}
+
+/// What an agent last said of itself.
+#[derive(Clone, Default)]
+struct AgentAt {
+    heard: Ns,
+    generation: u64,
+    /// Build, state, and why where there is something to say.
+    builds: Vec<(u32, String, String)>,
 }
 
 #[derive(Clone, Default, Serialize)]
@@ -69,6 +83,10 @@
     told: Ns,
     stage_changed: bool,
     born: Ns,
+    /// What should run where, as of the last pass, and the number of that order.
+    want: Running,
+    generation: u64,
+    agents: BTreeMap<String, AgentAt>,
     /// Something changed that the snapshot must hold.
     pub dirty: bool,
     pub calls: u64,
@@ -162,6 +180,7 @@
             }
         };
         release.restore(now, kept.earlier, newest);
+        desk.generation = kept.generation;
         (desk.charter, desk.version, desk.release) = (Some(kept.charter), kept.version, Some(release));
         Ok(desk)
     }
@@ -177,7 +196,8 @@
             age_ms: ms(now - t.since),
             ran_ms: ms(t.ran),
         });
-        let kept = Snapshot { version: self.version, charter, earlier: release.earlier, newest };
+        let (version, earlier, generation) = (self.version, release.earlier, self.generation);
+        let kept = Snapshot { version, charter, earlier, newest, generation };
         serde_json::to_vec_pretty(&kept).ok()
     }
 
@@ -185,10 +205,13 @@
         now - self.born >= SETTLE
     }
 
-    fn wanted(&self) -> Running {
-        match (&self.release, &self.charter) {
-            (Some(release), Some(charter)) => release.wanted(charter, &self.roster.running()),
-            _ => Running::new(),
+    /// Works out what should run where; each change of it is an order of its own.
+    fn order(&mut self) {
+        let (Some(release), Some(charter)) = (&self.release, &self.charter) else { return };
+        let want = release.wanted(charter, &self.roster.running());
+        if want != self.want {
+            (self.want, self.dirty) = (want, true);
+            self.generation += 1;
         }
     }
 
@@ -264,6 +287,7 @@
             ["votes"] => self.vote(now, &json),
             ["counts"] => self.count(&json),
             ["machines", name] => self.beat(now, name, &json),
+            ["agents", place] => self.agent(now, place, &json),
             _ => no(404, "path", "no such thing here"),
         }
     }
@@ -410,10 +434,15 @@
             return Answer::Now(200, json!({ "order": "stop" }));
         }
         let known = self.roster.machines.get(name).map(|m| (m.run, m.state));
-        let wanted = self.wanted();
         let Some(charter) = &self.charter else { return no(409, "settings", "none were given yet") };
         let run = beat.run;
-        match self.roster.beat(now, charter, &wanted, beat) {
+        // Before the first order after a start nobody is told to go.
+        let all = Running::from([(
+            charter.places.iter().position(|p| p.name == beat.place).unwrap_or(0),
+            beat.build,
+        )]);
+        let wanted = if self.want.is_empty() { &all } else { &self.want };
+        match self.roster.beat(now, charter, wanted, beat) {
             Err(why) => no(409, "place", why),
             Ok(order) => {
                 let state = self.roster.machines[name].state;
@@ -430,6 +459,67 @@
         }
     }
 
+    /// An agent's word for its place, and the order for it. What runs is the agent's to say; what should run
+    /// is the order's; machines that serve or drain beat through it.
+    fn agent(&mut self, now: Ns, place: &str, json: &Value) -> Answer {
+        let Some(charter) = &self.charter else { return no(409, "settings", "none were given yet") };
+        let Some(index) = charter.places.iter().position(|p| p.name == place) else {
+            return no(404, "place", "no such place");
+        };
+        let generation = field!(json, "generation", as_u64);
+        let Some(builds) = json.get("builds").and_then(Value::as_array).filter(|b| b.len() <= MOST_BUILDS)
+        else {
+            return no(400, "builds", "a list of at most 16 is wanted");
+        };
+        let mut orders = serde_json::Map::new();
+        let mut said = Vec::new();
+        for (i, b) in builds.iter().enumerate() {
+            let at = |f: &str| format!("builds[{i}].{f}");
+            let Some(build) = b["build"].as_u64().filter(|n| *n < 65_536).map(|n| n as u32) else {
+                return no(400, &at("build"), "a number below 65536 is wanted");
+            };
+            let word = |name: &str| b[name].as_str().unwrap_or("");
+            let why: String = word("why").chars().take(200).collect();
+            said.push((build, word("state").chars().take(16).collect(), why));
+            let newest = self.release.as_ref().and_then(|r| r.newest.as_ref()).map(|t| t.build);
+            if let Some(release) = self.release.as_mut().filter(|_| newest == Some(build)) {
+                let unfit = b["unfit"] == true;
+                if unfit && release.unfit.insert(index) {
+                    tracing::warn!(event = "unfit", place, build, why = word("why"));
+                } else if !unfit {
+                    release.unfit.remove(&index);
+                }
+            }
+            if b["addr"].is_string() {
+                let mut beat = b.clone();
+                beat["place"] = place.into();
+                beat["leaving"] = false.into();
+                let name = word("name").to_string();
+                match self.beat(now, &name, &beat) {
+                    Answer::Now(200, said) => {
+                        orders.insert(build.to_string(), said["order"].clone());
+                    }
+                    refused => return refused,
+                }
+            }
+        }
+        let agent = self.agents.entry(place.into()).or_default();
+        (agent.heard, agent.builds) = (now, said);
+        agent.generation = generation;
+        if !self.settled(now) || self.want.is_empty() {
+            // Who has just come up knows too little to order anything.
+            return Answer::Now(200, json!({ "orders": orders }));
+        }
+        let builds: Vec<u32> = self.want.iter().filter(|(p, _)| *p == index).map(|(_, b)| *b).collect();
+        let newest = self.release.as_ref().and_then(|r| r.newest.as_ref()).map(|t| t.build);
+        let earlier = self.release.as_ref().map(|r| r.earlier);
+        let keep: Vec<u32> = earlier.into_iter().chain(newest).collect();
+        Answer::Now(
+            200,
+            json!({ "generation": self.generation, "builds": builds, "keep": keep, "orders": orders }),
+        )
+    }
+
     fn watch(&mut self, conn: u64, front: Option<&str>, http: Option<&str>, notes: Option<&str>) -> Answer {
         if self.watchers.len() >= MOST_WATCHERS {
             return no(503, "watch", "too many watchers");
@@ -456,7 +546,7 @@
     }
 
     fn wanted_line(&self) -> Value {
-        let (wanted, present) = (self.wanted(), self.roster.present());
+        let (wanted, present) = (&self.want, self.roster.present());
         let places = self.charter.as_ref().map_or(&[][..], |c| &c.places);
         let line = |(p, b): &(usize, u32)| json!({ "place": places.get(*p).map(|p| &p.name), "build": b, "present": present.contains(&(*p, *b)) });
         json!({ "wanted": wanted.iter().map(line).collect::<Vec<_>>() })
@@ -470,7 +560,17 @@
             .collect();
         let watching: Vec<&String> =
             self.watchers.values().map(|w| &w.front).filter(|f| !f.is_empty()).collect();
-        json!({ "settings_version": self.version, "stage": self.stage(now), "machines": machines, "votes": votes,
+        let agent = |(place, a): (&String, &AgentAt)| {
+            let builds: Vec<Value> = a
+                .builds
+                .iter()
+                .map(|(b, state, why)| json!({ "build": b, "state": state, "why": why }))
+                .collect();
+            json!({ "place": place, "heard_ms_ago": ms(now - a.heard), "generation": a.generation, "builds": builds })
+        };
+        let agents: Vec<Value> = self.agents.iter().map(agent).collect();
+        json!({ "settings_version": self.version, "stage": self.stage(now), "machines": machines,
+            "agents": agents, "generation": self.generation, "votes": votes,
             "fronts": self.fronts, "watching": watching, "calls": self.calls,
             "votes_taken": self.votes[0], "votes_moot": self.votes[1], "votes_over_rate": self.votes[2] })
     }
@@ -478,11 +578,15 @@
     /// Lets time pass; returns the lines that watchers are due, by connection.
     pub fn pass(&mut self, now: Ns) -> Vec<(u64, String)> {
         if self.settled(now) {
-            let wanted = self.wanted();
-            for (name, state) in self.roster.sweep(now, &wanted) {
+            self.order();
+            for (name, state) in self.roster.sweep(now, &self.want) {
                 tracing::info!(event = "machine", machine = name, state = state_word(state));
             }
             let running = self.roster.running();
+            if let (Some(release), Some(charter)) = (&mut self.release, &self.charter) {
+                let cold_time = charter.guard.cold_time_ms as Ns * MS;
+                release.cold = self.roster.cold(now, cold_time);
+            }
             if let (Some(release), Some(charter)) = (&mut self.release, &self.charter) {
                 if let Some(moved) = release.tick(now, charter, &running) {
                     log(&moved);
--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -3,6 +3,7 @@
 //! calls; none of them does I/O. [`server`] has the sockets.
 pub mod charter;
 pub mod desk;
+pub mod files;
 pub mod keep;
 pub mod release;
 pub mod roster;
--- a/control/src/release.rs
+++ b/control/src/release.rs
@@ -5,8 +5,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 const MS: Ns = 1_000_000;
-/// A stage's clock starts when all its machines run, and this long after its order at the latest: one that
-/// can't start must not hold a stage for ever.
+/// A stage's clock starts when all its machines run; this long after its order half of them are enough, as one
+/// that can't start must not hold a stage for ever.
 const START_WITHIN: Ns = 8_000 * MS;
 
 /// What runs: place and build.
@@ -60,6 +60,10 @@
     pub newest: Option<Trial>,
     /// Places in the order in which stages take them: zone by zone in turn.
     order: Vec<usize>,
+    /// Places whose agent can't run the newest build: others take their turn, and they count for no progress.
+    pub unfit: BTreeSet<usize>,
+    /// Machines that are not warm yet: in place, only so many at once.
+    pub cold: Running,
     ticked: Ns,
 }
 
@@ -75,7 +79,14 @@
 
 impl Release {
     pub fn new(charter: &Charter) -> Release {
-        Release { earlier: charter.first_build, newest: None, order: order(charter), ticked: 0 }
+        Release {
+            earlier: charter.first_build,
+            newest: None,
+            order: order(charter),
+            unfit: BTreeSet::new(),
+            cold: Running::new(),
+            ticked: 0,
+        }
     }
 
     /// Goes on under another charter; the trial's stage must exist there.
@@ -122,6 +133,7 @@
             }
             _ => {}
         }
+        self.unfit.clear();
         self.newest = Some(Trial {
             build,
             stage: 0,
@@ -193,13 +205,16 @@
                 Some(t.turn(now, t.stage, Phase::GoingBack, why))
             }
             Phase::OnTrial => {
-                let all_up = wanted.iter().all(|p| running.contains(&(*p, t.build)));
+                let up = wanted.iter().filter(|p| running.contains(&(**p, t.build))).count();
+                let all_up = up == wanted.len();
+                // A few that are slow to start hold nothing up; a stage of which most never came says nothing.
+                let late = now - t.since >= START_WITHIN && 2 * up >= wanted.len();
                 let held = r.control() == Control::Automatic
                     && count(t, Verdict::Hold, Some(t.stage)) >= r.hold_votes.max(1);
                 if t.clock && !held {
                     t.ran += span;
                 }
-                t.clock |= all_up || now - t.since >= START_WITHIN;
+                t.clock |= all_up || late;
                 let (ready, why) = match r.control() {
                     Control::Automatic => (t.ran >= r.step_ms as Ns * MS, "its time is over".to_string()),
                     control => {
@@ -230,11 +245,45 @@
         let Some(t) = &self.newest else { return Vec::new() };
         let share = charter.rollout.stages.get(t.stage as usize).copied().unwrap_or(1.0);
         let many = (share * self.order.len() as f64 - 1e-9).ceil() as usize;
-        self.order[..many.clamp(1, self.order.len())].to_vec()
+        let fit = self.order.iter().filter(|p| !self.unfit.contains(p)).copied();
+        let chosen: Vec<usize> = fit.take(many.clamp(1, self.order.len())).collect();
+        // Where no place is fit, the first ones go on trying.
+        if chosen.is_empty() {
+            self.order[..1].to_vec()
+        } else {
+            chosen
+        }
+    }
+
+    /// In place, every replacement takes a machine's capacity away for as long as the new one is cold: of the
+    /// builds that should come, only so many are wanted at a time that the told share goes on serving.
+    fn paced(&self, charter: &Charter, running: &Running, build: u32, wanted: Running) -> Running {
+        let most =
+            ((1.0 - charter.rollout.serving_share) * self.order.len() as f64).floor().max(1.0) as usize;
+        let mut busy = self.cold.iter().filter(|(_, b)| *b == build).count();
+        let comes = |&(p, b): &(usize, u32)| {
+            b != build || running.contains(&(p, b)) || {
+                busy += 1;
+                busy <= most
+            }
+        };
+        let kept: Running = wanted.iter().copied().filter(comes).collect();
+        // What is not replaced yet stays as it is.
+        let stay: Vec<(usize, u32)> = (wanted.iter().filter(|w| !kept.contains(w)))
+            .flat_map(|(p, _)| running.iter().filter(move |(q, _)| p == q).copied())
+            .collect();
+        kept.into_iter().chain(stay).collect()
     }
 
     /// What should run where, given what runs: machines not in it are drained.
     pub fn wanted(&self, charter: &Charter, running: &Running) -> Running {
+        let wanted = self.all_wanted(charter, running);
+        let Some(t) = self.newest.as_ref().filter(|_| !charter.rollout.parallel) else { return wanted };
+        let build = if t.phase == Phase::GoingBack { self.earlier } else { t.build };
+        self.paced(charter, running, build, wanted)
+    }
+
+    fn all_wanted(&self, charter: &Charter, running: &Running) -> Running {
         let all = || self.order.iter().copied();
         let earlier = all().map(|p| (p, self.earlier));
         let Some(t) = &self.newest else { return earlier.collect() };
@@ -327,6 +376,7 @@
         assert_eq!(release.tick(3 * SEC, &charter, &running).unwrap().stage, 1);
         assert_eq!(release.vote(3 * SEC, Control::ByCount, "f0", 2, 0, Verdict::On), Err(Moot::Stage));
         for at in [13, 14, 24, 25] {
+            reconcile(&release, &charter, &mut running);
             for f in ["f0", "f1", "f2"] {
                 let stage = release.newest.as_ref().unwrap().stage;
                 release.vote(at * SEC, Control::ByCount, f, 2, stage, Verdict::On).unwrap();
@@ -374,6 +424,36 @@
         assert_eq!(release.tick(8 * SEC, &charter, &running).unwrap().stage, 1, "the hold has lapsed");
     }
 
+    #[test]
+    fn in_place_only_so_many_are_cold_or_starting_at_once_and_unfit_places_count_for_nothing() {
+        let mut charter = charter(ControlBy::ByCount, false);
+        (charter.rollout.stages, charter.rollout.serving_share) = (vec![0.5, 0.8, 1.0], 0.75);
+        let mut release = Release::new(&charter);
+        let mut running: Running = (0..10).map(|p| (p, 1)).collect();
+        release.offer(0, 2).unwrap();
+        let coming = |r: &Release, running: &Running| {
+            let wanted = r.wanted(&charter, running);
+            assert!((0..10).all(|p| wanted.iter().any(|(q, _)| *q == p)), "every place goes on serving");
+            wanted.into_iter().filter(|w| w.1 == 2 && !running.contains(w)).collect::<Vec<_>>()
+        };
+        let first = coming(&release, &running);
+        assert_eq!(first.len(), 2, "a quarter of ten places");
+        running.extend(&first);
+        release.cold.extend(&first);
+        assert_eq!(coming(&release, &running), []);
+        release.cold.clear();
+        assert_eq!(coming(&release, &running).len(), 2);
+        // Places whose agents fail are left out, and a stage of which most never came does not move.
+        release.unfit = (0..5).collect();
+        assert!(coming(&release, &running).iter().all(|(p, _)| *p >= 5));
+        for at in [1, 20, 21] {
+            for f in ["f0", "f1", "f2"] {
+                release.vote(at * SEC, Control::ByCount, f, 2, 0, Verdict::On).unwrap();
+            }
+            assert_eq!(release.tick(at * SEC, &charter, &(0..10).map(|p| (p, 1)).collect()), None);
+        }
+    }
+
     #[test]
     fn a_newer_offer_takes_off_one_on_trial_and_an_older_one_is_refused() {
         let charter = charter(ControlBy::FirstVoice, true);
--- a/control/src/roster.rs
+++ b/control/src/roster.rs
@@ -158,6 +158,12 @@
         up.map(|m| (m.place, m.build)).collect()
     }
 
+    /// Machines that are up but not warm yet.
+    pub fn cold(&self, now: Ns, cold_time: Ns) -> Running {
+        let cold = self.machines.values().filter(|m| m.state == State::Up && now - m.started < cold_time);
+        cold.map(|m| (m.place, m.build)).collect()
+    }
+
     /// What is there in any way, draining too: a host must not start a second one beside it.
     pub fn present(&self) -> Running {
         let there = self.machines.values().filter(|m| m.state != State::Gone);
--- a/control/src/server.rs
+++ b/control/src/server.rs
@@ -15,6 +15,8 @@
 pub struct Controller {
     pub listen: SocketAddr,
     pub state: Option<PathBuf>,
+    /// The repository of signed builds, served under `/repo`.
+    pub repo: Option<PathBuf>,
 }
 
 const SIGTERM: i32 = 15;
@@ -48,6 +50,20 @@
             let now = net.now();
             for event in std::mem::take(&mut events) {
                 match event {
+                    Event::Request { conn, request } if request.path().starts_with("/repo/") => {
+                        use crate::files::Said;
+                        fn plain<'a>(lines: &'a [(&'static str, String)]) -> Vec<(&'a str, &'a str)> {
+                            lines.iter().map(|(n, v)| (*n, v.as_str())).collect()
+                        }
+                        match crate::files::serve(self.repo.as_deref(), &request) {
+                            Said::Words(status, lines, body) => {
+                                net.answer(conn, status, &plain(&lines), body.as_bytes());
+                            }
+                            Said::Bytes(status, lines, file, long) => {
+                                net.answer_file(conn, status, &plain(&lines), file, long);
+                            }
+                        }
+                    }
                     Event::Request { conn, request } => {
                         match desk.request(now, conn, &request.method, &request.target, &request.body) {
                             Answer::Now(status, value) => {
--- a/net/src/http.rs
+++ b/net/src/http.rs
@@ -371,12 +371,14 @@
         201 => "Created",
         202 => "Accepted",
         204 => "No Content",
+        206 => "Partial Content",
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
         409 => "Conflict",
         413 => "Content Too Large",
+        416 => "Range Not Satisfiable",
         417 => "Expectation Failed",
         422 => "Unprocessable Content",
         429 => "Too Many Requests",
@@ -391,10 +393,13 @@
     }
 }
 
-/// Writes an answer; `body` none: a head that opens a chunked stream.
-pub fn answer(
-    out: &mut Vec<u8>, status: u16, lines: &[(&str, &str)], body: Option<&[u8]>, keep: bool, bare: bool,
-) {
+/// Writes an answer's head, to which the body's framing belongs already.
+pub fn head(out: &mut Vec<u8>, status: u16, lines: &[(&str, &str)], keep: bool) {
+    lead(out, status, lines, keep);
+    out.extend_from_slice(b"\r\n");
+}
+
+fn lead(out: &mut Vec<u8>, status: u16, lines: &[(&str, &str)], keep: bool) {
     use std::io::Write;
     let _ = write!(out, "HTTP/1.1 {status} {}\r\n", reason(status));
     for (name, value) in lines {
@@ -406,6 +411,14 @@
     if !keep {
         out.extend_from_slice(b"Connection: close\r\n");
     }
+}
+
+/// Writes an answer; `body` none: a head that opens a chunked stream; `bare`: the answer to a HEAD.
+pub fn answer(
+    out: &mut Vec<u8>, status: u16, lines: &[(&str, &str)], body: Option<&[u8]>, keep: bool, bare: bool,
+) {
+    use std::io::Write;
+    lead(out, status, lines, keep);
     match body {
         Some(body) => {
             let _ = write!(out, "Content-Length: {}\r\n\r\n", body.len());
--- a/net/src/net.rs
+++ b/net/src/net.rs
@@ -125,11 +125,32 @@
     out: Vec<u8>,
     sent: usize,
     serve: Serve,
+    /// What is still to come of a file that is the answer's body.
+    file: Option<(std::fs::File, u64)>,
     /// When it goes stale.
     until: Ns,
     close: bool,
 }
 
+impl Client {
+    /// Once all is sent, takes the next piece of the file; false when it can't be had.
+    fn refill(&mut self) -> bool {
+        let Some((file, left)) = &mut self.file else { return true };
+        let piece = (*left).min(READ as u64);
+        self.out.clear();
+        self.sent = 0;
+        let read = file.take(piece).read_to_end(&mut self.out);
+        if read.is_err() || self.out.len() as u64 != piece {
+            return false;
+        }
+        *left -= piece;
+        if *left == 0 {
+            self.file = None;
+        }
+        true
+    }
+}
+
 enum Step {
     Connecting,
     /// Request on its way or answer awaited.
@@ -389,6 +410,25 @@
         self.flush_client(conn);
     }
 
+    /// Answers with a part of a file, which is read as the client takes it.
+    pub fn answer_file(
+        &mut self, conn: Id, status: u16, lines: &[(&str, &str)], file: std::fs::File, long: u64,
+    ) {
+        let now = self.now;
+        let Some(client) = self.client(conn) else { return };
+        let Serve::Work { keep, bare } = client.serve else { return };
+        client.close |= !keep;
+        let length = long.to_string();
+        let mut lines = lines.to_vec();
+        lines.push(("Content-Length", &length));
+        http::head(&mut client.out, status, &lines, !client.close);
+        client.file = (!bare && long > 0).then_some((file, long));
+        client.serve = Serve::Head;
+        client.until = now + WRITE_TIME;
+        self.answered.push(conn);
+        self.flush_client(conn);
+    }
+
     /// Opens a stream as the answer; pieces follow by [`Net::stream`].
     pub fn open_stream(&mut self, conn: Id, lines: &[(&str, &str)]) {
         if let Some(client) = self.client(conn).filter(|c| matches!(c.serve, Serve::Work { .. })) {
@@ -433,14 +473,24 @@
     }
 
     fn flush_client(&mut self, id: Id) {
+        let now = self.now;
         let Some(client) = self.client(id) else { return };
-        while client.sent < client.out.len() {
+        loop {
+            if client.sent == client.out.len() && !client.refill() {
+                return self.drop_sock(id); // the file ended before its told length
+            }
+            if client.sent == client.out.len() {
+                break;
+            }
             match client.io.write(&client.out[client.sent..]) {
                 Ok(0) => return self.drop_sock(id),
                 Ok(n) => client.sent += n,
                 Err(err) if would_block(&err) => break,
                 Err(_) => return self.drop_sock(id),
             }
+            if client.file.is_some() {
+                client.until = now + WRITE_TIME;
+            }
         }
         let flushed = client.sent == client.out.len();
         if flushed {
@@ -452,6 +502,7 @@
             }
         }
         let over = flushed && client.close && matches!(client.serve, Serve::Head);
+        let waits = flushed && !client.buf.is_empty() && matches!(client.serve, Serve::Head);
         let mut flags = epoll::EventFlags::RDHUP;
         if client.buf.len() < http::MAX_HEAD || matches!(client.serve, Serve::Body(_)) {
             flags |= epoll::EventFlags::IN;
@@ -462,6 +513,9 @@
         if over {
             return self.linger(id);
         }
+        if waits {
+            self.answered.push(id);
+        }
         self.want(id, flags);
     }
 
@@ -665,6 +719,7 @@
             out: if full { self.full.clone() } else { Vec::new() },
             sent: 0,
             serve: Serve::Head,
+            file: None,
             until: self.now + CLIENT_IDLE,
             close: full,
         };
@@ -713,7 +768,7 @@
         let Some(client) = self.client(id) else { return };
         if matches!(client.serve, Serve::Work { .. } | Serve::Stream) {
             events.push(Event::Left { conn: id });
-        } else if client.sent < client.out.len() && !client.close {
+        } else if client.file.is_none() && client.sent < client.out.len() && !client.close {
             // Half-closed with an answer still on its way out: it is finished first.
             client.close = true;
             return self.want(id, epoll::EventFlags::OUT);
@@ -727,7 +782,7 @@
         let Some(client) = self.client(id) else { return };
         let step: Result<(), Refusal> = (|| {
             if let Serve::Head = client.serve {
-                if client.close || client.buf.is_empty() {
+                if client.close || client.buf.is_empty() || client.file.is_some() {
                     return Ok(());
                 }
                 let Some(head) = http::request_head(&client.buf)? else { return Ok(()) };
--- a/standin/src/machine.rs
+++ b/standin/src/machine.rs
@@ -34,6 +34,8 @@
     pub seed: u64,
     /// A machine that has run for long: warm at once.
     pub warm: bool,
+    /// An agent speaks for it: it beats to nobody, and ends when asked, once what runs has ended.
+    pub agent: bool,
 }
 
 /// How a build is bad.
@@ -272,12 +274,16 @@
                             return Ok(());
                         }
                         self.leaving = Some(self.net.now() + LEAVE_WITHIN);
+                        if self.machine.agent {
+                            self.net.stop_listening();
+                        }
                         self.beat(at);
                     }
                     _ => {}
                 }
             }
-            if self.leaving.is_some_and(|by| self.net.now() > by) {
+            let done = self.machine.agent && self.running.is_empty() && self.queue.is_empty();
+            if self.leaving.is_some_and(|by| done || self.net.now() > by) {
                 return Ok(());
             }
         }
@@ -312,6 +318,12 @@
             }
             self.net.cancel(old);
         }
+        if self.machine.agent {
+            if self.settings.is_none() && self.multiple == f64::MAX {
+                self.ask_settings();
+            }
+            return;
+        }
         if self.cold_time == 0 && self.multiple == f64::MAX && self.settings.is_none() {
             return self.ask_settings();
         }
