--- a/rehearse/src/crew.rs
+++ b/rehearse/src/crew.rs
@@ -37,12 +37,23 @@
     at: SocketAddr,
 }
 
+impl Drop for Crew {
+    fn drop(&mut self) {
+        self.end_agents();
+    }
+}
+
 impl Proc {
     fn start(args: &[String], log: &Path) -> Result<Proc, String> {
+        Proc::begin(args, log, &[])
+    }
+
+    fn begin(args: &[String], log: &Path, env: &[(&str, PathBuf)]) -> Result<Proc, String> {
         let program = std::env::current_exe().map_err(|err| err.to_string())?;
         let log = File::options().create(true).append(true).open(log).map_err(|err| err.to_string())?;
         let mut child = Command::new(program)
             .args(args)
+            .envs(env.iter().map(|(name, value)| (*name, value)))
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(log)
@@ -60,7 +71,9 @@
                 }
             });
         }
-        let at = line.trim().strip_prefix("listening ").and_then(|at| at.parse().ok());
+        // An agent listens nowhere.
+        let nowhere = (line.trim() == "agent up").then_some(SocketAddr::from(([127, 0, 0, 1], 0)));
+        let at = line.trim().strip_prefix("listening ").and_then(|at| at.parse().ok()).or(nowhere);
         match at {
             Some(at) => Ok(Proc { child, at }),
             None => {
@@ -104,6 +117,8 @@
     front_at: Vec<SocketAddr>,
     machines: BTreeMap<String, Proc>,
     clients: Option<Proc>,
+    /// By place, where agents start the builds.
+    agents: Vec<Option<Proc>>,
     /// Machines on their way: when their process starts.
     booting: BTreeMap<(String, u32), i64>,
     bad: BTreeMap<u32, String>,
@@ -122,6 +137,7 @@
     ContController,
     StartController,
     KillMachine(String),
+    StartAgent(usize),
 }
 
 fn words(args: &[&str]) -> Vec<String> {
@@ -179,6 +195,7 @@
             control_at: nowhere,
             machines: BTreeMap::new(),
             clients: None,
+            agents: Vec::new(),
             booting: BTreeMap::new(),
             bad: BTreeMap::new(),
             fault: None,
@@ -189,6 +206,9 @@
             warm: true,
             starts: 0,
         };
+        if crew.plan.agents {
+            crew.make_repo()?;
+        }
         crew.start_controller()?;
         let settings = serde_json::to_string(&crew.charter).map_err(|err| err.to_string())?;
         let put = call(crew.control_at, "PUT", "/settings", &settings)?;
@@ -198,6 +218,12 @@
         for front in 0..crew.fronts.len() {
             crew.start_front(front)?;
         }
+        if crew.plan.agents {
+            crew.agents = (0..crew.plan.machines).map(|_| None).collect();
+            for place in 0..crew.plan.machines {
+                crew.start_agent(place)?;
+            }
+        }
         let by = clock() + UP_WITHIN;
         loop {
             crew.host()?;
@@ -219,7 +245,7 @@
 
     fn start_controller(&mut self) -> Result<(), String> {
         let state = self.out.join("controller");
-        let args = words(&[
+        let mut args = words(&[
             "controller",
             "--listen",
             &self.control_at.to_string(),
@@ -228,6 +254,9 @@
             "--log",
             "json",
         ]);
+        if self.plan.agents {
+            args.extend(words(&["--repo", &self.out.join("repo").to_string_lossy()]));
+        }
         let proc = Proc::start(&args, &self.log("controller"))?;
         self.control_at = proc.at;
         self.controller = Some(proc);
@@ -279,18 +308,111 @@
         Ok(())
     }
 
+    fn repo(&self, args: &[&str]) -> Result<(), String> {
+        let program = std::env::current_exe().map_err(|err| err.to_string())?;
+        let (dir, keys) = (self.out.join("repo"), self.out.join("keys"));
+        let out = Command::new(program)
+            .args(["repo", args[0], "--dir"])
+            .arg(dir)
+            .arg("--keys")
+            .arg(keys)
+            .args(&args[1..])
+            .output()
+            .map_err(|err| err.to_string())?;
+        if out.status.success() {
+            Ok(())
+        } else {
+            Err(String::from_utf8_lossy(&out.stderr).into_owned())
+        }
+    }
+
+    fn make_repo(&self) -> Result<(), String> {
+        self.repo(&["init"])?;
+        self.add_build(self.charter.first_build, true)
+    }
+
+    /// Signs a stand-in machine as a build: a script that becomes one.
+    fn add_build(&self, build: u32, warm: bool) -> Result<(), String> {
+        let bad = self.bad.get(&build).map_or(String::new(), |bad| format!("--bad {bad}"));
+        let script = format!(
+            "#!/bin/sh\nexec \"$REHEARSAL_PROGRAM\" machine --agent --controller \"$ROCKPICK_CONTROLLER\" --name \
+             \"$ROCKPICK_NAME\" --place \"$ROCKPICK_PLACE\" --build {build} --record \
+             \"$REHEARSAL_OUT/machine-$ROCKPICK_NAME.jsonl\" --seed $$ {bad} {}\n",
+            if warm { "--warm" } else { "" }
+        );
+        let at = self.out.join(format!("build-{build}.sh"));
+        std::fs::write(&at, script).map_err(|err| err.to_string())?;
+        self.repo(&["add", "--build", &build.to_string(), "--pack", &at.to_string_lossy()])
+    }
+
+    fn start_agent(&mut self, place: usize) -> Result<(), String> {
+        let name = self.charter.places[place].name.clone();
+        let state = self.out.join("agents").join(&name);
+        let root = self.out.join("repo").join("metadata").join("1.root.json");
+        let seed = (self.plan.seed + self.starts * 104_729).to_string();
+        self.starts += 1;
+        let args = words(&[
+            "agent",
+            "--machine",
+            &name,
+            "--controller",
+            &self.control_at.to_string(),
+            "--state",
+            &state.to_string_lossy(),
+            "--root",
+            &root.to_string_lossy(),
+            "--seed",
+            &seed,
+            "--take-down",
+            "--log",
+            "json",
+        ]);
+        let program = std::env::current_exe().map_err(|err| err.to_string())?;
+        let env = [("REHEARSAL_PROGRAM", program), ("REHEARSAL_OUT", self.out.clone())];
+        self.agents[place] = Some(Proc::begin(&args, &self.log("agents"), &env)?);
+        Ok(())
+    }
+
+    /// Where machines listen: of the host's own, or as the roster has it.
+    fn machines(&self) -> BTreeMap<String, SocketAddr> {
+        if !self.plan.agents {
+            return self.machines.iter().map(|(name, m)| (name.clone(), m.at)).collect();
+        }
+        let Ok(answer) = call(self.control_at, "GET", "/status", "") else { return BTreeMap::new() };
+        let status: Value = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
+        let listed = status["machines"].as_array().into_iter().flatten().filter(|m| m["state"] != "gone");
+        let at = |m: &Value| Some((m["name"].as_str()?.to_string(), m["addr"].as_str()?.parse().ok()?));
+        listed.filter_map(at).collect()
+    }
+
+    /// Signals a machine's process: the host's own child, or the one that its agent has written down.
+    fn signal(&mut self, name: &str, signal: Signal) {
+        if let Some(m) = self.machines.get(name) {
+            return m.signal(signal);
+        }
+        let Some((place, build)) = name.split_once("..") else { return };
+        let file = self.out.join("agents").join(place).join("runs").join(format!("{build}.pid"));
+        let pid =
+            std::fs::read_to_string(file).ok().and_then(|t| t.trim().parse().ok()).and_then(Pid::from_raw);
+        if let Some(pid) = pid {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    fn still(&self) -> bool {
+        self.pending.iter().any(|(_, p)| matches!(p, Pending::ContController | Pending::StartController))
+    }
+
     /// Starts what the controller wants and is not there; clears away what has ended.
     fn host(&mut self) -> Result<(), String> {
         let now = clock();
         self.machines.retain(|_, m| !m.ended());
-        if now - self.hosted < HOST {
+        if self.plan.agents || now - self.hosted < HOST {
             return Ok(());
         }
         self.hosted = now;
         // While the controller stands still, nothing is started.
-        let still =
-            self.pending.iter().any(|(_, p)| matches!(p, Pending::ContController | Pending::StartController));
-        if still {
+        if self.still() {
             return Ok(());
         }
         let Ok(answer) = call(self.control_at, "GET", "/wanted", "") else { return Ok(()) };
@@ -360,16 +482,29 @@
                         self.shared = size.parse().unwrap_or(0.0);
                     }
                 }
+                if self.plan.agents {
+                    self.add_build(*build, false)?;
+                }
                 let body = json!({ "build": build }).to_string();
                 let _ = call(self.control_at, "POST", "/builds", &body);
                 self.note("offer", &format!("build {build}"));
             }
             Act::Leave(nth) => {
-                if let Some((name, m)) = self.machines.iter().nth(*nth % self.machines.len().max(1)) {
-                    m.signal(Signal::TERM);
-                    let name = name.clone();
-                    self.note("leave", &name);
+                let names: Vec<String> = self.machines().into_keys().collect();
+                if let Some(name) = names.get(nth % names.len().max(1)) {
+                    self.signal(name, Signal::TERM);
+                    self.note("leave", name);
+                }
+            }
+            Act::KillAgents { share, down_ms } => {
+                let many = (share * self.agents.len() as f64).ceil() as usize;
+                for place in 0..many {
+                    if let Some(mut agent) = self.agents[place].take() {
+                        agent.kill();
+                        self.pending.push((after(*down_ms), Pending::StartAgent(place)));
+                    }
                 }
+                self.note("kill", &format!("{many} agents"));
             }
             Act::KillFront { front, down_ms } => {
                 let name = self.charter.fronts[*front].name.clone();
@@ -398,18 +533,18 @@
                 self.pending.push((after(*down_ms), Pending::StartController));
             }
             Act::Vanish { machine, ms } => {
-                if let Some((name, m)) = self.machines.iter().nth(*machine % self.machines.len().max(1)) {
-                    m.signal(Signal::STOP);
-                    let name = name.clone();
+                let names: Vec<String> = self.machines().into_keys().collect();
+                if let Some(name) = names.get(machine % names.len().max(1)).cloned() {
+                    self.signal(&name, Signal::STOP);
                     self.note("vanish", &name);
                     self.pending.push((after(*ms), Pending::KillMachine(name)));
                 }
             }
             Act::Fault { share, fault } => {
-                let many = (share * self.machines.len() as f64).ceil() as usize;
+                let machines = self.machines();
+                let many = (share * machines.len() as f64).ceil() as usize;
                 self.note("fault", &fault.to_string());
-                let to: Vec<SocketAddr> = self.machines.values().take(many).map(|m| m.at).collect();
-                for at in to {
+                for at in machines.into_values().take(many) {
                     let _ = call(at, "POST", "/fault", &fault.to_string());
                 }
                 self.fault = (*share >= 1.0).then(|| fault.clone());
@@ -417,8 +552,8 @@
             Act::Heal => {
                 self.fault = None;
                 self.note("heal", "all");
-                for m in self.machines.values() {
-                    let _ = call(m.at, "POST", "/fault", "{}");
+                for at in self.machines().into_values() {
+                    let _ = call(at, "POST", "/fault", "{}");
                 }
             }
             Act::Load(load) => {
@@ -447,6 +582,7 @@
                     let name = self.charter.fronts[front].name.clone();
                     self.note("start", &name);
                 }
+                Pending::StartAgent(place) => self.start_agent(place)?,
                 Pending::ContFront(front) => {
                     if let Some(proc) = &self.fronts[front] {
                         proc.signal(Signal::CONT);
@@ -465,9 +601,9 @@
                     self.note("start", "controller");
                 }
                 Pending::KillMachine(name) => {
-                    if self.machines.remove(&name).is_some() {
-                        self.note("kill", &name);
-                    }
+                    self.signal(&name, Signal::KILL);
+                    self.machines.remove(&name);
+                    self.note("kill", &name);
                 }
             }
         }
@@ -479,11 +615,12 @@
         if self.shared <= 0.0 {
             return;
         }
+        let machines = self.machines();
         let bad = |name: &String| self.bad.keys().any(|b| name.ends_with(&format!("..{b}")));
-        let part = self.machines.keys().filter(|n| bad(n)).count() as f64 / self.machines.len().max(1) as f64;
+        let part = machines.keys().filter(|n| bad(n)).count() as f64 / machines.len().max(1) as f64;
         let fault = json!({ "slow": 1.0 + 2.0 * self.shared * part });
-        for m in self.machines.values() {
-            let _ = call(m.at, "POST", "/fault", &fault.to_string());
+        for at in machines.into_values() {
+            let _ = call(at, "POST", "/fault", &fault.to_string());
         }
     }
 
@@ -556,6 +693,7 @@
             proc.signal(Signal::TERM);
         }
         self.machines.clear();
+        self.end_agents();
         self.controller = None;
         self.fronts.iter_mut().for_each(|f| *f = None);
         let evidence = self.evidence()?;
@@ -564,6 +702,18 @@
         Ok(judgement.breaches.is_empty())
     }
 
+    /// Agents end with their builds.
+    fn end_agents(&mut self) {
+        self.agents.iter().flatten().for_each(|a| a.signal(Signal::TERM));
+        for agent in self.agents.iter_mut().flatten() {
+            let by = clock() + 2 * SEC;
+            while !agent.ended() && clock() < by {
+                std::thread::sleep(Duration::from_millis(5));
+            }
+        }
+        self.agents.clear();
+    }
+
     fn say(&self, text: &str) {
         if !self.plan.quiet {
             println!("{text}");
@@ -571,14 +721,12 @@
     }
 
     fn progress(&self, at: f64) {
-        let still =
-            self.pending.iter().any(|(_, p)| matches!(p, Pending::ContController | Pending::StartController));
-        if self.plan.quiet || still {
+        if self.plan.quiet || self.still() {
             return;
         }
         let Ok(answer) = call(self.control_at, "GET", "/stage", "") else { return };
         let stage: Value = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
-        let machines = self.machines.len();
+        let machines = self.machines().len();
         println!(
             "{at:5.1} s  build {} stage {} {}; {machines} machines",
             stage["build"],
--- a/rehearse/src/day.rs
+++ b/rehearse/src/day.rs
@@ -45,6 +45,9 @@
     /// The bad build of the day: errors, method, slow, load, late, wrong or shared, and how much.
     #[arg(long, default_value = "late:0.4")]
     pub bad: String,
+    /// An agent at each place starts the builds, from a repository of signed ones.
+    #[arg(long)]
+    pub agents: bool,
     /// Puts small faulty fronts in place of real ones, to see that the checker catches rule 1 to 5.
     #[arg(long, hide = true)]
     pub faulty: Option<u8>,
@@ -76,6 +79,11 @@
     KillController {
         down_ms: u64,
     },
+    /// Kills agents, whose builds run on without them.
+    KillAgents {
+        share: f64,
+        down_ms: u64,
+    },
     /// A machine goes silent: accepts, never answers, and comes back cold.
     Vanish {
         machine: usize,
@@ -92,7 +100,8 @@
 }
 
 /// What each kind of trouble is, for `list`.
-pub const TROUBLES: [(&str, &str); 21] = [
+pub const TROUBLES: [(&str, &str); 22] = [
+    ("agent_down", "half the agents are killed for three seconds (--agents)"),
     ("answer_lost", "a fifth of the answers of most machines get lost on the way, by silence or reset"),
     ("bad_build", "the build of the day is bad (--bad)"),
     ("balancer_roll", "fronts are killed and restarted in batches"),
@@ -133,6 +142,7 @@
     let names: Vec<String> = (0..plan.fronts).map(|i| format!("f{i}")).collect();
     Some(match name {
         "answer_lost" => fault(0.6, json!({ "lost": 0.2, "reset": chance.random::<bool>() })),
+        "agent_down" => vec![(at, Act::KillAgents { share: 0.5, down_ms: 3_000 })],
         "bad_build" => Vec::new(),
         "balancer_roll" => {
             let batch = plan.fronts.div_ceil(3);
@@ -204,6 +214,7 @@
                         (22.0, Act::Vanish { machine: 1, ms: 8_000 }),
                         offer(26.0, 3, true),
                         (31.0, Act::KillFront { front, down_ms: 800 }),
+                        (35.0, Act::KillAgents { share: 0.5, down_ms: 3_000 }),
                         (46.0, Act::StopController { ms: 6_000 }),
                         offer(54.0, 4, false),
                         (58.0, Act::KillFront { front: 0, down_ms: 300 }),
