--- a/cli/src/bench.rs
+++ b/cli/src/bench.rs
@@ -31,7 +31,7 @@
     rounds: usize,
 }
 
-struct Proc(Child, SocketAddr);
+pub struct Proc(pub Child, pub SocketAddr);
 
 impl Drop for Proc {
     fn drop(&mut self) {
@@ -54,7 +54,7 @@
 const MEASURED: usize = 1;
 const MACHINES: usize = 2;
 
-fn spawn(mut command: Command) -> Result<Proc, Bad2> {
+pub fn spawn(mut command: Command) -> Result<Proc, Bad2> {
     let say = |err: std::io::Error| Bad2(err.to_string());
     let mut child =
         command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::null()).spawn().map_err(say)?;
@@ -179,7 +179,7 @@
 }
 
 /// User and system CPU time of a process so far, in clock ticks of 10 ms.
-fn cpu(pid: u32) -> [f64; 2] {
+pub fn cpu(pid: u32) -> [f64; 2] {
     let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
     let rest: Vec<&str> = text.rsplit(')').next().unwrap_or("").split_whitespace().collect();
     [11, 12].map(|i| rest.get(i).and_then(|v| v.parse().ok()).unwrap_or(0.0))
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The command line: `rockpick`. Exit codes: 0 good, 1 a rule broken or a check failed, 2 bad use.
 mod ask;
 mod bench;
+mod fleet;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use rockpick_control::Charter;
@@ -274,6 +275,8 @@
 enum Bench {
     /// One front on one core against direct calls and a plain proxy, in one run.
     Front(bench::Front),
+    /// Many agents on one controller: a stage, rollbacks, a controller's restart.
+    Agents(fleet::Agents),
 }
 
 #[derive(Subcommand)]
@@ -432,6 +435,7 @@
         What::Back { at, build } => ask::say(at.controller, "POST", &format!("/builds/{build}/back"), ""),
         What::Status { at, json } => ask::status(at.controller, json),
         What::Bench { what: Bench::Front(front) } => front.run(),
+        What::Bench { what: Bench::Agents(agents) } => agents.run(),
     }
 }
 
--- a/control/src/desk.rs
+++ b/control/src/desk.rs
@@ -618,7 +618,8 @@
             .collect();
         let fronts = json!({ "fronts": fronts }).to_string();
         let settled = self.settled(now);
-        let whole = self.roster_line(now, None).to_string();
+        // Texts are made once a pass, and only when somebody is due them.
+        let mut whole: Option<String> = None;
         let mut watchers = std::mem::take(&mut self.watchers);
         let mut lines = Vec::new();
         let mut changes: BTreeMap<u64, String> = BTreeMap::new();
@@ -637,7 +638,10 @@
                 w.fronts = self.fronts_serial;
             }
             match w.serial {
-                None if settled => lines.push((*conn, whole.clone())),
+                None if settled => {
+                    let line = whole.get_or_insert_with(|| self.roster_line(now, None).to_string());
+                    lines.push((*conn, line.clone()));
+                }
                 Some(since) if since != self.roster.serial => {
                     let line = changes
                         .entry(since)
