Stand-in machines and clients without I/O, behind sockets as before

Cause: the emulator must run the very code of the stand-ins, with clock and wire exchanged. Change: standin/shop and standin/crowd hold what a machine and clients are; machine and client put sockets to them.

--- /dev/null
+++ b/standin/src/crowd.rs
@@ -0,0 +1,321 @@
+//! What stand-in clients are, without sockets and clock: an open loop of arrivals fixed by the seed, keys by
+//! Zipf, deadlines and patience, retries as each method allows. Processes on loopback and the emulator run
+//! this very code.
+use hdrhistogram::Histogram;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rockpick_control::charter::{GroupOf, Repeats, Row};
+use rockpick_control::Charter;
+use rockpick_net::{Ns, MS, SEC};
+use serde_json::Value;
+
+/// An answer that is here within this after the client's deadline still counts: what its own scheduling may
+/// cost (the bench grants fronts the same).
+pub const GRACE: Ns = 20 * MS;
+/// A wait after a pushback that names none.
+const WAIT: Ns = 50 * MS;
+/// The exponent of the keys' Zipf: a few far more popular than the rest.
+const ZIPF: f64 = 0.9;
+
+#[derive(Clone, Debug)]
+pub struct Load {
+    pub rate: f64,
+    /// Keys drawn by Zipf; the first few draw `hot` of all traffic besides.
+    pub keys: usize,
+    pub hot: f64,
+    pub hot_keys: usize,
+    /// Share of traffic to one front, the first; the rest goes evenly.
+    pub caller: f64,
+    /// Share of traffic that moves to the fronts of the first zone (even numbers).
+    pub shift: f64,
+    /// Share of RPCs that become the last method.
+    pub heavier: f64,
+    /// Share of the first method's RPCs that cost `tail_times` the work.
+    pub tail: f64,
+    pub tail_times: f64,
+    /// Share of clients with little patience, and what part of the soft deadline they wait.
+    pub hasty: f64,
+    pub patience: f64,
+    /// They leave early and come back at once; else they come with little time left.
+    pub leave: bool,
+}
+
+impl Default for Load {
+    fn default() -> Load {
+        Load {
+            rate: 100.0,
+            keys: 2_000,
+            hot: 0.0,
+            hot_keys: 1,
+            caller: 0.0,
+            shift: 0.0,
+            heavier: 0.0,
+            tail: 0.0,
+            tail_times: 1.0,
+            hasty: 0.0,
+            patience: 1.0,
+            leave: false,
+        }
+    }
+}
+
+impl Load {
+    /// Takes over the fields that a call names.
+    ///
+    /// # Errors
+    /// Names the field.
+    pub fn change(&mut self, json: &Value) -> Result<(), String> {
+        for (name, value) in json.as_object().ok_or("an object is wanted")? {
+            let number = value.as_f64().filter(|x| *x >= 0.0).ok_or(format!("{name}: a number is wanted"));
+            match name.as_str() {
+                "rate" => self.rate = number?.min(1e6),
+                "hot" => self.hot = number?,
+                "hot_keys" => self.hot_keys = number? as usize,
+                "caller" => self.caller = number?,
+                "shift" => self.shift = number?,
+                "heavier" => self.heavier = number?,
+                "tail" => self.tail = number?,
+                "tail_times" => self.tail_times = number?,
+                "hasty" => self.hasty = number?,
+                "patience" => self.patience = number?,
+                "leave" => self.leave = number? > 0.0,
+                _ => return Err(format!("{name}: not known")),
+            }
+        }
+        Ok(())
+    }
+}
+
+/// What came of it all.
+#[derive(Clone, Debug, Default)]
+pub struct Tolls {
+    pub asked: f64,
+    pub served: f64,
+    pub rpcs: u64,
+    pub ok: u64,
+    pub late: u64,
+    pub pushed_back: u64,
+    pub aborted: u64,
+    pub unanswered: u64,
+    pub not_sent: u64,
+    pub stray: u64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Rpc {
+    pub id: u64,
+    pub method: usize,
+    pub key: u64,
+    pub tenant: usize,
+    pub work_ms: f64,
+    pub began: Ns,
+    pub deadline: Ns,
+    pub tries: u32,
+    pub front: usize,
+    pub patience: Ns,
+    /// Leaves early without having said so, and comes back at once.
+    pub leave: bool,
+}
+
+/// How a try ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum How {
+    Ok {
+        right: bool,
+    },
+    PushedBack,
+    Aborted,
+    /// Malformed or unknown: never ran.
+    NotTaken,
+    /// No connection: never ran.
+    Unreachable,
+    Broken,
+    GaveUp,
+}
+
+/// A try that is to be sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Sending {
+    pub gives_up: Ns,
+    /// The deadline that the front is told.
+    pub told: Ns,
+    /// When to look whether it must be given up.
+    pub look: Ns,
+}
+
+/// What becomes of an RPC after a try.
+pub enum Next {
+    Over,
+    At(Ns, Rpc),
+}
+
+pub struct Crowd {
+    pub charter: Charter,
+    pub load: Load,
+    pub fronts: usize,
+    pub retries: u32,
+    pub work_ms: f64,
+    pub chance: StdRng,
+    zipf: Vec<f64>,
+    next: u64,
+    /// When the next RPC is due.
+    pub due: Ns,
+    pub tolls: Tolls,
+    pub times: Histogram<u64>,
+}
+
+impl Crowd {
+    /// # Errors
+    /// None in practice: the histogram's bounds are fixed.
+    pub fn new(
+        charter: Charter, load: Load, fronts: usize, retries: u32, work_ms: f64, seed: u64,
+    ) -> Result<Crowd, String> {
+        let mut sum = 0.0;
+        let keys = load.keys.max(1);
+        let zipf = (1..=keys).map(|i| (sum += (i as f64).powf(-ZIPF), sum).1).collect();
+        Ok(Crowd {
+            charter,
+            load,
+            fronts,
+            retries,
+            work_ms,
+            chance: StdRng::seed_from_u64(seed),
+            zipf,
+            next: 0,
+            due: 0,
+            tolls: Tolls::default(),
+            times: Histogram::new_with_bounds(1, 600_000_000, 3).map_err(|e| e.to_string())?,
+        })
+    }
+
+    pub fn row(&self, rpc: &Rpc) -> &Row {
+        &self.charter.methods[rpc.method]
+    }
+
+    /// The RPC that is due; the next one's time is drawn.
+    pub fn arrive(&mut self, now: Ns) -> Rpc {
+        let gap = -(1.0 - self.chance.random::<f64>()).ln() / self.load.rate.max(0.01);
+        self.due += (gap * SEC as f64) as Ns;
+        let rpc = self.draw(now);
+        self.tolls.rpcs += 1;
+        self.tolls.asked += self.charter.methods[rpc.method].utility;
+        rpc
+    }
+
+    fn draw(&mut self, now: Ns) -> Rpc {
+        self.next += 1;
+        let load = self.load.clone();
+        let mut odds = |p: f64| p > 0.0 && self.chance.random::<f64>() < p;
+        let (hot, heavier, tail, hasty) =
+            (odds(load.hot), odds(load.heavier), odds(load.tail), odds(load.hasty));
+        let (caller, shift) = (odds(load.caller), odds(load.shift));
+        let at = self.chance.random::<f64>() * self.zipf[self.zipf.len() - 1];
+        let key = if hot {
+            self.chance.random_range(0..load.hot_keys.max(1)) as u64
+        } else {
+            self.zipf.partition_point(|s| *s < at) as u64
+        };
+        let methods = self.charter.methods.len();
+        let method = if heavier { methods - 1 } else { self.chance.random_range(0..methods) };
+        let fronts = self.fronts;
+        let front = match () {
+            () if caller => 0,
+            () if shift => 2 * self.chance.random_range(0..fronts.div_ceil(2)),
+            () => self.chance.random_range(0..fronts),
+        };
+        let exp = -(1.0 - self.chance.random::<f64>()).ln();
+        let times = if tail && method == 0 { load.tail_times } else { 1.0 };
+        let row = &self.charter.methods[method];
+        let whole = row.deadline_ms as Ns * MS;
+        let share: f64 = self.chance.random_range(0.6..1.0);
+        let patience = if hasty {
+            row.soft_deadline_ms as f64 * MS as f64 * load.patience
+        } else {
+            whole as f64 * share
+        };
+        Rpc {
+            id: self.next,
+            method,
+            key,
+            tenant: self.chance.random_range(0..3),
+            // Half of the work is the same for all, half is drawn: a few ms at the least.
+            work_ms: self.work_ms * (0.5 + 0.5 * exp).min(4.0) * times,
+            began: now,
+            deadline: now + whole,
+            tries: 0,
+            front,
+            patience: patience as Ns,
+            leave: hasty && load.leave,
+        }
+    }
+
+    /// A try of an RPC; none when its time is over, and with it the RPC.
+    pub fn begin(&mut self, now: Ns, rpc: &mut Rpc) -> Option<Sending> {
+        let gives_up = rpc.deadline.min(now + rpc.patience);
+        if gives_up <= now + MS {
+            self.over(How::GaveUp);
+            return None;
+        }
+        rpc.tries += 1;
+        // Those who leave early say nothing of it; the others tell what time they have.
+        let told = if rpc.leave { rpc.deadline } else { gives_up };
+        let look = gives_up + if rpc.leave { 0 } else { GRACE };
+        Some(Sending { gives_up, told, look })
+    }
+
+    /// A try has ended; `wait`: when to return, if that was told.
+    pub fn after(&mut self, now: Ns, mut rpc: Rpc, how: How, wait: Option<Ns>) -> Next {
+        if let How::Ok { right } = how {
+            let took = now - rpc.began;
+            let row = self.row(&rpc);
+            let (soft, utility) = (row.soft_deadline_ms as Ns * MS, row.utility);
+            let _ = self.times.record((took / 1_000).max(1) as u64);
+            self.tolls.ok += 1;
+            if took > soft {
+                self.tolls.late += 1;
+            } else if right {
+                self.tolls.served += utility;
+            }
+            return Next::Over;
+        }
+        if rpc.tries > self.retries || !self.may_again(now, &rpc, how) {
+            self.over(how);
+            return Next::Over;
+        }
+        if how == How::GaveUp && rpc.leave {
+            rpc.patience *= 2;
+            return Next::At(now, rpc);
+        }
+        let spread = self.chance.random_range(0..WAIT);
+        let at = now + wait.unwrap_or(WAIT) + spread;
+        if at >= rpc.deadline {
+            self.over(how);
+            return Next::Over;
+        }
+        if matches!(how, How::Unreachable | How::Broken) {
+            rpc.front = self.chance.random_range(0..self.fronts);
+        }
+        Next::At(at, rpc)
+    }
+
+    /// May the client send it again after this? As its method and what it was told allow.
+    fn may_again(&self, now: Ns, rpc: &Rpc, how: How) -> bool {
+        let row = self.row(rpc);
+        let harmless = matches!(how, How::PushedBack | How::Unreachable | How::NotTaken);
+        match row.repeat {
+            Repeats::Idempotent => true,
+            Repeats::Tokened => {
+                harmless || row.group == GroupOf::All && now - rpc.began < row.remembered_ms as Ns * MS
+            }
+            Repeats::NonIdempotent => harmless,
+        }
+    }
+
+    fn over(&mut self, how: How) {
+        match how {
+            How::PushedBack | How::NotTaken => self.tolls.pushed_back += 1,
+            How::Aborted => self.tolls.aborted += 1,
+            _ => self.tolls.unanswered += 1,
+        }
+    }
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,10 +1,14 @@
 //! Stand-ins for what surrounds the product in service: machines that run builds, and clients. They keep
 //! records of what crossed their ends of the sockets, from which a rehearsal is judged.
 pub mod client;
+pub mod crowd;
 pub mod faulty;
 pub mod machine;
 pub mod record;
+pub mod shop;
 
-pub use client::{Clients, Load};
+pub use client::Clients;
+pub use crowd::Load;
 pub use faulty::Faulty;
-pub use machine::{Bad, Machine};
+pub use machine::Machine;
+pub use shop::Bad;
