Fleet emulator and experiments: the same modules and checker in virtual time

Cause: comparing two settings must not need a fleet. Change: package emu, discrete events around the unchanged decision module, release and roster, stand-in machines, clients and checker; every kind of trouble of the rehearsal; rockpick emulate, and rockpick experiment with pairs by seed, bootstrap intervals and a stop once settled, lines of JSON, a page with charts. The checker takes typed lines.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -2,6 +2,7 @@
 mod ask;
 mod bench;
 mod fleet;
+mod lab;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use rockpick_control::Charter;
@@ -186,6 +187,10 @@
     },
     /// Plays a scripted day on loopback and judges it by what crossed the sockets.
     Rehearse(Box<rockpick_rehearse::Plan>),
+    /// Plays a day on the emulator, in virtual time, and judges it by the same checker.
+    Emulate(Box<lab::Emulate>),
+    /// Compares two choices on the emulator, by pairs of days, with error bars.
+    Experiment(Box<lab::Experiment>),
     /// Gives, gets or checks settings.
     Settings {
         #[command(subcommand)]
@@ -428,6 +433,8 @@
             Ok(kept) => Ok(if kept { ExitCode::SUCCESS } else { ExitCode::from(1) }),
             Err(why) => Err(Bad2(why)),
         },
+        What::Emulate(emulate) => emulate.run(),
+        What::Experiment(experiment) => experiment.run(),
         What::Settings { what } => settings(what),
         What::Offer { at, build } => {
             ask::say(at.controller, "POST", "/builds", &format!("{{\"build\":{build}}}"))
--- a/rehearse/src/crew.rs
+++ b/rehearse/src/crew.rs
@@ -1,7 +1,7 @@
 //! The processes of a rehearsal: started, stopped and killed by the script; a host that starts the machines
 //! which the controller wants; the clients; and the judgement at the end.
 use crate::day::{self, Act, Plan};
-use crate::judge::{self, Evidence, Judgement};
+use crate::judge::{self, Judgement, Written};
 use crate::relay::Relay;
 use crate::{call, watch};
 use rockpick_control::Charter;
@@ -157,12 +157,7 @@
         return Err(format!("--bad {}: KIND:SIZE is wanted", plan.bad));
     }
     let (script, lasts) = day::script(&plan)?;
-    let mut charter = Charter::example(plan.fronts, plan.machines);
-    let control = serde_json::from_value(json!(plan.control));
-    charter.rollout.control =
-        control.map_err(|_| format!("--control {}: first-voice, by-count or automatic", plan.control))?;
-    charter.rollout.step_ms = 4_000;
-    (charter.rollout.parallel, charter.rollout.one_way) = (!plan.in_place, plan.one_way);
+    let charter = day::charter(&plan)?;
     let out = plan.out.clone().unwrap_or_else(|| {
         std::env::temp_dir().join(format!("rockpick-rehearsal-{}-{}", std::process::id(), clock() / SEC))
     });
@@ -696,9 +691,9 @@
         self.end_agents();
         self.controller = None;
         self.fronts.iter_mut().for_each(|f| *f = None);
-        let evidence = self.evidence()?;
+        let evidence = judge::read(&self.charter, &self.written()?);
         let judgement = judge::judge(&self.charter, &evidence);
-        print(&judgement);
+        print(&judgement, "loopback");
         Ok(judgement.breaches.is_empty())
     }
 
@@ -735,8 +730,8 @@
         );
     }
 
-    fn evidence(&self) -> Result<Evidence, String> {
-        let mut evidence = Evidence::default();
+    fn written(&self) -> Result<Written, String> {
+        let mut evidence = Written::default();
         let entries = std::fs::read_dir(&self.out).map_err(|err| err.to_string())?;
         let mut files: Vec<PathBuf> = entries.flatten().map(|e| e.path()).collect();
         files.sort();
@@ -764,7 +759,8 @@
     }
 }
 
-fn print(judgement: &Judgement) {
+/// Prints stages, the table of methods, and breaches; `how` says where the figures come from.
+pub fn print(judgement: &Judgement, how: &str) {
     println!("\nstages as told:");
     for (at, build, stage, phase) in &judgement.stages {
         println!("{:6.1} s  build {build} stage {stage} {phase}", *at as f64 / SEC as f64);
@@ -779,7 +775,7 @@
             r.rpcs, r.ok, r.in_time, r.pushed_back, r.aborted, r.unanswered, r.picks
         );
     }
-    println!("\nservice {:.3} (utility within the soft deadline over utility asked for, loopback); {} picks at builds on trial",
+    println!("\nservice {:.3} (utility within the soft deadline over utility asked for, {how}); {} picks at builds on trial",
         judgement.service, judgement.trial_picks);
     let many = judgement.breaches.len();
     for rule in 1..=5u8 {
--- a/rehearse/src/day.rs
+++ b/rehearse/src/day.rs
@@ -133,6 +133,20 @@
     ["morning", "quiet", "short"]
 }
 
+/// The settings that a plan asks for.
+///
+/// # Errors
+/// Names the argument that makes no sense.
+pub fn charter(plan: &Plan) -> Result<rockpick_control::Charter, String> {
+    let mut charter = rockpick_control::Charter::example(plan.fronts, plan.machines);
+    let control = serde_json::from_value(json!(plan.control));
+    let unknown = |_| format!("--control {}: first-voice, by-count or automatic", plan.control);
+    charter.rollout.control = control.map_err(unknown)?;
+    charter.rollout.step_ms = 4_000;
+    (charter.rollout.parallel, charter.rollout.one_way) = (!plan.in_place, plan.one_way);
+    Ok(charter)
+}
+
 /// The acts of a trouble from second `at`, and when it is over.
 fn trouble(name: &str, plan: &Plan, at: f64, chance: &mut StdRng) -> Option<Vec<(f64, Act)>> {
     let fault = |share: f64, fault: Value| vec![(at, Act::Fault { share, fault }), (at + 10.0, Act::Heal)];
--- a/rehearse/src/judge.rs
+++ b/rehearse/src/judge.rs
@@ -1,14 +1,16 @@
 //! Judges a day by what clients and machines saw at their ends of the sockets, what the controller told a
-//! watcher, and what the rehearsal itself did to processes. A front's own word counts for nothing.
+//! watcher, and what the rehearsal itself did to processes. A front's own word counts for nothing. A rehearsal's
+//! records are read from JSON ([`read`]); the emulator hands over the same lines as they happen.
 //!
-//! Times are the machine's monotonic clock in ns, which all records share. What two processes saw of one
-//! thing differs by their scheduling: [`SKEW`] is granted for that, never more.
+//! Times are one clock's, in ns: the machine's monotonic one, which all records share, or the emulator's. What
+//! two processes saw of one thing differs by their scheduling: [`SKEW`] is granted for that, never more.
 use rockpick_control::charter::{GroupOf, Repeats};
 use rockpick_control::Charter;
+use rockpick_standin::shop::Did;
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
 
-type Ns = i64;
+pub type Ns = i64;
 const MS: Ns = 1_000_000;
 const SEC: Ns = 1_000 * MS;
 /// Two processes' records of one thing lie apart by this at most on a loaded machine.
@@ -22,15 +24,88 @@
     pub what: String,
 }
 
+/// What a client saw of a try.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Saw {
+    /// Sent; `leaves`: it will leave before its deadline without having said so.
+    Sent {
+        leaves: bool,
+    },
+    Ok {
+        right: bool,
+    },
+    PushedBack,
+    Aborted,
+    /// Refused as malformed or unknown.
+    NotTaken,
+    /// An answer that does not say which it is.
+    Nameless,
+    Unreachable,
+    Broken,
+    GaveUp,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct ClientLine {
+    pub t: Ns,
+    pub rpc: u64,
+    pub attempt: u32,
+    /// Indices into the charter.
+    pub method: u16,
+    pub front: u16,
+    pub saw: Saw,
+    /// It came after the deadline and the grace.
+    pub late: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct MachineLine {
+    pub t: Ns,
+    pub machine: u32,
+    pub build: u32,
+    pub rpc: u64,
+    pub attempt: u32,
+    pub method: u16,
+    pub front: u16,
+    pub key: Option<u64>,
+    pub did: Did,
+}
+
+/// A stage as it was told.
+#[derive(Clone, Copy, Debug)]
+pub struct Told {
+    pub t: Ns,
+    pub build: u32,
+    pub stage: u32,
+    /// 0 on trial, 1 released, 2 on its way back or withdrawn.
+    pub phase: u8,
+    pub cap: f64,
+}
+
+/// What was done to a process.
+#[derive(Clone, Debug)]
+pub struct Deed {
+    pub t: Ns,
+    pub act: String,
+    pub who: String,
+}
+
 /// All records of a day.
 #[derive(Default)]
 pub struct Evidence {
-    pub clients: Vec<Value>,
-    pub machines: Vec<Value>,
-    /// Lines of a watch of the controller, `t` when each came.
-    pub watch: Vec<Value>,
-    /// What the rehearsal did: kill, stop, cont, start, of a front or the controller.
-    pub acts: Vec<Value>,
+    /// Machines by index: name and place.
+    pub names: Vec<(String, Option<usize>)>,
+    pub clients: Vec<ClientLine>,
+    pub machines: Vec<MachineLine>,
+    /// Machines that fell over, with how.
+    pub fell: Vec<String>,
+    pub told: Vec<Told>,
+    /// When each machine was told as up, or as not.
+    pub moves: Vec<(Ns, u32, bool)>,
+    pub acts: Vec<Deed>,
+    /// Words that clients got after an answer; whether their record came to its end.
+    pub stray: u64,
+    pub whole: bool,
 }
 
 /// Service by method.
@@ -50,33 +125,25 @@
     pub rows: BTreeMap<String, Row>,
     pub service: f64,
     /// Time, build, stage and phase of each move that was told.
-    pub stages: Vec<(Ns, u64, u64, String)>,
+    pub stages: Vec<(Ns, u32, u32, String)>,
     pub trial_picks: u64,
 }
 
-fn t(v: &Value) -> Ns {
-    v["t"].as_i64().unwrap_or(0)
-}
-
-fn s<'a>(v: &'a Value, name: &str) -> &'a str {
-    v[name].as_str().unwrap_or("")
-}
-
 /// Spans in which something did not run or stood still.
 #[derive(Default)]
 struct Downs(BTreeMap<String, Vec<(Ns, Ns, bool)>>);
 
 impl Downs {
-    fn of(acts: &[Value]) -> Downs {
+    fn of(acts: &[Deed]) -> Downs {
         let mut downs = Downs::default();
         for act in acts {
-            let spans = downs.0.entry(s(act, "who").to_string()).or_default();
-            match s(act, "act") {
-                "kill" => spans.push((t(act), Ns::MAX, true)),
-                "stop" => spans.push((t(act), Ns::MAX, false)),
+            let spans = downs.0.entry(act.who.clone()).or_default();
+            match act.act.as_str() {
+                "kill" => spans.push((act.t, Ns::MAX, true)),
+                "stop" => spans.push((act.t, Ns::MAX, false)),
                 "start" | "cont" => {
                     if let Some(open) = spans.last_mut().filter(|s| s.1 == Ns::MAX) {
-                        open.1 = t(act);
+                        open.1 = act.t;
                     }
                 }
                 _ => {}
@@ -102,16 +169,6 @@
     }
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Told {
-    t: Ns,
-    build: u64,
-    stage: u64,
-    /// 0 on trial, 1 released, 2 on its way back or withdrawn.
-    phase: u8,
-    cap: f64,
-}
-
 struct Stages<'a> {
     told: Vec<Told>,
     first: f64,
@@ -142,7 +199,7 @@
     }
 
     /// The highest cap that may bind for a build at a time; none: it is not on trial.
-    fn cap(&self, front: &str, build: u64, at: Ns) -> Option<f64> {
+    fn cap(&self, front: &str, build: u32, at: Ns) -> Option<f64> {
         let lines = self.around(front, at);
         if lines.is_empty() {
             return Some(self.first);
@@ -160,7 +217,7 @@
     }
 
     /// Since when the present, lowered cap of a build binds: picks count anew from there.
-    fn lowered(&self, build: u64, at: Ns) -> Ns {
+    fn lowered(&self, build: u32, at: Ns) -> Ns {
         let lines = &self.told[..self.index(at)];
         let cap = |l: &Told| if l.phase == 0 { l.cap } else { 0.0 };
         let falls = lines
@@ -169,330 +226,414 @@
         falls.map(|p| p[1].t + self.grace).filter(|l| *l <= at).max().unwrap_or(Ns::MIN / 2)
     }
 
-    fn stage(&self, front: &str, build: u64, at: Ns) -> Option<u64> {
+    fn stage(&self, front: &str, build: u32, at: Ns) -> Option<u32> {
         let lines = self.around(front, at);
         // The latest stage that may bind is the laxest.
         lines.iter().filter(|l| l.build == build && l.phase == 0).map(|l| l.stage).max()
     }
 }
 
-fn stages_of(watch: &[Value]) -> Vec<Told> {
-    let line = |v: &Value| {
+/// The records of a rehearsal as they were written.
+#[derive(Default)]
+pub struct Written {
+    pub clients: Vec<Value>,
+    pub machines: Vec<Value>,
+    /// Lines of a watch of the controller, `t` when each came.
+    pub watch: Vec<Value>,
+    /// What the rehearsal did: kill, stop, cont, start, of a front or the controller.
+    pub acts: Vec<Value>,
+}
+
+fn s<'a>(v: &'a Value, name: &str) -> &'a str {
+    v[name].as_str().unwrap_or("")
+}
+
+fn t(v: &Value) -> Ns {
+    v["t"].as_i64().unwrap_or(0)
+}
+
+/// Reads what a rehearsal's processes have written; lines of other kinds are passed over.
+pub fn read(charter: &Charter, written: &Written) -> Evidence {
+    let mut day = Evidence::default();
+    let fronts: BTreeMap<&str, u16> =
+        charter.fronts.iter().zip(0..).map(|(f, i)| (f.name.as_str(), i)).collect();
+    let front = |v: &Value| fronts.get(s(v, "front")).copied();
+    let method = |v: &Value| charter.method(s(v, "method")).map(|m| m as u16);
+    let mut rpcs: BTreeMap<String, u64> = BTreeMap::new();
+    let mut rpc = |v: &Value| {
+        let next = rpcs.len() as u64;
+        *rpcs.entry(s(v, "rpc").to_string()).or_insert(next)
+    };
+    let attempt = |v: &Value| s(v, "try").parse().unwrap_or(0);
+    for v in &written.clients {
+        let saw = match (s(v, "event"), s(v, "answer")) {
+            ("sent", _) => Saw::Sent { leaves: v["leaves"] == true },
+            ("answer", "ok") => Saw::Ok { right: v["right"] != false },
+            ("answer", "pushed-back") => Saw::PushedBack,
+            ("answer", "aborted") => Saw::Aborted,
+            ("answer", "not-taken") => Saw::NotTaken,
+            ("answer", _) => Saw::Nameless,
+            ("not taken", _) => Saw::Unreachable,
+            ("broken", _) => Saw::Broken,
+            ("gave up", _) => Saw::GaveUp,
+            ("end", _) => {
+                (day.whole, day.stray) = (true, v["stray"].as_u64().unwrap_or(0));
+                continue;
+            }
+            _ => continue,
+        };
+        let (Some(front), Some(method)) = (front(v), method(v)) else { continue };
+        let late = v["late"] == true;
+        day.clients.push(ClientLine { t: t(v), rpc: rpc(v), attempt: attempt(v), method, front, saw, late });
+    }
+    let mut known: BTreeMap<String, u32> = BTreeMap::new();
+    let mut names = Vec::new();
+    let mut machine = |name: &str| {
+        *known.entry(name.to_string()).or_insert_with(|| {
+            let place = name.split("..").next().unwrap_or(name);
+            names.push((name.to_string(), charter.places.iter().position(|p| p.name == place)));
+            names.len() as u32 - 1
+        })
+    };
+    for v in &written.machines {
+        let did = match s(v, "event") {
+            "arrived" => Did::Arrived,
+            "began" => Did::Began,
+            "ok" => Did::Ok,
+            "error" => Did::Error,
+            "full" => Did::Full,
+            "dropped" => Did::Dropped,
+            "left" => Did::Left,
+            "unheard" => Did::Unheard,
+            "fell" => {
+                let (sent, budget) = (&v["sent"], &v["budget"]);
+                let what =
+                    format!("{} fell over at {} ms: sent {sent} of {budget}", s(v, "machine"), v["age_ms"]);
+                day.fell.push(what);
+                continue;
+            }
+            _ => continue,
+        };
+        let (Some(front), Some(method)) = (front(v), method(v)) else { continue };
+        let build = v["build"].as_u64().unwrap_or(0) as u32;
+        let key = s(v, "key").parse().ok();
+        let machine = machine(s(v, "machine"));
+        let (rpc, attempt) = (rpc(v), attempt(v));
+        day.machines.push(MachineLine { t: t(v), machine, build, rpc, attempt, method, front, key, did });
+    }
+    for v in &written.watch {
         let l = &v["line"]["stage"];
-        Some(Told {
-            t: t(v),
-            build: l["build"].as_u64()?,
-            stage: l["stage"].as_u64()?,
-            phase: match l["phase"].as_str()? {
+        if let (Some(build), Some(stage), Some(cap)) =
+            (l["build"].as_u64(), l["stage"].as_u64(), l["cap"].as_f64())
+        {
+            let phase = match s(l, "phase") {
                 "on-trial" => 0,
                 "released" => 1,
                 _ => 2,
-            },
-            cap: l["cap"].as_f64()?,
-        })
-    };
-    let mut told: Vec<Told> = watch.iter().filter_map(line).collect();
-    told.sort_by_key(|l| l.t);
-    told.dedup_by(|b, a| (a.build, a.stage, a.phase) == (b.build, b.stage, b.phase));
-    told
+            };
+            day.told.push(Told { t: t(v), build: build as u32, stage: stage as u32, phase, cap });
+        }
+        for m in v["line"]["roster"]["members"].as_array().into_iter().flatten() {
+            day.moves.push((t(v), machine(s(m, "name")), s(m, "state") == "up"));
+        }
+    }
+    day.names = names;
+    let deed = |v: &Value| Deed { t: t(v), act: s(v, "act").into(), who: s(v, "who").into() };
+    day.acts = written.acts.iter().map(deed).collect();
+    day
 }
 
-pub fn judge(charter: &Charter, evidence: &Evidence) -> Judgement {
-    let downs = Downs::of(&evidence.acts);
+pub fn judge(charter: &Charter, day: &Evidence) -> Judgement {
+    let downs = Downs::of(&day.acts);
     let grace = charter.guard.drain_grace_ms as Ns * MS;
     let first = charter.rollout.caps.first().copied().unwrap_or(0.0);
-    let stages = Stages { told: stages_of(&evidence.watch), first, grace, downs: &downs };
-    let mut machines: Vec<&Value> = evidence.machines.iter().collect();
-    machines.sort_by_key(|v| t(v));
-    let mut breaches = Vec::new();
-    one_answer(evidence, &downs, &mut breaches);
-    no_second_effect(charter, evidence, &machines, &mut breaches);
-    drains(charter, evidence, &machines, &downs, &mut breaches);
-    for v in machines.iter().filter(|v| s(v, "event") == "fell") {
-        let what = format!(
-            "{} fell over at {} ms: sent {} of {}",
-            s(v, "machine"),
-            v["age_ms"],
-            v["sent"],
-            v["budget"]
-        );
-        breaches.push(Breach { rule: 4, what });
-    }
-    let trial_picks = exposure(charter, evidence, &machines, &stages, &downs, &mut breaches);
-    let (rows, service) = rows(charter, evidence, &machines);
-    let began = evidence.clients.iter().map(t).min().unwrap_or(0);
+    let mut told = day.told.clone();
+    told.sort_by_key(|l| l.t);
+    told.dedup_by(|b, a| (a.build, a.stage, a.phase) == (b.build, b.stage, b.phase));
+    let stages = Stages { told, first, grace, downs: &downs };
+    let mut machines: Vec<&MachineLine> = day.machines.iter().collect();
+    machines.sort_by_key(|l| l.t);
+    let mut judge = Judge { charter, day, machines, downs: &downs, breaches: Vec::new() };
+    judge.one_answer();
+    judge.no_second_effect();
+    judge.drains();
+    for what in &day.fell {
+        judge.broke(4, what.clone());
+    }
+    let trial_picks = judge.exposure(&stages);
+    let (rows, service) = judge.rows();
+    let began = day.clients.iter().map(|l| l.t).min().unwrap_or(0);
     let phase = ["on trial", "released", "back"];
     let moves =
         stages.told.iter().map(|l| (l.t - began, l.build, l.stage, phase[l.phase as usize].to_string()));
-    Judgement { breaches, rows, service, stages: moves.collect(), trial_picks }
+    Judgement { breaches: judge.breaches, rows, service, stages: moves.collect(), trial_picks }
 }
 
-fn one_answer(evidence: &Evidence, downs: &Downs, breaches: &mut Vec<Breach>) {
-    let mut sent: BTreeMap<(&str, &str), &Value> = BTreeMap::new();
-    let mut broke = |what: String| breaches.push(Breach { rule: 1, what });
-    let mut ended = false;
-    for v in &evidence.clients {
-        let at = (s(v, "rpc"), s(v, "try"));
-        match s(v, "event") {
-            "sent" => {
-                sent.insert(at, v);
-            }
-            "end" => {
-                ended = true;
-                if v["stray"].as_u64().unwrap_or(0) > 0 {
-                    broke(format!("{} words came after an answer", v["stray"]));
-                }
-            }
-            "answer" | "gave up" | "broken" | "not taken" => {
-                let Some(began) = sent.remove(&at) else {
-                    broke(format!("a second end for {} try {}", at.0, at.1));
-                    continue;
-                };
-                let (front, from, to) = (s(v, "front"), t(began), t(v));
-                let down = downs.within(front, from - SKEW, to);
-                let how = s(v, "event");
-                let fault = match how {
-                    "answer" => v["late"] == true || s(v, "answer") == "none",
-                    "gave up" => began["leaves"] != true,
-                    "broken" => true,
-                    _ => false,
-                };
-                let excused =
-                    if how == "broken" { downs.killed(front, from - SKEW, to + SKEW) } else { down };
-                if fault && !excused {
-                    broke(format!("{} try {} at {front}: {how} after {} ms", at.0, at.1, v["took_ms"]));
-                }
-            }
-            _ => {}
-        }
-    }
-    if !ended {
-        broke("the clients' record is cut short".into());
-    }
-    for ((rpc, attempt), _) in sent {
-        broke(format!("{rpc} try {attempt}: no end on record"));
-    }
+struct Judge<'a> {
+    charter: &'a Charter,
+    day: &'a Evidence,
+    /// In order of time.
+    machines: Vec<&'a MachineLine>,
+    downs: &'a Downs,
+    breaches: Vec<Breach>,
 }
 
 /// A pick as its machine saw it.
 #[derive(Clone, Copy)]
-struct Seen<'a> {
-    machine: &'a str,
+struct Seen {
+    machine: u32,
     arrived: Ns,
     began: Option<Ns>,
     ended: Option<Ns>,
-    attempt: &'a str,
-    front: &'a str,
+    attempt: u32,
+    front: u16,
 }
 
-fn no_second_effect(charter: &Charter, evidence: &Evidence, machines: &[&Value], breaches: &mut Vec<Breach>) {
-    let mut rpcs: BTreeMap<&str, (&str, Vec<Seen>)> = BTreeMap::new();
-    for v in machines.iter().filter(|v| !s(v, "rpc").is_empty()) {
-        let (_, picks) = rpcs.entry(s(v, "rpc")).or_insert_with(|| (s(v, "method"), Vec::new()));
-        let machine = s(v, "machine");
-        if s(v, "event") == "arrived" {
-            let (attempt, front) = (s(v, "try"), s(v, "front"));
-            picks.push(Seen { machine, arrived: t(v), began: None, ended: None, attempt, front });
-            continue;
-        }
-        let Some(p) = picks.iter_mut().rev().find(|p| p.machine == machine && p.ended.is_none()) else {
-            continue;
-        };
-        match s(v, "event") {
-            "began" => p.began = Some(t(v)),
-            "ok" | "error" | "full" | "dropped" | "left" => p.ended = Some(t(v)),
-            _ => {}
-        }
+impl Judge<'_> {
+    fn broke(&mut self, rule: u8, what: String) {
+        self.breaches.push(Breach { rule, what });
     }
-    let mut broke = |what: String| breaches.push(Breach { rule: 2, what });
-    let place = |machine: &str| {
-        let name = machine.split("..").next().unwrap_or(machine);
-        charter.places.iter().find(|p| p.name == name)
-    };
-    for (rpc, (method, picks)) in &rpcs {
-        let Some(row) = charter.method(method).map(|m| &charter.methods[m]) else { continue };
-        let began: Vec<&Seen> = picks.iter().filter(|p| p.began.is_some()).collect();
-        if row.repeat == Repeats::NonIdempotent && began.len() > 1 {
-            let where_: Vec<&str> = began.iter().map(|p| p.machine).collect();
-            broke(format!("{rpc} ({method}, non-idempotent) ran at {}", where_.join(" and ")));
+
+    fn front(&self, front: u16) -> &str {
+        &self.charter.fronts[front as usize].name
+    }
+
+    fn machine(&self, machine: u32) -> &str {
+        &self.day.names[machine as usize].0
+    }
+
+    fn one_answer(&mut self) {
+        let mut sent: BTreeMap<(u64, u32), &ClientLine> = BTreeMap::new();
+        let day = self.day;
+        if day.stray > 0 {
+            self.broke(1, format!("{} words came after an answer", day.stray));
         }
-        if let (Repeats::Tokened, Some(one)) = (row.repeat, began.first()) {
-            for p in picks.iter().filter(|p| p.arrived > one.arrived) {
-                let inside = match (row.group, place(one.machine), place(p.machine)) {
-                    (GroupOf::Zone, Some(a), Some(b)) => a.zone == b.zone,
-                    (GroupOf::Cell, Some(a), Some(b)) => a.cell == b.cell,
-                    _ => true,
-                };
-                if !inside || p.arrived - one.arrived > row.remembered_ms as Ns * MS + SKEW {
-                    broke(format!("{rpc} ({method}, tokened) went to {} outside group or window", p.machine));
-                }
-            }
+        if !day.whole {
+            self.broke(1, "the clients' record is cut short".into());
         }
-        // Overlap is judged by what one front held open: its next pick while the last one's connection stood.
-        for pair in picks.windows(2).filter(|p| p[0].front == p[1].front && p[0].attempt == p[1].attempt) {
-            if pair[0].ended.is_some_and(|end| end > pair[1].arrived + SKEW) {
-                broke(format!("{rpc}: picks at {} and {} overlap", pair[0].machine, pair[1].machine));
+        for l in &day.clients {
+            if matches!(l.saw, Saw::Sent { .. }) {
+                sent.insert((l.rpc, l.attempt), l);
+                continue;
+            }
+            let Some(began) = sent.remove(&(l.rpc, l.attempt)) else {
+                self.broke(1, format!("a second end for {} try {}", l.rpc, l.attempt));
+                continue;
+            };
+            let front = self.front(l.front);
+            let fault = match l.saw {
+                Saw::GaveUp => began.saw != (Saw::Sent { leaves: true }),
+                Saw::Broken | Saw::Nameless => true,
+                Saw::Unreachable => false,
+                _ => l.late,
+            };
+            let excused = match l.saw {
+                Saw::Broken => self.downs.killed(front, began.t - SKEW, l.t + SKEW),
+                _ => self.downs.within(front, began.t - SKEW, l.t),
+            };
+            if fault && !excused {
+                let took = (l.t - began.t) / MS;
+                self.broke(1, format!("{} try {} at {front}: {:?} after {took} ms", l.rpc, l.attempt, l.saw));
             }
         }
-    }
-    for v in evidence.clients.iter().filter(|v| s(v, "event") == "answer" && s(v, "answer") == "pushed-back")
-    {
-        let Some((method, picks)) = rpcs.get(s(v, "rpc")) else { continue };
-        let Some(row) = charter.method(method).map(|m| &charter.methods[m]) else { continue };
-        let narrow = row.repeat == Repeats::Tokened && row.group != GroupOf::All;
-        let ran = picks.iter().any(|p| p.attempt == s(v, "try") && p.began.is_some_and(|b| b < t(v)));
-        if ran && (row.repeat == Repeats::NonIdempotent || narrow) {
-            broke(format!("{} ({method}) was pushed back though it had run", s(v, "rpc")));
+        for (rpc, attempt) in sent.into_keys() {
+            self.broke(1, format!("{rpc} try {attempt}: no end on record"));
         }
     }
-}
 
-fn drains(
-    charter: &Charter, evidence: &Evidence, machines: &[&Value], downs: &Downs, breaches: &mut Vec<Breach>,
-) {
-    let grace = charter.guard.drain_grace_ms as Ns * MS;
-    // When each machine was told gone or draining, and up again: by the watch.
-    let mut told: BTreeMap<String, Vec<(Ns, bool)>> = BTreeMap::new();
-    for v in &evidence.watch {
-        let roster = &v["line"]["roster"];
-        let members = roster["members"].as_array().map_or(&[][..], |m| m);
-        for m in members {
-            let moves = told.entry(s(m, "name").into()).or_default();
-            let up = s(m, "state") == "up";
-            if moves.last().is_none_or(|l| l.1 != up) {
-                moves.push((t(v), up));
+    fn no_second_effect(&mut self) {
+        let mut rpcs: BTreeMap<u64, (u16, Vec<Seen>)> = BTreeMap::new();
+        for l in &self.machines {
+            let (_, picks) = rpcs.entry(l.rpc).or_insert_with(|| (l.method, Vec::new()));
+            if l.did == Did::Arrived {
+                let (machine, attempt, front) = (l.machine, l.attempt, l.front);
+                picks.push(Seen { machine, arrived: l.t, began: None, ended: None, attempt, front });
+                continue;
+            }
+            let ours = |p: &&mut Seen| p.machine == l.machine && p.ended.is_none();
+            let Some(p) = picks.iter_mut().rev().find(ours) else { continue };
+            match l.did {
+                Did::Began => p.began = Some(l.t),
+                Did::Unheard | Did::Arrived => {}
+                _ => p.ended = Some(l.t),
             }
         }
-    }
-    let mut said = BTreeSet::new();
-    for v in machines.iter().filter(|v| s(v, "event") == "arrived") {
-        let (machine, front, at) = (s(v, "machine"), s(v, "front"), t(v));
-        let Some(moves) = told.get(machine) else { continue };
-        let n = moves.partition_point(|m| m.0 <= at);
-        let Some((since, false)) = n.checked_sub(1).map(|i| moves[i]) else { continue };
-        // One that hears late, for having been down or the controller's standing still, is given the time.
-        let heard = |who| downs.within(who, since - NEWS, at) && downs.within(who, at - NEWS, at);
-        if at > since + grace + SKEW && !heard(front) && !heard("controller") && said.insert((machine, front))
-        {
-            let late = (at - since - grace) / MS;
-            breaches.push(Breach {
-                rule: 3,
-                what: format!("{front} sent to {machine} {late} ms past the grace"),
-            });
+        let charter = self.charter;
+        let place = |m: u32| self.day.names[m as usize].1.map(|p| &charter.places[p]);
+        let mut found = Vec::new();
+        for (rpc, (method, picks)) in &rpcs {
+            let row = &charter.methods[*method as usize];
+            let began: Vec<&Seen> = picks.iter().filter(|p| p.began.is_some()).collect();
+            if row.repeat == Repeats::NonIdempotent && began.len() > 1 {
+                let at: Vec<&str> = began.iter().map(|p| self.machine(p.machine)).collect();
+                found.push(format!("{rpc} ({}, non-idempotent) ran at {}", row.name, at.join(" and ")));
+            }
+            if let (Repeats::Tokened, Some(one)) = (row.repeat, began.first()) {
+                for p in picks.iter().filter(|p| p.arrived > one.arrived) {
+                    let inside = match (row.group, place(one.machine), place(p.machine)) {
+                        (GroupOf::Zone, Some(a), Some(b)) => a.zone == b.zone,
+                        (GroupOf::Cell, Some(a), Some(b)) => a.cell == b.cell,
+                        _ => true,
+                    };
+                    if !inside || p.arrived - one.arrived > row.remembered_ms as Ns * MS + SKEW {
+                        let at = self.machine(p.machine);
+                        found.push(format!(
+                            "{rpc} ({}, tokened) went to {at} outside group or window",
+                            row.name
+                        ));
+                    }
+                }
+            }
+            // Overlap is judged by what one front held open: its next pick while the last one's connection stood.
+            for pair in picks.windows(2).filter(|p| p[0].front == p[1].front && p[0].attempt == p[1].attempt)
+            {
+                if pair[0].ended.is_some_and(|end| end > pair[1].arrived + SKEW) {
+                    let [a, b] = [0, 1].map(|i| self.machine(pair[i].machine));
+                    found.push(format!("{rpc}: picks at {a} and {b} overlap"));
+                }
+            }
         }
+        for l in self.day.clients.iter().filter(|l| l.saw == Saw::PushedBack) {
+            let Some((method, picks)) = rpcs.get(&l.rpc) else { continue };
+            let row = &charter.methods[*method as usize];
+            let narrow = row.repeat == Repeats::Tokened && row.group != GroupOf::All;
+            let ran = picks.iter().any(|p| p.attempt == l.attempt && p.began.is_some_and(|b| b < l.t));
+            if ran && (row.repeat == Repeats::NonIdempotent || narrow) {
+                found.push(format!("{} ({}) was pushed back though it had run", l.rpc, row.name));
+            }
+        }
+        found.into_iter().for_each(|what| self.broke(2, what));
     }
-}
 
-fn exposure(
-    charter: &Charter, evidence: &Evidence, machines: &[&Value], stages: &Stages, downs: &Downs,
-    breaches: &mut Vec<Breach>,
-) -> u64 {
-    let r = &charter.rollout;
-    let window = r.window_ms as Ns * MS;
-    let scope = |method: &str| if r.cap_per_method { method.to_string() } else { String::new() };
-    // What each front took: all that clients sent it, when it ran.
-    let mut taken: BTreeMap<(String, String), Vec<Ns>> = BTreeMap::new();
-    for v in evidence.clients.iter().filter(|v| s(v, "event") == "sent") {
-        let at = downs.after(s(v, "front"), t(v));
-        taken.entry((s(v, "front").into(), scope(s(v, "method")))).or_default().push(at);
-    }
-    taken.values_mut().for_each(|times| times.sort_unstable());
-    let mut picks: BTreeMap<(String, String, u64), Vec<Ns>> = BTreeMap::new();
-    let mut said = BTreeSet::new();
-    let mut broke = |key: (String, u64, &'static str), what: String| {
-        if said.insert(key) {
-            breaches.push(Breach { rule: 5, what });
-        }
-    };
-    let mut trial_picks = 0;
-    let mut bound: BTreeMap<(&str, &str), (u64, Ns)> = BTreeMap::new();
-    for v in machines {
-        let (front, build, at, method) =
-            (s(v, "front"), v["build"].as_u64().unwrap_or(0), t(v), s(v, "method"));
-        if r.one_way && s(v, "event") == "ok" && !s(v, "key").is_empty() {
-            let kept = bound.entry((front, s(v, "key"))).or_insert((build, at));
-            if build > kept.0 {
-                *kept = (build, at);
+    fn drains(&mut self) {
+        let grace = self.charter.guard.drain_grace_ms as Ns * MS;
+        let mut told: BTreeMap<u32, Vec<(Ns, bool)>> = BTreeMap::new();
+        for (at, machine, up) in &self.day.moves {
+            let moves = told.entry(*machine).or_default();
+            if moves.last().is_none_or(|l| l.1 != *up) {
+                moves.push((*at, *up));
             }
         }
-        if s(v, "event") != "arrived" || front.is_empty() {
-            continue;
-        }
-        if let Some((b, since)) = bound.get(&(front, s(v, "key"))).filter(|_| r.one_way) {
-            let stands = stages.around(front, at).iter().all(|l| l.build == *b && l.phase < 2);
-            if stands && build < *b && at > since + SKEW && !downs.within(front, *since, at) {
-                broke((front.into(), *b, "way"), format!("{front} sent a key of build {b} to build {build}"));
+        let (mut said, mut found) = (BTreeSet::new(), Vec::new());
+        for l in self.machines.iter().filter(|l| l.did == Did::Arrived) {
+            let Some(moves) = told.get(&l.machine) else { continue };
+            let n = moves.partition_point(|m| m.0 <= l.t);
+            let Some((since, false)) = n.checked_sub(1).map(|i| moves[i]) else { continue };
+            if l.t <= since + grace + SKEW {
+                continue;
+            }
+            // One that hears late, for having been down or the controller's standing still, is given the time.
+            let heard =
+                |who| self.downs.within(who, since - NEWS, l.t) && self.downs.within(who, l.t - NEWS, l.t);
+            let front = self.front(l.front);
+            if !heard(front) && !heard("controller") && said.insert((l.machine, l.front)) {
+                let late = (l.t - since - grace) / MS;
+                found.push(format!("{front} sent to {} {late} ms past the grace", self.machine(l.machine)));
             }
         }
-        let Some(cap) = stages.cap(front, build, at) else { continue };
-        trial_picks += 1;
-        let guarded = stages.stage(front, build, at).unwrap_or(0) < r.guarded_stages as u64;
-        let kind = charter.method(method).map(|m| charter.methods[m].repeat);
-        if guarded && kind != Some(Repeats::Idempotent) {
-            broke(
-                (front.into(), build, "guard"),
-                format!("{front} sent {method} to build {build} in a guarded stage"),
-            );
-        }
-        let times = picks.entry((front.into(), scope(method), build)).or_default();
-        times.push(at);
-        let from = (at - window).max(stages.lowered(build, at));
-        let many = times.len() - times.partition_point(|p| *p <= from);
-        let took = taken.get(&(front.to_string(), scope(method))).map_or(0, |times| {
-            times.partition_point(|p| *p <= at + SKEW) - times.partition_point(|p| *p <= at - window - SKEW)
-        });
-        // At cap 0 nothing may go; above it the free allowance counts.
-        let most = if cap <= 0.0 { 0.0 } else { r.free + cap * took as f64 };
-        if many as f64 > most + 1e-9 {
-            let what =
-                format!("{front}: {many} picks at build {build} in a window, {most:.1} allowed (cap {cap})");
-            broke((front.into(), build, "cap"), what);
+        found.into_iter().for_each(|what| self.broke(3, what));
+    }
+
+    fn exposure(&mut self, stages: &Stages) -> u64 {
+        let r = &self.charter.rollout;
+        let window = r.window_ms as Ns * MS;
+        let scope = |method: u16| if r.cap_per_method { method } else { 0 };
+        // What each front took: all that clients sent it, when it ran.
+        let mut taken: BTreeMap<(u16, u16), Vec<Ns>> = BTreeMap::new();
+        for l in self.day.clients.iter().filter(|l| matches!(l.saw, Saw::Sent { .. })) {
+            let at = self.downs.after(self.front(l.front), l.t);
+            taken.entry((l.front, scope(l.method))).or_default().push(at);
         }
-    }
-    trial_picks
-}
-
-fn rows(charter: &Charter, evidence: &Evidence, machines: &[&Value]) -> (BTreeMap<String, Row>, f64) {
-    let mut rows: BTreeMap<String, Row> = BTreeMap::new();
-    let mut first: BTreeMap<&str, (&str, Ns)> = BTreeMap::new();
-    let mut last: BTreeMap<&str, &Value> = BTreeMap::new();
-    for v in &evidence.clients {
-        match s(v, "event") {
-            "sent" => {
-                first.entry(s(v, "rpc")).or_insert((s(v, "method"), t(v)));
+        taken.values_mut().for_each(|times| times.sort_unstable());
+        let mut picks: BTreeMap<(u16, u16, u32), Vec<Ns>> = BTreeMap::new();
+        let (mut said, mut found) = (BTreeSet::new(), Vec::new());
+        let mut trial_picks = 0;
+        let mut bound: BTreeMap<(u16, u64), (u32, Ns)> = BTreeMap::new();
+        for l in &self.machines {
+            let (front, build, at) = (self.front(l.front), l.build, l.t);
+            if let Some(key) = l.key.filter(|_| r.one_way && l.did == Did::Ok) {
+                let kept = bound.entry((l.front, key)).or_insert((build, at));
+                if build > kept.0 {
+                    *kept = (build, at);
+                }
+            }
+            if l.did != Did::Arrived {
+                continue;
+            }
+            if let Some((b, since)) = l.key.and_then(|key| bound.get(&(l.front, key))) {
+                let stands = stages.around(front, at).iter().all(|s| s.build == *b && s.phase < 2);
+                if stands
+                    && build < *b
+                    && at > since + SKEW
+                    && !self.downs.within(front, *since, at)
+                    && said.insert((l.front, *b, "way"))
+                {
+                    found.push(format!("{front} sent a key of build {b} to build {build}"));
+                }
             }
-            "answer" | "gave up" | "broken" | "not taken" => {
-                last.insert(s(v, "rpc"), v);
+            let Some(cap) = stages.cap(front, build, at) else { continue };
+            trial_picks += 1;
+            let guarded = (stages.stage(front, build, at).unwrap_or(0) as usize) < r.guarded_stages;
+            let row = &self.charter.methods[l.method as usize];
+            if guarded && row.repeat != Repeats::Idempotent && said.insert((l.front, build, "guard")) {
+                found.push(format!("{front} sent {} to build {build} in a guarded stage", row.name));
+            }
+            let times = picks.entry((l.front, scope(l.method), build)).or_default();
+            times.push(at);
+            let from = (at - window).max(stages.lowered(build, at));
+            let many = times.len() - times.partition_point(|p| *p <= from);
+            let took = taken.get(&(l.front, scope(l.method))).map_or(0, |times| {
+                times.partition_point(|p| *p <= at + SKEW)
+                    - times.partition_point(|p| *p <= at - window - SKEW)
+            });
+            // At cap 0 nothing may go; above it the free allowance counts.
+            let most = if cap <= 0.0 { 0.0 } else { r.free + cap * took as f64 };
+            if many as f64 > most + 1e-9 && said.insert((l.front, build, "cap")) {
+                found.push(format!(
+                    "{front}: {many} picks at build {build} in a window, {most:.1} allowed (cap {cap})"
+                ));
             }
-            _ => {}
         }
-    }
-    let (mut asked, mut served) = (0.0, 0.0);
-    for (rpc, (method, began)) in &first {
-        let Some(m) = charter.method(method).map(|m| &charter.methods[m]) else { continue };
-        let row = rows.entry(method.to_string()).or_default();
-        row.rpcs += 1;
-        asked += m.utility;
-        let Some(v) = last.get(rpc) else { continue };
-        match (s(v, "event"), s(v, "answer")) {
-            ("answer", "ok") => {
-                row.ok += 1;
-                if t(v) - began <= m.soft_deadline_ms as Ns * MS && v["right"] != false {
-                    row.in_time += 1;
-                    served += m.utility;
+        found.into_iter().for_each(|what| self.broke(5, what));
+        trial_picks
+    }
+
+    fn rows(&self) -> (BTreeMap<String, Row>, f64) {
+        let mut rows: Vec<Row> = vec![Row::default(); self.charter.methods.len()];
+        let mut first: BTreeMap<u64, (u16, Ns)> = BTreeMap::new();
+        let mut last: BTreeMap<u64, &ClientLine> = BTreeMap::new();
+        for l in &self.day.clients {
+            match l.saw {
+                Saw::Sent { .. } => drop(first.entry(l.rpc).or_insert((l.method, l.t))),
+                _ => drop(last.insert(l.rpc, l)),
+            }
+        }
+        let (mut asked, mut served) = (0.0, 0.0);
+        for (rpc, (method, began)) in &first {
+            let m = &self.charter.methods[*method as usize];
+            let row = &mut rows[*method as usize];
+            row.rpcs += 1;
+            asked += m.utility;
+            let Some(l) = last.get(rpc) else { continue };
+            match l.saw {
+                Saw::Ok { right } => {
+                    row.ok += 1;
+                    if l.t - began <= m.soft_deadline_ms as Ns * MS && right {
+                        row.in_time += 1;
+                        served += m.utility;
+                    }
                 }
+                Saw::PushedBack | Saw::NotTaken => row.pushed_back += 1,
+                Saw::Aborted => row.aborted += 1,
+                _ => row.unanswered += 1,
             }
-            ("answer", "pushed-back") => row.pushed_back += 1,
-            ("answer", "aborted") => row.aborted += 1,
-            _ => row.unanswered += 1,
         }
-    }
-    for v in machines.iter().filter(|v| s(v, "event") == "arrived") {
-        if let Some(row) = rows.get_mut(s(v, "method")) {
-            row.picks += 1;
+        for l in self.machines.iter().filter(|l| l.did == Did::Arrived) {
+            rows[l.method as usize].picks += 1;
         }
+        let named = self.charter.methods.iter().map(|m| m.name.clone()).zip(rows);
+        (named.filter(|(_, r)| r.rpcs > 0).collect(), if asked > 0.0 { served / asked } else { 0.0 })
     }
-    (rows, if asked > 0.0 { served / asked } else { 0.0 })
 }
 
 #[cfg(test)]
@@ -513,17 +654,20 @@
         json!({ "t": t, "line": { "stage": { "build": build, "stage": 0, "phase": phase, "cap": cap } } })
     }
 
-    fn rules(evidence: &Evidence) -> Vec<u8> {
-        let mut rules: Vec<u8> =
-            judge(&Charter::example(2, 4), evidence).breaches.iter().map(|b| b.rule).collect();
+    fn rules(written: &Written) -> Vec<u8> {
+        let mut rules: Vec<u8> = judge(&Charter::example(2, 4), &read(&Charter::example(2, 4), written))
+            .breaches
+            .iter()
+            .map(|b| b.rule)
+            .collect();
         rules.dedup();
         rules
     }
 
     const NONE: [u8; 0] = [];
 
-    fn clean() -> Evidence {
-        Evidence {
+    fn clean() -> Written {
+        Written {
             clients: vec![
                 client(SEC, "sent", "a", "f0"),
                 client(2 * SEC, "answer", "a", "f0"),
--- a/rehearse/src/lib.rs
+++ b/rehearse/src/lib.rs
@@ -1,12 +1,13 @@
 //! A rehearsal: controller, fronts, machines and clients as processes of their own on loopback, a scripted
 //! day of troubles, and a judgement by [`judge`] of what crossed the sockets.
 mod crew;
-mod day;
+pub mod day;
 pub mod judge;
 mod relay;
 mod watch;
 
-pub use day::{days, troubles, Plan};
+pub use crew::print;
+pub use day::Plan;
 use rockpick_net::http::{self, Response};
 use rockpick_net::{Call, End, Event, Net, MS, SEC};
 use std::net::SocketAddr;
