--- a/src/ring.rs
+++ b/src/ring.rs
@@ -17,21 +17,26 @@
     }
 }
 
-/// Buckets of time, used again in a ring; the newest one is still filling.
+/// Buckets of time, used again in a ring; the newest one is still filling. They are made at first use: most of a
+/// large fleet's machines are met by few fronts.
 pub struct Ring<T> {
     width: Ns,
     newest: i64,
+    size: usize,
     pub cells: Vec<T>,
 }
 
 impl<T: Clone + Default> Ring<T> {
     pub fn new(width: Ns, cells: usize) -> Self {
-        Ring { width: width.max(1), newest: i64::MIN / 2, cells: vec![T::default(); cells] }
+        Ring { width: width.max(1), newest: i64::MIN / 2, size: cells, cells: Vec::new() }
     }
 
     /// The bucket of `now`; those that were skipped come up empty.
     pub fn at(&mut self, now: Ns) -> &mut T {
-        let (bucket, size) = (now.div_euclid(self.width), self.cells.len() as i64);
+        let (bucket, size) = (now.div_euclid(self.width), self.size as i64);
+        if self.cells.is_empty() {
+            self.cells = vec![T::default(); self.size];
+        }
         for b in (self.newest + 1).max(bucket + 1 - size)..=bucket {
             self.cells[b.rem_euclid(size) as usize] = T::default();
         }
@@ -41,13 +46,14 @@
 
     /// The bucket of a time gone by, if it is still kept.
     pub fn then(&mut self, at: Ns) -> Option<&mut T> {
-        let (bucket, size) = (at.div_euclid(self.width), self.cells.len() as i64);
-        (bucket > self.newest - size).then(|| &mut self.cells[bucket.rem_euclid(size) as usize])
+        let (bucket, size) = (at.div_euclid(self.width), self.size as i64);
+        (!self.cells.is_empty() && bucket > self.newest - size)
+            .then(|| &mut self.cells[bucket.rem_euclid(size) as usize])
     }
 
     /// The newest `n` buckets, that of `now` among them.
     pub fn last(&self, now: Ns, n: i64) -> impl Iterator<Item = &T> {
-        let (bucket, size) = (now.div_euclid(self.width), self.cells.len() as i64);
+        let (bucket, size) = (now.div_euclid(self.width), self.size as i64);
         let kept = (bucket - n).max(self.newest - size) + 1..=bucket.min(self.newest);
         kept.map(move |b| &self.cells[b.rem_euclid(size) as usize])
     }
