--- a/src/logic.rs
+++ b/src/logic.rs
@@ -674,8 +674,8 @@
         // A quiet front's jam: over four in ten take half their soft deadline. A sum alone would swing.
         if self.quiet {
             // With under four picks a jam would pass for chance: a front of a large tier looks further back.
-            let looks = [2, 4, 8, 16].map(|n| sum(self.queued.last(now - 2 * INTERVAL, n)));
-            let [picks, late] = looks.into_iter().find(|seen| seen[0] >= 4).unwrap_or(looks[3]);
+            let looks = [2, 4, 8].map(|n| sum(self.queued.last(now - 2 * INTERVAL, n)));
+            let [picks, late] = looks.into_iter().find(|seen| seen[0] >= 4).unwrap_or(looks[2]);
             let late = f64::from(late) / f64::from(picks.max(4));
             self.base = (self.base + 0.1 * (0.4 - late)).clamp(0.1, 1.0);
             self.admit = (self.base + 1.2 * (0.4 - late)).clamp(0.1, 1.0);
