--- a/cli/src/lab.rs
+++ b/cli/src/lab.rs
@@ -16,6 +16,9 @@
     /// Settings that differ from the plan's: PATH=VALUE, as rollout.dwell_ms=3000.
     #[arg(long)]
     set: Vec<String>,
+    /// Plain fronts in place of ours, to set beside: round robin, three repeats, no vote. Prints only service.
+    #[arg(long)]
+    plain: bool,
     /// Only the time that it takes: nothing is kept for the checker.
     #[arg(long)]
     speed: bool,
@@ -55,8 +58,9 @@
 impl Emulate {
     pub fn run(self) -> Result<ExitCode, Bad2> {
         let began = Instant::now();
-        if self.speed {
-            let day = experiment::day(&self.plan, &self.set, self.plan.seed, false).map_err(Bad2)?;
+        if self.speed || self.plain {
+            let mut day = experiment::day(&self.plan, &self.set, self.plan.seed, false).map_err(Bad2)?;
+            day.plain = self.plain;
             let outcome = World::new(day).map_err(Bad2)?.run();
             let took = began.elapsed().as_secs_f64();
             let (t, held) = (outcome.tolls, memory());
--- a/emu/src/experiment.rs
+++ b/emu/src/experiment.rs
@@ -78,7 +78,7 @@
     let (script, seconds) = rockpick_rehearse::day::script(&plan)?;
     let charter = vary(&rockpick_rehearse::day::charter(&plan)?, changes)?;
     let load = Load { rate: plan.rate, ..Load::default() };
-    Ok(Day { charter, load, work_ms: plan.work_ms, retries: 2, script, seconds, seed, check })
+    Ok(Day { charter, load, work_ms: plan.work_ms, retries: 2, script, seconds, seed, check, plain: false })
 }
 
 /// Plays one day and sums it up; the rules are checked in every run.
--- a/emu/src/seat.rs
+++ b/emu/src/seat.rs
@@ -93,6 +93,8 @@
     /// The roster as it last had it: what a restart comes up from.
     pub roster: Vec<rockpick::Member>,
     pub voting: u64,
+    /// A plain front's turn.
+    pub turn: usize,
     /// Sampled picks and those not ok, by build and method.
     pub counts: std::collections::BTreeMap<(u32, usize), [u32; 2]>,
 }
--- a/emu/src/world.rs
+++ b/emu/src/world.rs
@@ -128,6 +128,8 @@
     pub seed: u64,
     /// Keep all lines for the checker.
     pub check: bool,
+    /// Plain fronts in place of ours, to set beside: round robin over all machines, three repeats, no vote.
+    pub plain: bool,
 }
 
 /// A fleet and its day.
@@ -165,6 +167,7 @@
     script: Vec<(f64, Act)>,
     lasts: Ns,
     check: bool,
+    plain: bool,
     pub evidence: Evidence,
     pub events: u64,
     pub notes: Vec<String>,
@@ -226,7 +229,7 @@
     /// # Errors
     /// A charter that does not hold, clients that can't be set up.
     pub fn new(day: Day) -> Result<World, String> {
-        let Day { charter, load, work_ms, retries, script, seconds, seed, check } = day;
+        let Day { charter, load, work_ms, retries, script, seconds, seed, check, plain } = day;
         if let Some(wrong) = charter.check().first() {
             return Err(format!("{}: {}", wrong.field, wrong.why));
         }
@@ -265,6 +268,7 @@
             script,
             lasts: (seconds * SEC as f64) as Ns,
             check,
+            plain,
             evidence: Evidence { whole: true, ..Evidence::default() },
             events: 0,
             notes: Vec::new(),
@@ -529,7 +533,7 @@
     /// Makes a call to a front's module and carries out what it says.
     fn call(&mut self, front: u32, life: u32, call: impl FnOnce(&mut Front, &mut Gather)) {
         let seat = &mut self.seats[front as usize];
-        if seat.life != life {
+        if seat.life != life || self.plain {
             return;
         }
         let Some(module) = &mut seat.front else { return };
@@ -608,6 +612,9 @@
         }
         seat.open[rpc] = Some(Open { attempt, method, gives_up, picks: Vec::new() });
         self.call(front, life, |f, ctl| f.taken(ctl, rpc, method, Some(key), gives_up - margin));
+        if self.plain {
+            self.plain_pick(front, rpc);
+        }
         self.sweep(front, rpc);
     }
 
@@ -632,6 +639,20 @@
         self.at(now + time_out, Ev::TimeOut(front, life, call));
     }
 
+    /// A plain front's pick: the next machine in turn, as long as there is time.
+    fn plain_pick(&mut self, front: u32, rpc: usize) {
+        let margin = self.charter.guard.answer_margin_ms as Ns * MS;
+        let seat = &mut self.seats[front as usize];
+        let up: Vec<usize> = seat.roster.iter().filter(|m| m.state == State::Up).map(|m| m.machine).collect();
+        let left = seat.open[rpc].as_ref().map_or(0, |o| o.gives_up - margin - self.now);
+        if up.is_empty() || left <= 0 {
+            return self.answer(front, rpc, How::Aborted, -1);
+        }
+        seat.turn += 1;
+        let machine = up[(seat.turn + front as usize) % up.len()];
+        self.pick(front, rpc, machine, left);
+    }
+
     fn answer(&mut self, front: u32, rpc: usize, how: How, wait: Ns) {
         let seat = &mut self.seats[front as usize];
         let Some(open) = seat.open[rpc].as_ref().filter(|_| !seat.door.finished(rpc)) else { return };
@@ -667,6 +688,13 @@
         }
         let last = self.seats[front as usize].door.finished(rpc);
         self.call(front, life, |f, ctl| f.ended(ctl, rpc, number, end, took, last));
+        if self.plain && !last {
+            if number < PLAIN_REPEATS {
+                self.plain_pick(front, rpc)
+            } else {
+                self.answer(front, rpc, How::Aborted, -1)
+            }
+        }
         self.sweep(front, rpc);
     }
 
@@ -1139,5 +1167,7 @@
     }
 }
 
+/// Repeats of a plain front, as common proxies have them set.
+const PLAIN_REPEATS: usize = 3;
 /// Share of wrong answers that clients dispute.
 const DISPUTED: f64 = 0.3;
