Controller's texts made only when due; one line splitter and one timed call

The stage's and the fronts' lines were made in every pass, 50 a second, also for nobody, the latter with a search of all fronts for each; three readers split streams into lines by themselves; the front timed the module in two copies; a chart and a faulty front held dead lines. Change: lines are made once a pass when a watcher is due them; net::take_line; one timed call. Behaviour as before; the fronts' line is in the settings' order.

--- a/control/src/desk.rs
+++ b/control/src/desk.rs
@@ -575,6 +575,15 @@
             "votes_taken": self.votes[0], "votes_moot": self.votes[1], "votes_over_rate": self.votes[2] })
     }
 
+    /// Where fronts are that have watched, by their place in the settings.
+    fn fronts_line(&self, charter: &Charter) -> String {
+        let seated = charter.fronts.iter().zip(0..).filter_map(|(f, rank)| {
+            let at = self.fronts.get(&f.name)?;
+            Some(json!({ "name": f.name, "rank": rank, "http": at.http, "notes": at.notes }))
+        });
+        json!({ "fronts": seated.collect::<Vec<Value>>() }).to_string()
+    }
+
     /// Lets time pass; returns the lines that watchers are due, by connection.
     pub fn pass(&mut self, now: Ns) -> Vec<(u64, String)> {
         if self.settled(now) {
@@ -584,10 +593,7 @@
             }
             let running = self.roster.running();
             if let (Some(release), Some(charter)) = (&mut self.release, &self.charter) {
-                let cold_time = charter.guard.cold_time_ms as Ns * MS;
-                release.cold = self.roster.cold(now, cold_time);
-            }
-            if let (Some(release), Some(charter)) = (&mut self.release, &self.charter) {
+                release.cold = self.roster.cold(now, charter.guard.cold_time_ms as Ns * MS);
                 if let Some(moved) = release.tick(now, charter, &running) {
                     log(&moved);
                     (self.dirty, self.stage_changed) = (true, true);
@@ -609,24 +615,17 @@
             tally = (!rows.is_empty()).then(|| json!({ "tally": rows }).to_string());
             self.counts.clear();
         }
-        let stage = json!({ "stage": self.stage(now) }).to_string();
-        let rank = |name: &String| charter.fronts.iter().position(|f| f.name == *name);
-        let fronts: Vec<Value> = (self.fronts.iter())
-            .filter_map(|(name, at)| {
-                Some(json!({ "name": name, "rank": rank(name)?, "http": at.http, "notes": at.notes }))
-            })
-            .collect();
-        let fronts = json!({ "fronts": fronts }).to_string();
         let settled = self.settled(now);
         // Texts are made once a pass, and only when somebody is due them.
-        let mut whole: Option<String> = None;
+        let [mut stage, mut fronts, mut whole] = [const { None::<String> }; 3];
         let mut watchers = std::mem::take(&mut self.watchers);
         let mut lines = Vec::new();
         let mut changes: BTreeMap<u64, String> = BTreeMap::new();
         for (conn, w) in &mut watchers {
             // The stage comes before the roster: a build listed but never told counts as in its first stage.
             if tell_stage || !w.staged {
-                lines.push((*conn, stage.clone()));
+                let line = stage.get_or_insert_with(|| json!({ "stage": self.stage(now) }).to_string());
+                lines.push((*conn, line.clone()));
                 w.staged = true;
             }
             if w.charter != self.version {
@@ -634,7 +633,7 @@
                 w.charter = self.version;
             }
             if w.fronts != self.fronts_serial {
-                lines.push((*conn, fronts.clone()));
+                lines.push((*conn, fronts.get_or_insert_with(|| self.fronts_line(charter)).clone()));
                 w.fronts = self.fronts_serial;
             }
             match w.serial {
--- a/emu/src/report.rs
+++ b/emu/src/report.rs
@@ -71,9 +71,7 @@
             let legend = move |(x, y)| PathElement::new(vec![(x, y), (x + 14, y)], colour);
             chart.draw_series(LineSeries::new(points, colour.stroke_width(2)))?.label(name).legend(legend);
             if let Some(first) = lines.first() {
-                for (at, build, stage, what) in &first.stages {
-                    let text = format!("{build}.{stage} {what}");
-                    let _ = text;
+                for (at, ..) in &first.stages {
                     chart.draw_series([PathElement::new(
                         vec![(*at, 0.0), (*at, 0.06)],
                         colour.stroke_width(2),
--- a/front/src/hall.rs
+++ b/front/src/hall.rs
@@ -7,7 +7,7 @@
 use rockpick_control::desk::{phase_of, phase_word, state_of};
 use rockpick_control::Charter;
 use rockpick_net::http::Request;
-use rockpick_net::{End, Event, Id, Net, MS, SEC};
+use rockpick_net::{take_line, End, Event, Id, Net, MS, SEC};
 use serde_json::{json, Value};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -94,6 +94,16 @@
     hall.work()
 }
 
+/// One call to a life of the module, its time taken where that is asked for.
+fn timed(wire: &mut Wire, life: u64, front: &mut Front, call: impl FnOnce(&mut Front, &mut Wire)) {
+    wire.acting = life;
+    let began = wire.opening.profile.then(|| wire.net.clock());
+    call(front, wire);
+    if let Some(began) = began {
+        wire.in_module += wire.net.clock() - began;
+    }
+}
+
 impl Hall {
     fn work(mut self) -> Result<(), String> {
         let mut events = Vec::new();
@@ -124,23 +134,13 @@
     /// Makes a call to every life of the module, oldest first.
     fn each(&mut self, mut call: impl FnMut(&mut Front, &mut Wire)) {
         for (number, front) in &mut self.lives {
-            self.wire.acting = *number;
-            let began = self.wire.opening.profile.then(|| self.wire.net.clock());
-            call(front, &mut self.wire);
-            if let Some(began) = began {
-                self.wire.in_module += self.wire.net.clock() - began;
-            }
+            timed(&mut self.wire, *number, front, &mut call);
         }
     }
 
     fn one(&mut self, life: u64, call: impl FnOnce(&mut Front, &mut Wire)) {
         if let Some((number, front)) = self.lives.iter_mut().find(|(n, _)| *n == life) {
-            self.wire.acting = *number;
-            let began = self.wire.opening.profile.then(|| self.wire.net.clock());
-            call(front, &mut self.wire);
-            if let Some(began) = began {
-                self.wire.in_module += self.wire.net.clock() - began;
-            }
+            timed(&mut self.wire, *number, front, call);
         }
     }
 
@@ -345,9 +345,7 @@
             self.line.clear();
             return self.drop_watch("a line too long");
         }
-        while let Some(end) = self.line.iter().position(|b| *b == b'\n') {
-            let rest = self.line.split_off(end + 1);
-            let line = std::mem::replace(&mut self.line, rest);
+        while let Some(line) = take_line(&mut self.line) {
             match serde_json::from_slice::<Value>(&line) {
                 Ok(line) => self.news(&line),
                 Err(_) => return self.drop_watch("a line that is no JSON"),
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -11,5 +11,18 @@
 pub use often::Often;
 pub use timers::{Ns, Timers};
 
+/// Takes a whole line, its end included, off the front of what has come of a stream.
+///
+/// ```
+/// let mut came = b"one\ntw".to_vec();
+/// assert_eq!(rockpick_net::take_line(&mut came).as_deref(), Some(&b"one\n"[..]));
+/// assert_eq!((rockpick_net::take_line(&mut came), came), (None, b"tw".to_vec()));
+/// ```
+pub fn take_line(came: &mut Vec<u8>) -> Option<Vec<u8>> {
+    let end = came.iter().position(|b| *b == b'\n')?;
+    let rest = came.split_off(end + 1);
+    Some(std::mem::replace(came, rest))
+}
+
 pub const MS: Ns = 1_000_000;
 pub const SEC: Ns = 1_000 * MS;
--- a/rehearse/src/watch.rs
+++ b/rehearse/src/watch.rs
@@ -1,5 +1,5 @@
 //! A watcher of the controller: every line that it tells, with the time at which it came.
-use rockpick_net::{http, Call, Event, Net, MS, SEC};
+use rockpick_net::{http, take_line, Call, Event, Net, MS, SEC};
 use rockpick_standin::record::Record;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
@@ -30,10 +30,8 @@
             match event {
                 Event::Piece { bytes, .. } => {
                     line.extend_from_slice(&bytes);
-                    while let Some(end) = line.iter().position(|b| *b == b'\n') {
-                        let rest = line.split_off(end + 1);
-                        let said: Value = serde_json::from_slice(&line).unwrap_or(Value::Null);
-                        line = rest;
+                    while let Some(whole) = take_line(&mut line) {
+                        let said: Value = serde_json::from_slice(&whole).unwrap_or(Value::Null);
                         record.put(json!({ "line": said }));
                     }
                 }
--- a/standin/src/faulty.rs
+++ b/standin/src/faulty.rs
@@ -3,7 +3,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rockpick_net::http::{self, Request};
-use rockpick_net::{Call, End, Event, Id, Net, Ns, MS, SEC};
+use rockpick_net::{take_line, Call, End, Event, Id, Net, Ns, MS, SEC};
 use serde_json::Value;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -65,10 +65,8 @@
                     }
                     Event::Piece { call, bytes, .. } if call == watch => {
                         line.extend_from_slice(&bytes);
-                        while let Some(end) = line.iter().position(|b| *b == b'\n') {
-                            let rest = line.split_off(end + 1);
-                            let said: Value = serde_json::from_slice(&line).unwrap_or(Value::Null);
-                            line = rest;
+                        while let Some(whole) = take_line(&mut line) {
+                            let said: Value = serde_json::from_slice(&whole).unwrap_or(Value::Null);
                             if let Some(build) = said["stage"]["build"].as_u64() {
                                 trial = build;
                             }
@@ -95,8 +93,7 @@
                         let to = pick(&machines, self.breaks, trial, &mut chance);
                         send(&mut net, &mut made, &mut calls, &self.name, to, conn, request, 0);
                     }
-                    Event::Ended { call, end } if call == watch => {
-                        let _ = end;
+                    Event::Ended { call, .. } if call == watch => {
                         net.wake_at(net.now() + SEC / 2, 1);
                     }
                     Event::Ended { call, end } => {
