Partitions and unruly datagrams as troubles; arrivals as a schedule of their own

The zones can be parted (fronts' picks and notes, the controller reachable), notes be lost, late, doubled; on sockets through the machines' faults and the relay, on the emulator alike.

--- a/emu/src/experiment.rs
+++ b/emu/src/experiment.rs
@@ -6,13 +6,13 @@
 //! (a jam tips or doesn't), which rules a normal interval out. Looking again and again would find something by
 //! chance sooner or later: each of the looks gets its part of the 5% (Bonferroni), so that all together err
 //! in 1 of 20 experiments at most.
-use crate::world::{Day, World};
+use crate::world::{Day, Wires, World};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rockpick_control::Charter;
 use rockpick_rehearse::judge;
 use rockpick_rehearse::Plan;
-use rockpick_standin::Load;
+use rockpick_standin::{Arrivals, Load};
 use serde::Serialize;
 use serde_json::Value;
 
@@ -78,7 +78,19 @@
     let (script, seconds) = rockpick_rehearse::day::script(&plan)?;
     let charter = vary(&rockpick_rehearse::day::charter(&plan)?, changes)?;
     let load = Load { rate: plan.rate, ..Load::default() };
-    Ok(Day { charter, load, work_ms: plan.work_ms, retries: 2, script, seconds, seed, check, plain: false })
+    Ok(Day {
+        charter,
+        load,
+        work_ms: plan.work_ms,
+        retries: 2,
+        script,
+        seconds,
+        seed,
+        check,
+        plain: false,
+        arrivals: Arrivals::Poisson,
+        wires: Wires::default(),
+    })
 }
 
 /// Plays one day and sums it up; the rules are checked in every run.
--- a/emu/src/world.rs
+++ b/emu/src/world.rs
@@ -1,5 +1,6 @@
 //! The fleet: fronts, machines, clients and a controller, and the events between them.
 use crate::seat::{Do, Gather, Open, Pick, Seat};
+use hdrhistogram::Histogram;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rockpick::{Front, Member, Ns, Outcome as End, Phase, Reply as Word, Roll, Standing, State, Verdict};
@@ -8,20 +9,34 @@
 use rockpick_control::Charter;
 use rockpick_front::fresh;
 use rockpick_net::{MS, SEC};
-use rockpick_rehearse::day::Act;
+use rockpick_rehearse::day::{Act, Carried};
 use rockpick_rehearse::judge::{ClientLine, Deed, Evidence, MachineLine, Saw, Told};
 use rockpick_standin::crowd::{Crowd, How, Load, Next, Rpc, Tolls};
+use rockpick_standin::schedule::Arrivals;
 use rockpick_standin::shop::{Bad, Did, Fault, Job, Kind, Reply, Shop, Yard, HELD};
+use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::rc::Rc;
 
-/// One way on the wire: inside a zone, across, and from clients; each drawn up to half as much again.
-const SAME: Ns = MS / 5;
-const CROSS: Ns = MS;
-const CLIENT: Ns = MS / 2;
-/// What the controller's word takes to a front, and a vote to it.
-const TOLD: Ns = 20 * MS;
+/// What things take on their way, each drawn up to half as much again.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct Wires {
+    /// One way between front and machine inside a zone, and across; from clients to fronts; from the
+    /// controller to fronts, and back. Ns.
+    pub same: Ns,
+    pub cross: Ns,
+    pub client: Ns,
+    pub told: Ns,
+}
+
+impl Default for Wires {
+    /// Two zones of one site, clients near it.
+    fn default() -> Wires {
+        Wires { same: MS / 5, cross: MS, client: MS / 2, told: 20 * MS }
+    }
+}
+
 /// How often time passes at the controller, and how often machines beat: as on sockets.
 const PASS: Ns = 50 * MS;
 const BEAT: Ns = SEC / 2;
@@ -130,6 +145,8 @@
     pub check: bool,
     /// Plain fronts in place of ours, to set beside: round robin over all machines, three repeats, no vote.
     pub plain: bool,
+    pub arrivals: Arrivals,
+    pub wires: Wires,
 }
 
 /// A fleet and its day.
@@ -162,7 +179,9 @@
     controller_still: Ns,
     bad: BTreeMap<u32, Bad>,
     shared: f64,
-    lose_notes: bool,
+    carried: Carried,
+    parted: bool,
+    wires: Wires,
     fault_all: Option<Fault>,
     script: Vec<(f64, Act)>,
     lasts: Ns,
@@ -182,6 +201,8 @@
     pub events: u64,
     pub virtual_seconds: f64,
     pub notes: Vec<String>,
+    /// Times to ok, from when the RPC was due, us.
+    pub times: Histogram<u64>,
 }
 
 /// The machine's surroundings during one call.
@@ -229,12 +250,13 @@
     /// # Errors
     /// A charter that does not hold, clients that can't be set up.
     pub fn new(day: Day) -> Result<World, String> {
-        let Day { charter, load, work_ms, retries, script, seconds, seed, check, plain } = day;
+        let Day { charter, load, work_ms, retries, script, seconds, seed, check, plain, arrivals, wires } =
+            day;
         if let Some(wrong) = charter.check().first() {
             return Err(format!("{}: {}", wrong.field, wrong.why));
         }
         let fronts = charter.fronts.len();
-        let crowd = Crowd::new(charter.clone(), load, fronts, retries, work_ms, seed)?;
+        let crowd = Crowd::new(charter.clone(), load, arrivals, fronts, retries, work_ms, seed)?;
         let release = Release::new(&charter);
         let mut world = World {
             crowd,
@@ -263,7 +285,9 @@
             controller_still: 0,
             bad: BTreeMap::new(),
             shared: 0.0,
-            lose_notes: false,
+            carried: Carried::default(),
+            parted: false,
+            wires,
             fault_all: None,
             script,
             lasts: (seconds * SEC as f64) as Ns,
@@ -287,7 +311,7 @@
         }
         world.tell_stage();
         // Clients begin once all have heard of all.
-        world.crowd.due = SEC;
+        world.crowd.schedule.begin_at(SEC);
         world.at(SEC, Ev::Arrive);
         world.at(PASS, Ev::Pass);
         world.at(BEAT, Ev::Beats);
@@ -309,7 +333,7 @@
 
     fn wire(&mut self, front: u32, machine: u32) -> Ns {
         let same = self.seats[front as usize].zone == self.machines[machine as usize].zone;
-        self.jitter(if same { SAME } else { CROSS })
+        self.jitter(if same { self.wires.same } else { self.wires.cross })
     }
 
     /// Plays the day to its end.
@@ -334,6 +358,7 @@
             events: self.events,
             virtual_seconds: self.now as f64 / SEC as f64,
             notes: self.notes,
+            times: self.crowd.times,
         }
     }
 
@@ -450,8 +475,11 @@
         if self.now >= SEC + self.lasts {
             return;
         }
-        let rpc = self.crowd.arrive(self.now);
-        self.at(self.crowd.due, Ev::Arrive);
+        let rpc = self.crowd.arrive();
+        // A replay that is over has nothing due any more.
+        if self.crowd.schedule.due < Ns::MAX {
+            self.at(self.crowd.schedule.due, Ev::Arrive);
+        }
         self.send(rpc);
     }
 
@@ -463,7 +491,7 @@
         let id = self.attempts;
         let life = self.seats[front as usize].life;
         let (told, gives_up, look) = (sending.told, sending.gives_up, sending.look);
-        let wire = self.jitter(CLIENT);
+        let wire = self.jitter(self.wires.client);
         if self.seats[front as usize].front.is_none() {
             self.at(self.now + 2 * wire, Ev::Answer(id, How::Unreachable, -1));
         } else {
@@ -503,7 +531,7 @@
     fn give_up(&mut self, attempt: u64) {
         let Some(t) = self.tries.remove(&attempt) else { return };
         self.line(&t.rpc, t.front, Saw::GaveUp, false);
-        let wire = self.jitter(CLIENT);
+        let wire = self.jitter(self.wires.client);
         self.at(self.now + wire, Ev::Gone(t.front, t.life, attempt));
         self.after(t.rpc, How::GaveUp, None);
     }
@@ -561,16 +589,14 @@
                 Do::Tell(peer, note) => {
                     let note = Rc::new(note);
                     for to in 0..self.seats.len() as u32 {
-                        if peer.map_or(to != front, |p| p == to) && !self.lose_notes {
-                            let wire = self.jitter(CROSS);
-                            let to_life = self.seats[to as usize].life;
-                            self.at(self.now + wire, Ev::Note(front, to, to_life, note.clone()));
+                        if peer.map_or(to != front, |p| p == to) {
+                            self.carry(front, to, &note);
                         }
                     }
                 }
                 Do::Watch | Do::Fetch => {
                     let up = self.controller_still <= self.now;
-                    let wire = self.jitter(TOLD);
+                    let wire = self.jitter(self.wires.told);
                     if up {
                         let (news, lines) = (self.standing(), Rc::new(self.lines(None)));
                         self.at(self.now + wire, Ev::Stage(front, life, news));
@@ -583,7 +609,7 @@
                     self.attempts += 1;
                     let id = self.attempts;
                     self.seats[front as usize].voting = id;
-                    let wire = self.jitter(TOLD);
+                    let wire = self.jitter(self.wires.told);
                     self.at(self.now + wire, Ev::Vote(front, life, build, stage, verdict, id));
                     let within = self.charter.rollout.call_timeout_ms as Ns * MS;
                     self.at(self.now + within, Ev::Voted(front, life, Word::TimedOut, None, id));
@@ -592,6 +618,34 @@
         }
     }
 
+    /// A note on its way from front to front, as datagrams go at present.
+    fn carry(&mut self, front: u32, to: u32, note: &Rc<Vec<u8>>) {
+        let (from, seat) = (&self.seats[front as usize], &self.seats[to as usize]);
+        if self.parted && from.zone != seat.zone {
+            return;
+        }
+        let (life, Carried { lost, twice, late_ms }) = (seat.life, self.carried);
+        let mut odds = |p: f64| p > 0.0 && self.chance.random::<f64>() < p;
+        let copies = 1 + usize::from(odds(twice));
+        for _ in 0..copies {
+            if lost > 0.0 && self.chance.random::<f64>() < lost {
+                continue;
+            }
+            let late = if late_ms > 0 { self.chance.random_range(0..=late_ms as Ns * MS) } else { 0 };
+            let wire = self.jitter(self.wires.cross);
+            self.at(self.now + wire + late, Ev::Note(front, to, life, note.clone()));
+        }
+    }
+
+    /// Sets which fronts a partition keeps from a machine.
+    fn cut_off(&mut self, machine: usize) {
+        let m = &mut self.machines[machine];
+        let Some(shop) = &mut m.shop else { return };
+        let far =
+            self.seats.iter().zip(&self.charter.fronts).filter(|(s, _)| self.parted && s.zone != m.zone);
+        shop.fault.cut = far.map(|(_, f)| f.name.clone()).collect();
+    }
+
     fn take(&mut self, front: u32, attempt: u64) {
         let Some(t) = self.tries.get(&attempt) else { return };
         let margin = self.charter.guard.answer_margin_ms as Ns * MS;
@@ -602,7 +656,7 @@
         }
         let (method, key) = (t.rpc.method, t.rpc.key);
         if !in_time {
-            let wire = self.jitter(CLIENT);
+            let wire = self.jitter(self.wires.client);
             return self.at(self.now + wire, Ev::Answer(attempt, How::PushedBack, SEC / 4));
         }
         let (gives_up, life) = (t.told, seat.life);
@@ -660,7 +714,7 @@
         seat.door.finish(rpc);
         // One that would come after the client has given up is not sent.
         if self.now < open.gives_up {
-            let wire = self.jitter(CLIENT);
+            let wire = self.jitter(self.wires.client);
             self.at(self.now + wire, Ev::Answer(attempt, how, wait));
         }
     }
@@ -810,6 +864,9 @@
         }
         let name = &self.charter.fronts[front as usize].name;
         let Some(shop) = &m.shop else { return };
+        if shop.fault.cuts(name) {
+            return; // the pick's time-out tells
+        }
         let met = shop.fault.meets(name);
         // Connections are bounded: one for each RPC that it holds.
         let crowded = shop.fault.connections.is_some_and(|most| shop.busy + shop.waiting() >= most);
@@ -875,6 +932,7 @@
             weight: p.weight,
             started: Some(born),
         };
+        self.cut_off(index as usize);
         self.beat(index);
     }
 
@@ -994,7 +1052,7 @@
                 self.evidence.moves.extend(moves);
             }
             for front in 0..self.seats.len() as u32 {
-                let (life, wire) = (self.seats[front as usize].life, self.jitter(TOLD));
+                let (life, wire) = (self.seats[front as usize].life, self.jitter(self.wires.told));
                 self.at(now + wire, Ev::Members(front, life, Roll::Changes, lines.clone()));
             }
         }
@@ -1011,7 +1069,7 @@
             let rows: Rc<Vec<[u32; 4]>> =
                 Rc::new(std::mem::take(&mut self.counts).into_iter().map(row).collect());
             for front in 0..self.seats.len() as u32 {
-                let (life, wire) = (self.seats[front as usize].life, self.jitter(TOLD));
+                let (life, wire) = (self.seats[front as usize].life, self.jitter(self.wires.told));
                 self.at(now + wire, Ev::Tally(front, life, rows.clone()));
             }
         }
@@ -1028,7 +1086,7 @@
         let (t, build, stage, cap) = (self.now, news.build, news.stage, news.cap);
         self.evidence.told.push(Told { t, build, stage, phase, cap });
         for front in 0..self.seats.len() as u32 {
-            let (life, wire) = (self.seats[front as usize].life, self.jitter(TOLD));
+            let (life, wire) = (self.seats[front as usize].life, self.jitter(self.wires.told));
             self.at(self.now + wire, Ev::Stage(front, life, news));
         }
     }
@@ -1048,7 +1106,7 @@
             self.release.vote(self.now, control, &name, build, stage, verdict).is_ok()
         };
         let word = if counted { Word::Counted } else { Word::Refused };
-        let (news, wire) = (self.standing(), self.jitter(TOLD));
+        let (news, wire) = (self.standing(), self.jitter(self.wires.told));
         self.at(self.now + wire, Ev::Voted(front, life, word, Some(news), id));
     }
 
@@ -1102,7 +1160,7 @@
                     .collect();
                 open.sort_unstable();
                 for attempt in open {
-                    let wire = self.jitter(CLIENT);
+                    let wire = self.jitter(self.wires.client);
                     self.at(now + wire, Ev::Answer(attempt, How::Broken, -1));
                 }
                 let mut calls: Vec<(u64, u32)> = (self.picks.iter())
@@ -1148,21 +1206,29 @@
                     if let Some(shop) = &mut self.machines[m as usize].shop {
                         shop.fault = fault.clone();
                     }
+                    self.cut_off(m as usize);
                 }
                 self.fault_all = (*share >= 1.0).then_some(fault);
             }
             Act::Heal => {
                 self.fault_all = None;
-                for m in &mut self.machines {
-                    if let Some(shop) = &mut m.shop {
+                for m in 0..self.machines.len() {
+                    if let Some(shop) = &mut self.machines[m].shop {
                         shop.fault = Fault::default();
                     }
+                    self.cut_off(m);
                 }
             }
             Act::Load(load) => {
-                let _ = self.crowd.load.change(load);
+                let _ = self.crowd.schedule.load.change(load);
+            }
+            Act::Notes(carried) => self.carried = *carried,
+            Act::Part(parted) => {
+                self.parted = *parted;
+                for m in 0..self.machines.len() {
+                    self.cut_off(m);
+                }
             }
-            Act::LoseNotes(lose) => self.lose_notes = *lose,
         }
     }
 }
--- a/rehearse/src/crew.rs
+++ b/rehearse/src/crew.rs
@@ -123,6 +123,9 @@
     booting: BTreeMap<(String, u32), i64>,
     bad: BTreeMap<u32, String>,
     fault: Option<Value>,
+    /// By machine, what was told to each; and are the zones parted?
+    faults: BTreeMap<String, Value>,
+    parted: bool,
     shared: f64,
     relay: Relay,
     hosted: i64,
@@ -177,7 +180,7 @@
     fn assemble(plan: Plan, charter: Charter, out: PathBuf) -> Result<Crew, String> {
         let say = |err: std::io::Error| err.to_string();
         let acts = Record::open(Some(&out.join("acts.jsonl"))).map_err(say)?;
-        let relay = Relay::begin(plan.fronts).map_err(say)?;
+        let relay = Relay::begin(plan.fronts, plan.seed).map_err(say)?;
         let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
         let mut crew = Crew {
             fronts: (0..plan.fronts).map(|_| None).collect(),
@@ -196,6 +199,8 @@
             fault: None,
             shared: 0.0,
             relay,
+            faults: BTreeMap::new(),
+            parted: false,
             hosted: 0,
             pending: Vec::new(),
             warm: true,
@@ -455,7 +460,8 @@
             args.extend(["--bad".into(), bad.clone()]);
         }
         let proc = Proc::start(&args, &self.log("machines"))?;
-        if let Some(fault) = &self.fault {
+        let fault = self.behind(name, self.fault.as_ref().unwrap_or(&json!({})));
+        if fault != json!({}) {
             let _ = call(proc.at, "POST", "/fault", &fault.to_string());
         }
         self.machines.insert(name.into(), proc);
@@ -539,16 +545,18 @@
                 let machines = self.machines();
                 let many = (share * machines.len() as f64).ceil() as usize;
                 self.note("fault", &fault.to_string());
-                for at in machines.into_values().take(many) {
-                    let _ = call(at, "POST", "/fault", &fault.to_string());
+                for (name, at) in machines.into_iter().take(many) {
+                    let _ = call(at, "POST", "/fault", &self.behind(&name, fault).to_string());
+                    self.faults.insert(name, fault.clone());
                 }
                 self.fault = (*share >= 1.0).then(|| fault.clone());
             }
             Act::Heal => {
                 self.fault = None;
+                self.faults.clear();
                 self.note("heal", "all");
-                for at in self.machines().into_values() {
-                    let _ = call(at, "POST", "/fault", "{}");
+                for (name, at) in self.machines() {
+                    let _ = call(at, "POST", "/fault", &self.behind(&name, &json!({})).to_string());
                 }
             }
             Act::Load(load) => {
@@ -557,14 +565,37 @@
                     let _ = call(clients.at, "POST", "/load", &load.to_string());
                 }
             }
-            Act::LoseNotes(lose) => {
-                self.note(if *lose { "lose notes" } else { "carry notes" }, "fronts");
-                self.relay.lose.store(*lose, Ordering::Relaxed);
+            Act::Notes(carried) => {
+                self.note(&format!("{carried:?}"), "fronts");
+                self.relay.change(|way| way.carried = *carried);
+            }
+            Act::Part(parted) => {
+                self.note(if *parted { "part" } else { "join" }, "zones");
+                let zones = self.charter.fronts.iter().map(|f| self.charter.zone(&f.zone));
+                let zones = if *parted { zones.collect() } else { Vec::new() };
+                self.relay.change(|way| way.zones = zones);
+                self.parted = *parted;
+                for (name, at) in self.machines() {
+                    let fault = self.faults.get(&name).cloned().unwrap_or_else(|| json!({}));
+                    let _ = call(at, "POST", "/fault", &self.behind(&name, &fault).to_string());
+                }
             }
         }
         Ok(())
     }
 
+    /// A machine's fault, and the fronts that a partition keeps from it.
+    fn behind(&self, machine: &str, fault: &Value) -> Value {
+        let mut fault = fault.clone();
+        if self.parted {
+            let place = machine.split("..").next().unwrap_or(machine);
+            let zone = self.charter.places.iter().find(|p| p.name == place).map(|p| p.zone.as_str());
+            let far = self.charter.fronts.iter().filter(|f| Some(f.zone.as_str()) != zone);
+            fault["cut"] = far.map(|f| f.name.as_str()).collect();
+        }
+        fault
+    }
+
     fn due(&mut self) -> Result<(), String> {
         let now = clock();
         let (due, later): (Vec<_>, Vec<_>) =
--- a/rehearse/src/day.rs
+++ b/rehearse/src/day.rs
@@ -97,11 +97,24 @@
     },
     Heal,
     Load(Value),
-    LoseNotes(bool),
+    /// What becomes of notes between fronts from now on.
+    Notes(Carried),
+    /// Fronts and machines of different zones reach each other no more, or again.
+    Part(bool),
+}
+
+/// How notes between fronts, datagrams, are carried.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Carried {
+    /// Shares lost and sent twice.
+    pub lost: f64,
+    pub twice: f64,
+    /// Each comes up to this much later, ms, so that they overtake each other.
+    pub late_ms: u64,
 }
 
 /// What each kind of trouble is, for `list`.
-pub const TROUBLES: [(&str, &str); 22] = [
+pub const TROUBLES: [(&str, &str); 24] = [
     ("agent_down", "half the agents are killed for three seconds (--agents)"),
     ("answer_lost", "a fifth of the answers of most machines get lost on the way, by silence or reset"),
     ("bad_build", "the build of the day is bad (--bad)"),
@@ -110,6 +123,7 @@
     ("burst", "traffic doubles for five seconds"),
     ("conn_squeeze", "machines take few connections"),
     ("control_down", "the controller stands still for nine seconds"),
+    ("datagrams", "notes between fronts are lost, late, out of order and doubled"),
     ("fast_errors", "a fifth of the machines quickly fail most RPCs"),
     ("give_up", "most clients leave early and come back at once"),
     ("heavy_tail", "two in a hundred RPCs of a method cost fifteen times the work"),
@@ -117,6 +131,7 @@
     ("hot_key", "two keys draw a fifth of the traffic"),
     ("neighbour", "on half the machines others take half the machine, on and off"),
     ("one_sided", "half the machines lose most answers to one front alone"),
+    ("partition", "the zones are cut off from each other for eight seconds, but for the controller"),
     ("peer_down", "notes between fronts are lost"),
     ("probe_fail", "probes fail while machines serve"),
     ("shared_slow", "all machines are twice as slow"),
@@ -181,7 +196,15 @@
         "hot_key" => load(json!({ "hot": 0.2, "hot_keys": 2 }), json!({ "hot": 0 }), 10.0),
         "neighbour" => fault(0.5, json!({ "neighbour": 0.55, "turn_ms": 2_000 })),
         "one_sided" => fault(0.5, json!({ "lost": 0.8, "fronts": [names[0]] })),
-        "peer_down" => vec![(at, Act::LoseNotes(true)), (at + 12.0, Act::LoseNotes(false))],
+        "datagrams" => {
+            let carried = Carried { lost: 0.3, twice: 0.2, late_ms: 400 };
+            vec![(at, Act::Notes(carried)), (at + 12.0, Act::Notes(Carried::default()))]
+        }
+        "partition" => vec![(at, Act::Part(true)), (at + 8.0, Act::Part(false))],
+        "peer_down" => {
+            let lost = Carried { lost: 1.0, ..Carried::default() };
+            vec![(at, Act::Notes(lost)), (at + 12.0, Act::Notes(Carried::default()))]
+        }
         "probe_fail" => fault(0.7, json!({ "probes": 1.0 })),
         "shared_slow" => fault(1.0, json!({ "slow": 2.0 })),
         "shift" => load(json!({ "shift": 0.5 }), json!({ "shift": 0 }), 12.0),
--- a/standin/src/client.rs
+++ b/standin/src/client.rs
@@ -2,9 +2,10 @@
 //! and its answer.
 use crate::crowd::{Crowd, How, Load, Next, Rpc, Tolls, GRACE};
 use crate::record::Record;
+use crate::schedule::Arrivals;
 use hdrhistogram::Histogram;
 use rand::Rng;
-use rockpick_control::charter::Repeats;
+use rockpick_control::charter::{Repeats, Row};
 use rockpick_control::Charter;
 use rockpick_net::http::{self, Response};
 use rockpick_net::{Call, End, Event, Id, Net, Ns, MS, SEC};
@@ -53,6 +54,43 @@
     done: bool,
 }
 
+/// A try as it goes over the wire: its RPC's name and the request. `left`: the time that the front is told.
+pub fn ask(row: &Row, rpc: &Rpc, seed: u64, left: Ns, to: SocketAddr) -> (String, Vec<u8>) {
+    let id = format!("{seed}-{}", rpc.id);
+    let (key, left) = (rpc.key.to_string(), (left as f64 / MS as f64).to_string());
+    let (work, attempt) = (format!("{:.3}", rpc.work_ms), rpc.tries.to_string());
+    let tenant = format!("firm-{}", rpc.tenant);
+    let mut lines = vec![
+        ("X-Request-Id", &*id),
+        ("Rockpick-Key", &*key),
+        ("Rockpick-Tenant", &*tenant),
+        ("Rockpick-Time-Left-Ms", &*left),
+        ("Standin-Work-Ms", &*work),
+        ("Standin-Try", &*attempt),
+    ];
+    if row.repeat == Repeats::Tokened {
+        lines.push(("Idempotency-Key", &*id));
+    }
+    if rpc.tries > 1 {
+        lines.push(("Rockpick-Repeat", "1"));
+    }
+    let request = http::ask("POST", &format!("/rpc/{}", row.name), &to.to_string(), &lines, b"{}");
+    (id, request)
+}
+
+/// What an answer says, and when to return if it tells that.
+pub fn heard(r: &Response, right: bool) -> (How, Option<Ns>) {
+    let how = match r.lines.get("rockpick-answer") {
+        Some("ok") => How::Ok { right },
+        Some("pushed-back") => How::PushedBack,
+        Some("aborted") => How::Aborted,
+        _ => How::NotTaken,
+    };
+    let wait = r.lines.get("rockpick-retry-after-ms").and_then(|v| v.parse::<i64>().ok());
+    // An hour at most: nothing waits longer.
+    (how, wait.map(|ms| ms.clamp(0, 3_600_000) * MS))
+}
+
 const ARRIVE: u64 = 1;
 const AGAIN: u64 = 1 << 60;
 const GIVE_UP: u64 = 1 << 61;
@@ -73,7 +111,8 @@
         ready(at);
         let record = Record::open(self.record.as_deref()).map_err(say)?;
         let (charter, load, fronts) = (self.charter.clone(), self.load.clone(), self.fronts.len());
-        let crowd = Crowd::new(charter, load, fronts, self.retries, self.work_ms, self.seed)?;
+        let crowd =
+            Crowd::new(charter, load, Arrivals::Poisson, fronts, self.retries, self.work_ms, self.seed)?;
         let process = Process {
             net,
             crowd,
@@ -112,7 +151,7 @@
                     Event::Ended { call, end } => self.ended(call, end),
                     Event::Request { conn, request } => {
                         let said = serde_json::from_slice(&request.body).unwrap_or(Value::Null);
-                        match (request.path(), self.crowd.load.change(&said)) {
+                        match (request.path(), self.crowd.schedule.load.change(&said)) {
                             ("/load", Ok(())) => self.net.answer(conn, 200, &[], b"{}\n"),
                             ("/load", Err(why)) => self.net.answer(conn, 400, &[], why.as_bytes()),
                             _ => self.net.answer(conn, 404, &[], b"POST /load is known\n"),
@@ -135,8 +174,8 @@
     fn arrive(&mut self) {
         let now = self.net.now();
         // Arrivals that were due while this turn was late are all made now: the loop stays open.
-        while self.crowd.due <= now && !self.done {
-            let rpc = self.crowd.arrive(now);
+        while self.crowd.schedule.due <= now && !self.done {
+            let rpc = self.crowd.arrive();
             if self.tries.len() + self.waiting.len() >= MOST_OPEN {
                 self.crowd.tolls.not_sent += 1;
                 continue;
@@ -144,7 +183,7 @@
             self.send(rpc);
         }
         if !self.done {
-            self.net.wake_at(self.crowd.due, ARRIVE);
+            self.net.wake_at(self.crowd.schedule.due, ARRIVE);
         }
     }
 
@@ -152,32 +191,16 @@
         let now = self.net.now();
         let Some(sending) = self.crowd.begin(now, &mut rpc) else { return };
         let (gives_up, told) = (sending.gives_up, sending.told);
-        let row = self.crowd.row(&rpc);
-        let id = format!("{}-{}", self.clients.seed, rpc.id);
-        let (key, left) = (rpc.key.to_string(), ((told - now) as f64 / MS as f64).to_string());
-        let (work, attempt) = (format!("{:.3}", rpc.work_ms), rpc.tries.to_string());
-        let tenant = format!("firm-{}", rpc.tenant);
         let to = self.clients.fronts[rpc.front];
-        let mut lines = vec![
-            ("X-Request-Id", &*id),
-            ("Rockpick-Key", &*key),
-            ("Rockpick-Tenant", &*tenant),
-            ("Rockpick-Time-Left-Ms", &*left),
-            ("Standin-Work-Ms", &*work),
-            ("Standin-Try", &*attempt),
-        ];
-        if row.repeat == Repeats::Tokened {
-            lines.push(("Idempotency-Key", &*id));
-        }
-        if rpc.tries > 1 {
-            lines.push(("Rockpick-Repeat", "1"));
-        }
-        let request = http::ask("POST", &format!("/rpc/{}", row.name), &to.to_string(), &lines, b"{}");
+        let row = self.crowd.row(&rpc);
+        let (id, request) = ask(row, &rpc, self.clients.seed, told - now, to);
         let connect_within = CONNECT.min(gives_up - now);
         let call = Call { to, request: &request, connect_within, stream: false, head_only: false };
         let call = self.net.call(&mut self.made, call);
-        self.record.put(json!({ "event": "sent", "rpc": id, "try": attempt, "method": row.name, "key": key,
-            "front": self.clients.names[rpc.front], "left_ms": (gives_up - now) / MS, "leaves": rpc.leave }));
+        let name = &self.crowd.row(&rpc).name;
+        self.record.put(json!({ "event": "sent", "rpc": id, "try": rpc.tries.to_string(), "method": name,
+            "key": rpc.key.to_string(), "front": self.clients.names[rpc.front], "left_ms": (gives_up - now) / MS,
+            "leaves": rpc.leave, "tenant": rpc.tenant, "work_ms": rpc.work_ms }));
         self.net.wake_at(sending.look, GIVE_UP | (call & (GIVE_UP - 1)));
         self.tries.insert(call & (GIVE_UP - 1), Try { rpc, sent: now, gives_up });
     }
@@ -241,14 +264,7 @@
             json!({ "event": "answer", "answer": answer, "status": r.status, "build": build,
                 "machine": said["machine"], "right": right }),
         );
-        let how = match answer.as_str() {
-            "ok" => How::Ok { right },
-            "pushed-back" => How::PushedBack,
-            "aborted" => How::Aborted,
-            _ => How::NotTaken,
-        };
-        let wait =
-            r.lines.get("rockpick-retry-after-ms").and_then(|v| v.parse::<i64>().ok()).map(|ms| ms * MS);
+        let (how, wait) = heard(&r, right);
         if how == (How::Ok { right: false }) && self.crowd.chance.random::<f64>() < self.clients.disputes {
             self.serial += 1;
             let machine = said["machine"].as_str().unwrap_or("").to_string();
--- a/standin/src/crowd.rs
+++ b/standin/src/crowd.rs
@@ -1,22 +1,22 @@
-//! What stand-in clients are, without sockets and clock: an open loop of arrivals fixed by the seed, keys by
-//! Zipf, deadlines and patience, retries as each method allows. Processes on loopback and the emulator run
+//! What stand-in clients are, without sockets and clock: an open loop of arrivals ([`crate::schedule`]),
+//! deadlines and patience, retries as each method allows. Processes on loopback and the emulator run
 //! this very code.
+use crate::schedule::{Arrivals, Schedule};
 use hdrhistogram::Histogram;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rockpick_control::charter::{GroupOf, Repeats, Row};
 use rockpick_control::Charter;
-use rockpick_net::{Ns, MS, SEC};
+use rockpick_net::{Ns, MS};
 use serde_json::Value;
 
 /// An answer that is here within this after the client's deadline still counts: what its own scheduling may
 /// cost (the bench grants fronts the same).
 pub const GRACE: Ns = 20 * MS;
+/// Keeps what clients do later apart from what they send first; any number will do.
+const AGAIN: u64 = 0xa6a1;
 /// A wait after a pushback that names none.
 const WAIT: Ns = 50 * MS;
-/// The exponent of the keys' Zipf: a few far more popular than the rest.
-const ZIPF: f64 = 0.9;
-
 #[derive(Clone, Debug)]
 pub struct Load {
     pub rate: f64,
@@ -151,15 +151,11 @@
 
 pub struct Crowd {
     pub charter: Charter,
-    pub load: Load,
+    pub schedule: Schedule,
     pub fronts: usize,
     pub retries: u32,
-    pub work_ms: f64,
+    /// Of what clients do later: waits, disputes. What they send first is the schedule's alone.
     pub chance: StdRng,
-    zipf: Vec<f64>,
-    next: u64,
-    /// When the next RPC is due.
-    pub due: Ns,
     pub tolls: Tolls,
     pub times: Histogram<u64>,
 }
@@ -168,21 +164,15 @@
     /// # Errors
     /// None in practice: the histogram's bounds are fixed.
     pub fn new(
-        charter: Charter, load: Load, fronts: usize, retries: u32, work_ms: f64, seed: u64,
+        charter: Charter, load: Load, arrivals: Arrivals, fronts: usize, retries: u32, work_ms: f64,
+        seed: u64,
     ) -> Result<Crowd, String> {
-        let mut sum = 0.0;
-        let keys = load.keys.max(1);
-        let zipf = (1..=keys).map(|i| (sum += (i as f64).powf(-ZIPF), sum).1).collect();
         Ok(Crowd {
+            schedule: Schedule::new(charter.clone(), load, arrivals, fronts, work_ms, seed),
             charter,
-            load,
             fronts,
             retries,
-            work_ms,
-            chance: StdRng::seed_from_u64(seed),
-            zipf,
-            next: 0,
-            due: 0,
+            chance: StdRng::seed_from_u64(seed ^ AGAIN),
             tolls: Tolls::default(),
             times: Histogram::new_with_bounds(1, 600_000_000, 3).map_err(|e| e.to_string())?,
         })
@@ -192,61 +182,17 @@
         &self.charter.methods[rpc.method]
     }
 
-    /// The RPC that is due; the next one's time is drawn.
-    pub fn arrive(&mut self, now: Ns) -> Rpc {
-        let gap = -(1.0 - self.chance.random::<f64>()).ln() / self.load.rate.max(0.01);
-        self.due += (gap * SEC as f64) as Ns;
-        let rpc = self.draw(now);
-        self.tolls.rpcs += 1;
-        self.tolls.asked += self.charter.methods[rpc.method].utility;
+    /// The RPC that is due, counted as asked for.
+    pub fn arrive(&mut self) -> Rpc {
+        let rpc = self.schedule.arrive();
+        self.ask(&rpc);
         rpc
     }
 
-    fn draw(&mut self, now: Ns) -> Rpc {
-        self.next += 1;
-        let load = self.load.clone();
-        let mut odds = |p: f64| p > 0.0 && self.chance.random::<f64>() < p;
-        let (hot, heavier, tail, hasty) =
-            (odds(load.hot), odds(load.heavier), odds(load.tail), odds(load.hasty));
-        let (caller, shift) = (odds(load.caller), odds(load.shift));
-        let at = self.chance.random::<f64>() * self.zipf[self.zipf.len() - 1];
-        let key = if hot {
-            self.chance.random_range(0..load.hot_keys.max(1)) as u64
-        } else {
-            self.zipf.partition_point(|s| *s < at) as u64
-        };
-        let methods = self.charter.methods.len();
-        let method = if heavier { methods - 1 } else { self.chance.random_range(0..methods) };
-        let fronts = self.fronts;
-        let front = match () {
-            () if caller => 0,
-            () if shift => 2 * self.chance.random_range(0..fronts.div_ceil(2)),
-            () => self.chance.random_range(0..fronts),
-        };
-        let exp = -(1.0 - self.chance.random::<f64>()).ln();
-        let times = if tail && method == 0 { load.tail_times } else { 1.0 };
-        let row = &self.charter.methods[method];
-        let whole = row.deadline_ms as Ns * MS;
-        let share: f64 = self.chance.random_range(0.6..1.0);
-        let patience = if hasty {
-            row.soft_deadline_ms as f64 * MS as f64 * load.patience
-        } else {
-            whole as f64 * share
-        };
-        Rpc {
-            id: self.next,
-            method,
-            key,
-            tenant: self.chance.random_range(0..3),
-            // Half of the work is the same for all, half is drawn: a few ms at the least.
-            work_ms: self.work_ms * (0.5 + 0.5 * exp).min(4.0) * times,
-            began: now,
-            deadline: now + whole,
-            tries: 0,
-            front,
-            patience: patience as Ns,
-            leave: hasty && load.leave,
-        }
+    /// Counts an RPC as asked for.
+    pub fn ask(&mut self, rpc: &Rpc) {
+        self.tolls.rpcs += 1;
+        self.tolls.asked += self.charter.methods[rpc.method].utility;
     }
 
     /// A try of an RPC; none when its time is over, and with it the RPC.
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -5,10 +5,12 @@
 pub mod faulty;
 pub mod machine;
 pub mod record;
+pub mod schedule;
 pub mod shop;
 
 pub use client::Clients;
 pub use crowd::Load;
 pub use faulty::Faulty;
 pub use machine::Machine;
+pub use schedule::Arrivals;
 pub use shop::Bad;
--- a/standin/src/machine.rs
+++ b/standin/src/machine.rs
@@ -323,6 +323,10 @@
             pick: line("rockpick-pick"),
             key: line("rockpick-key"),
         };
+        // Behind a partition nothing arrives; the front hears nothing either.
+        if self.shop.fault.cuts(&tag.front) {
+            return;
+        }
         let now = self.street.net.now();
         let (until, met) = (now + (left * MS as f64) as Ns, self.shop.fault.meets(&tag.front));
         let last = tag.method == "lodge";
--- a/standin/src/shop.rs
+++ b/standin/src/shop.rs
@@ -69,6 +69,8 @@
     /// Connections taken at most.
     pub connections: Option<usize>,
     pub fronts: Vec<String>,
+    /// Fronts cut off by a partition: what they send never arrives.
+    pub cut: Vec<String>,
 }
 
 impl Default for Fault {
@@ -87,6 +89,7 @@
             probes: 0.0,
             connections: None,
             fronts: Vec::new(),
+            cut: Vec::new(),
         }
     }
 }
@@ -113,9 +116,10 @@
                 "refuse" => fault.refuse = value == true,
                 "probes" => fault.probes = number()?,
                 "connections" => fault.connections = Some(number()? as usize),
-                "fronts" => {
-                    let names = value.as_array().ok_or("fronts: a list is wanted")?;
-                    fault.fronts = names.iter().filter_map(|n| n.as_str().map(String::from)).collect();
+                "fronts" | "cut" => {
+                    let names = value.as_array().ok_or(format!("{name}: a list is wanted"))?;
+                    let names = names.iter().filter_map(|n| n.as_str().map(String::from)).collect();
+                    *(if name == "cut" { &mut fault.cut } else { &mut fault.fronts }) = names;
                 }
                 _ => return Err(format!("{name}: not known")),
             }
@@ -126,6 +130,10 @@
     pub fn meets(&self, front: &str) -> bool {
         self.fronts.is_empty() || self.fronts.iter().any(|f| f == front)
     }
+
+    pub fn cuts(&self, front: &str) -> bool {
+        self.cut.iter().any(|f| f == front)
+    }
 }
 
 /// Limits and speeds of a machine.
