--- a/cli/src/lab.rs
+++ b/cli/src/lab.rs
@@ -1,11 +1,12 @@
 //! `rockpick emulate` and `rockpick experiment`: days in virtual time.
 use crate::Bad2;
-use clap::Args;
-use rockpick_emu::experiment::{self, Line, Question};
-use rockpick_emu::{report, World};
+use clap::{Args, Subcommand};
+use rockpick_emu::study::{self, Lines};
+use rockpick_emu::{experiment, fit, report, Line, Study, World};
+use rockpick_rehearse::judge::Written;
 use rockpick_rehearse::Plan;
 use std::io::Write;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Instant;
 
@@ -24,28 +25,59 @@
     speed: bool,
 }
 
+#[derive(Subcommand)]
+pub enum Experiment {
+    /// Plays choices until each is settled against things as they are, or the seeds are spent.
+    Run(Box<Run>),
+    /// Says what a file of lines holds: a table, and a verdict for each choice.
+    Compare { lines: PathBuf },
+    /// Makes a page with tables and charts of a file of lines.
+    Report {
+        lines: PathBuf,
+        #[arg(long)]
+        page: PathBuf,
+    },
+    /// Takes rehearsals into a file of lines.
+    Take {
+        /// Folders of rehearsals.
+        #[arg(required = true)]
+        runs: Vec<PathBuf>,
+        #[arg(long)]
+        choice: String,
+        #[arg(long)]
+        lines: PathBuf,
+    },
+    /// Says what rehearsals come to before looking: the emulator's wires are fitted to one of them.
+    Predict {
+        /// Folder of the rehearsal that the wires are fitted to.
+        #[arg(long)]
+        fit: PathBuf,
+        /// Folders of those that are predicted.
+        #[arg(required = true)]
+        runs: Vec<PathBuf>,
+    },
+}
+
 #[derive(Args)]
-pub struct Experiment {
+pub struct Run {
     #[command(flatten)]
     plan: Plan,
-    /// What differs on the second side: PATH=VALUE, as rollout.dwell_ms=3000.
+    /// A choice: what differs from things as they are, PATH=VALUE, several with commas; plan.PATH=VALUE is of the
+    /// day. May be given several times.
     #[arg(long, required = true)]
-    vary: Vec<String>,
-    /// What differs from the example on both sides.
+    choice: Vec<String>,
+    /// What differs from the example on all sides: PATH=VALUE.
     #[arg(long)]
     set: Vec<String>,
-    /// Most pairs of days.
+    /// Most days a choice.
     #[arg(long, default_value_t = 40)]
     seeds: usize,
     /// A difference of service below this does not matter.
     #[arg(long, default_value_t = 0.01)]
     matters: f64,
-    /// File for the results, a line of JSON a day.
+    /// File for the results, a line of JSON a day; one with the same question goes on where it was cut off.
     #[arg(long)]
-    lines: Option<PathBuf>,
-    /// File for a page with tables and charts.
-    #[arg(long)]
-    page: Option<PathBuf>,
+    lines: PathBuf,
 }
 
 /// Resident memory, bytes.
@@ -79,47 +111,124 @@
     }
 }
 
+fn cores() -> usize {
+    std::thread::available_parallelism().map_or(1, |n| n.get())
+}
+
 impl Experiment {
     pub fn run(self) -> Result<ExitCode, Bad2> {
+        match self {
+            Experiment::Run(run) => run.run(),
+            Experiment::Compare { lines } => {
+                let (study, lines) = study::load(&lines).map_err(Bad2)?;
+                show(study.as_ref(), &lines)
+            }
+            Experiment::Report { lines, page } => {
+                let (study, lines) = study::load(&lines).map_err(Bad2)?;
+                if lines.is_empty() {
+                    return Err(Bad2("it holds no day yet".into()));
+                }
+                let verdicts = study.as_ref().map_or(Vec::new(), |s| s.verdicts(&lines));
+                let text = report::page(study.as_ref(), &verdicts, &lines).map_err(Bad2)?;
+                std::fs::write(&page, text).map_err(|err| Bad2(format!("{}: {err}", page.display())))?;
+                Ok(ExitCode::SUCCESS)
+            }
+            Experiment::Take { runs, choice, lines } => {
+                for run in runs {
+                    let (plan, written) = rehearsal(&run)?;
+                    let line = fit::line(&plan, &written).map_err(Bad2)?;
+                    append(&lines, &Line { choice: choice.clone(), ..line })?;
+                }
+                Ok(ExitCode::SUCCESS)
+            }
+            Experiment::Predict { fit, runs } => predict(&fit, &runs),
+        }
+    }
+}
+
+/// Puts a line to the end of a file, made if it is not there.
+pub fn append(path: &Path, line: &Line) -> Result<(), Bad2> {
+    let say = |err: std::io::Error| Bad2(format!("{}: {err}", path.display()));
+    let mut file = std::fs::OpenOptions::new().create(true).append(true).open(path).map_err(say)?;
+    let text = serde_json::to_string(line).map_err(|err| Bad2(err.to_string()))?;
+    file.write_all(format!("{text}\n").as_bytes()).map_err(say)
+}
+
+/// A rehearsal's plan and records.
+fn rehearsal(dir: &Path) -> Result<(Plan, Written), Bad2> {
+    let at = dir.join("plan.json");
+    let say = |err: &dyn std::fmt::Display| Bad2(format!("{}: {err}", at.display()));
+    let text = std::fs::read(&at).map_err(|err| say(&err))?;
+    let plan: Plan = serde_json::from_slice(&text).map_err(|err| say(&err))?;
+    plan.check().map_err(|why| say(&why))?;
+    Ok((plan, rockpick_rehearse::written(dir).map_err(Bad2)?))
+}
+
+fn show(study: Option<&Study>, lines: &[Line]) -> Result<ExitCode, Bad2> {
+    print!("{}", report::table(lines));
+    study.map_or(Vec::new(), |s| s.verdicts(lines)).iter().for_each(|v| println!("{}", report::said(v)));
+    let broken: usize = lines.iter().map(|l| l.broken).sum();
+    println!("rules: {}", if broken == 0 { "kept".into() } else { format!("broken {broken}") });
+    Ok(if broken == 0 { ExitCode::SUCCESS } else { ExitCode::from(1) })
+}
+
+impl Run {
+    fn run(self) -> Result<ExitCode, Bad2> {
         if !(2..=100_000).contains(&self.seeds) || !(0.0..1.0).contains(&self.matters) {
             return Err(Bad2("--seeds: 2 to 100000; --matters: 0 to 1".into()));
         }
-        let other: Vec<String> = self.set.iter().chain(&self.vary).cloned().collect();
-        let name = self.vary.join(" ");
-        let question = Question {
-            plan: self.plan.clone(),
-            sides: [("as it is".into(), self.set.clone()), (name.clone(), other)],
+        let choices: Vec<Vec<String>> =
+            self.choice.iter().map(|c| c.split(',').map(|p| p.trim().to_string()).collect()).collect();
+        if (1..choices.len()).any(|i| choices[..i].contains(&choices[i])) {
+            return Err(Bad2("--choice: the same one twice".into()));
+        }
+        let study = Study {
+            rockpick_study: 1,
+            plan: Plan { out: None, ..self.plan },
+            base: self.set,
+            choices,
             seeds: self.seeds,
             matters: self.matters,
-            threads: std::thread::available_parallelism().map_or(1, |n| n.get()),
-        };
-        let mut file = match &self.lines {
-            Some(at) => {
-                Some(std::fs::File::create(at).map_err(|err| Bad2(format!("{}: {err}", at.display())))?)
-            }
-            None => None,
         };
-        let mut lost = None;
-        let heard = |line: &Line| {
-            let text = serde_json::to_string(line).unwrap_or_default();
-            if let Some(Err(err)) = file.as_mut().map(|f| writeln!(f, "{text}")) {
-                lost = Some(err.to_string());
-            }
-        };
-        let (verdict, lines) = question.answer(heard).map_err(Bad2)?;
-        if let Some(why) = lost {
-            return Err(Bad2(format!("the lines can't be written: {why}")));
+        // A field that can't be had is told before a file is made.
+        for (_, changes) in study.sides() {
+            experiment::day(&study.plan, &changes, study.plan.seed, false).map_err(Bad2)?;
+        }
+        let (mut file, known) = Lines::open(&self.lines, &study).map_err(Bad2)?;
+        if !known.is_empty() {
+            eprintln!("goes on after {} days", known.len());
         }
-        print!("{}", report::table(&lines));
-        println!("service of '{name}' less 'as it is', by pairs: {:+.4}, interval {:+.4} to {:+.4} ({} pairs, emulated)",
-            verdict.mean, verdict.low, verdict.high, verdict.pairs);
-        println!("{}", verdict.why);
-        if let Some(at) = &self.page {
-            let page = report::page(&name, &self.plan, &verdict, &lines).map_err(Bad2)?;
-            std::fs::write(at, page).map_err(|err| Bad2(format!("{}: {err}", at.display())))?;
+        let (_, lines) = study.answer(cores(), known, |line| file.put(line)).map_err(Bad2)?;
+        show(Some(&study), &lines)
+    }
+}
+
+fn predict(fitted: &Path, runs: &[PathBuf]) -> Result<ExitCode, Bad2> {
+    let (plan, written) = rehearsal(fitted)?;
+    let wires = fit::wires(&written).map_err(|why| Bad2(format!("{}: {why}", fitted.display())))?;
+    println!(
+        "fitted: a way takes {:.3} ms and as much for clients, a machine's timers {:.3} ms beyond the work",
+        1.25 * wires.same as f64 / 1e6,
+        wires.over as f64 / 1e6
+    );
+    let seen = fit::figures(&fit::line(&plan, &written).map_err(Bad2)?);
+    let missed = fit::predict(&plan, wires, cores()).map_err(Bad2)?.misses(&seen);
+    println!("{:<24} {:<12} {:>10} {:>22} {:>10}", "run", "figure", "emulated", "bars (99%)", "loopback");
+    let (mut held, mut good) = (0, 0);
+    for run in runs {
+        let (plan, written) = rehearsal(run)?;
+        let stated = fit::predict(&plan, wires, cores()).map_err(Bad2)?.widened(&missed);
+        let seen = fit::figures(&fit::line(&plan, &written).map_err(Bad2)?);
+        let misses = stated.misses(&seen);
+        let name = run.file_name().map_or(String::new(), |n| n.to_string_lossy().into_owned());
+        for (i, figure) in fit::FIGURES.iter().enumerate() {
+            let [mean, low, high] = stated.0[i];
+            let out = if misses[i] > 0.0 { "  outside" } else { "" };
+            println!("{name:<24} {figure:<12} {mean:>10.4} {low:>10.4} - {high:<9.4} {:>10.4}{out}", seen[i]);
         }
-        let broken: usize = lines.iter().map(|l| l.broken).sum();
-        println!("rules: {}", if broken == 0 { "kept".into() } else { format!("broken {broken}") });
-        Ok(if broken == 0 { ExitCode::SUCCESS } else { ExitCode::from(1) })
+        held += misses.iter().filter(|m| **m <= 0.0).count();
+        good += usize::from(misses.iter().all(|m| *m <= 0.0));
     }
+    println!("{good} of {} runs in all four figures, {held} of {} figures", runs.len(), 4 * runs.len());
+    Ok(ExitCode::SUCCESS)
 }
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod bench;
 mod fleet;
 mod lab;
+mod load;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use rockpick_control::Charter;
@@ -189,8 +190,13 @@
     Rehearse(Box<rockpick_rehearse::Plan>),
     /// Plays a day on the emulator, in virtual time, and judges it by the same checker.
     Emulate(Box<lab::Emulate>),
-    /// Compares two choices on the emulator, by pairs of days, with error bars.
-    Experiment(Box<lab::Experiment>),
+    /// Sends load at real fronts: an open loop on a schedule fixed beforehand.
+    Load(Box<load::Loading>),
+    /// Compares choices on the emulator, by pairs of days, with error bars.
+    Experiment {
+        #[command(subcommand)]
+        what: lab::Experiment,
+    },
     /// Gives, gets or checks settings.
     Settings {
         #[command(subcommand)]
@@ -434,7 +440,8 @@
             Err(why) => Err(Bad2(why)),
         },
         What::Emulate(emulate) => emulate.run(),
-        What::Experiment(experiment) => experiment.run(),
+        What::Load(load) => load.run(),
+        What::Experiment { what } => what.run(),
         What::Settings { what } => settings(what),
         What::Offer { at, build } => {
             ask::say(at.controller, "POST", "/builds", &format!("{{\"build\":{build}}}"))
--- a/emu/src/report.rs
+++ b/emu/src/report.rs
@@ -1,10 +1,15 @@
 //! Results as a table and as one self-contained page with charts.
-use crate::experiment::{interval, Line, Verdict};
+use crate::experiment::interval;
+use crate::line::{Line, P50, P99, QUANTILES};
+use crate::study::{Study, Verdict};
+use plotters::coord::Shift;
 use plotters::prelude::*;
-use rockpick_rehearse::Plan;
 use std::fmt::Write;
 
-/// Lines of both sides, in the order in which choices first came.
+type Drawn = Result<String, Box<dyn std::error::Error>>;
+type Area<'a> = DrawingArea<SVGBackend<'a>, Shift>;
+
+/// Lines of all sides, in the order in which choices first came.
 fn sides(lines: &[Line]) -> Vec<(&str, Vec<&Line>)> {
     let mut sides: Vec<(&str, Vec<&Line>)> = Vec::new();
     for line in lines {
@@ -16,143 +21,303 @@
     sides
 }
 
+fn average(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>() / values.len().max(1) as f64
+}
+
+/// A share with its 95% interval (Wilson, 1927), which holds where nothing or everything happened.
+fn share(n: u32, of: u32) -> [f64; 3] {
+    let (z, of) = (1.96, f64::from(of.max(1)));
+    let p = f64::from(n) / of;
+    let (middle, spread) =
+        (p + z * z / (2.0 * of), z * (p * (1.0 - p) / of + z * z / (4.0 * of * of)).sqrt());
+    let scale = 1.0 + z * z / of;
+    [p, ((middle - spread) / scale).max(0.0), ((middle + spread) / scale).min(1.0)]
+}
+
 /// One row a choice: means with 95% bootstrap intervals where that says something.
 pub fn table(lines: &[Line]) -> String {
     let mut out = String::new();
     let _ = writeln!(
         out,
-        "{:<28} {:>5} {:>24} {:>9} {:>9} {:>9} {:>12}",
-        "choice", "days", "service (95%)", "pushed", "aborted", "exposure", "sent back"
+        "{:<28} {:>5} {:>23} {:>7} {:>8} {:>8} {:>8} {:>9} {:>12} {:>12}",
+        "choice",
+        "days",
+        "service (95%)",
+        "pushed",
+        "aborted",
+        "p50 ms",
+        "p99 ms",
+        "exposure",
+        "sent back",
+        "false alarms"
     );
     for (name, lines) in sides(lines) {
         let of = |f: &dyn Fn(&Line) -> f64| -> Vec<f64> { lines.iter().map(|l| f(l)).collect() };
         let (mean, low, high) = interval(&of(&|l| l.service), 0.05, 1);
-        let average = |v: Vec<f64>| v.iter().sum::<f64>() / v.len().max(1) as f64;
-        let rpcs = |l: &Line| (l.ok + l.pushed_back + l.aborted + l.unanswered).max(1) as f64;
+        let time = |at: usize| average(&of(&|l| l.times.get(at).copied().unwrap_or(0.0)));
         let backs: Vec<f64> = lines.iter().filter_map(|l| l.back_after).collect();
         let back = match backs.len() {
             0 => "never".to_string(),
-            n => format!("{n}, {:.1} s", average(backs.clone())),
+            n => format!("{n}, {:.1} s", average(&backs)),
         };
+        let sum = |f: &dyn Fn(&Line) -> u32| lines.iter().map(|l| f(l)).sum::<u32>();
         let _ = writeln!(
             out,
-            "{name:<28} {:>5} {mean:>8.4} {low:>7.4}-{high:.4} {:>8.1}% {:>8.2}% {:>8.1}% {back:>12}",
+            "{name:<28} {:>5} {mean:>7.4} {low:>7.4}-{high:.4} {:>6.1}% {:>7.2}% {:>8.1} {:>8.1} {:>8.1}% {back:>12} {:>12}",
             lines.len(),
-            100.0 * average(of(&|l| l.pushed_back as f64 / rpcs(l))),
-            100.0 * average(of(&|l| l.aborted as f64 / rpcs(l))),
-            100.0 * average(of(&|l| l.exposure))
+            100.0 * average(&of(&|l| l.pushed_back as f64 / l.rpcs())),
+            100.0 * average(&of(&|l| l.aborted as f64 / l.rpcs())),
+            time(P50),
+            time(P99),
+            100.0 * average(&of(&|l| l.exposure)),
+            format!("{} of {}", sum(&|l| l.good_back), sum(&|l| l.good)),
         );
     }
     out
 }
 
-const COLOURS: [RGBColor; 2] = [RGBColor(31, 95, 160), RGBColor(200, 90, 20)];
+const COLOURS: [RGBColor; 6] = [
+    RGBColor(31, 95, 160),
+    RGBColor(200, 90, 20),
+    RGBColor(40, 140, 70),
+    RGBColor(150, 50, 140),
+    RGBColor(120, 120, 120),
+    RGBColor(190, 160, 20),
+];
 const SIZE: (u32, u32) = (860, 300);
 
-/// Mean service by second of each side, with the stage moves of its first day.
-fn by_second(lines: &[Line]) -> Result<String, Box<dyn std::error::Error>> {
+struct Axes<'a> {
+    title: &'a str,
+    x: (&'a str, std::ops::Range<f64>),
+    y: (&'a str, std::ops::Range<f64>),
+    legend: SeriesLabelPosition,
+}
+
+struct Curve<'a> {
+    name: &'a str,
+    colour: RGBColor,
+    width: u32,
+    points: Vec<(f64, f64)>,
+}
+
+/// Lines over two axes; curves of the same name share a line of the legend.
+fn curves(axes: Axes, curves: Vec<Curve>) -> Drawn {
     let mut svg = String::new();
     {
-        let root = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
-        let longest = lines.iter().map(|l| l.by_second.len()).max().unwrap_or(1);
+        let root: Area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
         let mut chart = ChartBuilder::on(&root)
             .margin(8)
-            .caption("service by second, mean over days", ("sans-serif", 15))
-            .x_label_area_size(28)
-            .y_label_area_size(44)
-            .build_cartesian_2d(0f64..longest as f64, 0f64..1.02)?;
-        chart.configure_mesh().x_desc("s").light_line_style(WHITE).draw()?;
-        for ((name, lines), colour) in sides(lines).into_iter().zip(COLOURS) {
-            let mean = |s: usize| {
-                let at: Vec<f64> = lines.iter().filter_map(|l| l.by_second.get(s)).copied().collect();
-                at.iter().sum::<f64>() / at.len().max(1) as f64
-            };
-            let points: Vec<(f64, f64)> = (0..longest).map(|s| (s as f64, mean(s))).collect();
-            let legend = move |(x, y)| PathElement::new(vec![(x, y), (x + 14, y)], colour);
-            chart.draw_series(LineSeries::new(points, colour.stroke_width(2)))?.label(name).legend(legend);
-            if let Some(first) = lines.first() {
-                for (at, ..) in &first.stages {
-                    chart.draw_series([PathElement::new(
-                        vec![(*at, 0.0), (*at, 0.06)],
-                        colour.stroke_width(2),
-                    )])?;
-                }
+            .caption(axes.title, ("sans-serif", 15))
+            .x_label_area_size(34)
+            .y_label_area_size(52)
+            .build_cartesian_2d(axes.x.1, axes.y.1)?;
+        chart.configure_mesh().x_desc(axes.x.0).y_desc(axes.y.0).light_line_style(WHITE).draw()?;
+        let mut told: Vec<&str> = Vec::new();
+        for curve in curves {
+            let (colour, style) = (curve.colour, curve.colour.stroke_width(curve.width));
+            let series = chart.draw_series(LineSeries::new(curve.points, style))?;
+            if !told.contains(&curve.name) {
+                told.push(curve.name);
+                series.label(curve.name).legend(move |(x, y)| {
+                    PathElement::new(vec![(x, y), (x + 14, y)], colour.stroke_width(2))
+                });
             }
         }
-        chart
-            .configure_series_labels()
-            .background_style(WHITE.mix(0.8))
-            .position(SeriesLabelPosition::LowerRight)
-            .draw()?;
+        chart.configure_series_labels().background_style(WHITE.mix(0.8)).position(axes.legend).draw()?;
         root.present()?;
     }
     Ok(svg)
 }
 
-/// Values of both sides, sorted: what share of days lies at or below each value.
-fn spread(title: &str, unit: &str, sides: &[(&str, Vec<f64>)]) -> Result<String, Box<dyn std::error::Error>> {
+fn coloured<'a>(sides: &[(&'a str, Vec<&'a Line>)]) -> Vec<(&'a str, Vec<&'a Line>, RGBColor)> {
+    sides.iter().zip(COLOURS.iter().cycle()).map(|((n, l), c)| (*n, l.clone(), *c)).collect()
+}
+
+/// The mean over days of a figure by second.
+fn by_second(lines: &[&Line], of: impl Fn(&Line) -> &[f64]) -> Vec<(f64, f64)> {
+    let longest = lines.iter().map(|l| of(l).len()).max().unwrap_or(0);
+    let mean = |s: usize| {
+        let at: Vec<f64> = lines.iter().filter_map(|l| of(l).get(s)).copied().collect();
+        average(&at)
+    };
+    (0..longest).map(|s| (s as f64, mean(s))).collect()
+}
+
+/// Steps from the day's first second to its last.
+fn steps(marks: &[(f64, f64)], from: f64, end: f64) -> Vec<(f64, f64)> {
+    let (mut points, mut at) = (vec![(0.0, from)], from);
+    for (t, value) in marks {
+        points.extend([(*t, at), (*t, *value)]);
+        at = *value;
+    }
+    points.push((end, at));
+    points
+}
+
+/// What share of days lies at or below each value.
+fn spread(title: &str, unit: &str, sides: &[(&str, Vec<f64>)]) -> Drawn {
+    let all: Vec<f64> = sides.iter().flat_map(|s| s.1.iter().copied()).collect();
+    let (low, high) = all.iter().fold((f64::MAX, f64::MIN), |(l, h), v| (l.min(*v), h.max(*v)));
+    let (low, high) = if low < high { (low, high) } else { (low - 0.5, low + 0.5) };
+    let lines = sides.iter().zip(COLOURS.iter().cycle()).map(|((name, values), colour)| {
+        let mut values = values.clone();
+        values.sort_by(f64::total_cmp);
+        let n = values.len().max(1) as f64;
+        let points = values.iter().enumerate();
+        let points = points.flat_map(|(i, v)| [(*v, i as f64 / n), (*v, (i + 1) as f64 / n)]).collect();
+        Curve { name, colour: *colour, width: 2, points }
+    });
+    let axes = Axes {
+        title,
+        x: (unit, low..high),
+        y: ("share of days", 0.0..1.02),
+        legend: SeriesLabelPosition::UpperLeft,
+    };
+    curves(axes, lines.collect())
+}
+
+/// Good builds sent back, of all good ones: a bar a choice, with its interval.
+fn alarms(sides: &[(&str, Vec<&Line>, RGBColor)]) -> Drawn {
     let mut svg = String::new();
     {
-        let all: Vec<f64> = sides.iter().flat_map(|s| s.1.iter().copied()).collect();
-        let (low, high) = all.iter().fold((f64::MAX, f64::MIN), |(l, h), v| (l.min(*v), h.max(*v)));
-        let (low, high) = if low < high { (low, high) } else { (low - 0.5, low + 0.5) };
-        let root = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        let root: Area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        let shares: Vec<[f64; 3]> = sides
+            .iter()
+            .map(|(_, l, _)| share(l.iter().map(|l| l.good_back).sum(), l.iter().map(|l| l.good).sum()))
+            .collect();
+        let top = shares.iter().map(|s| s[2]).fold(0.05, f64::max) * 1.1;
         let mut chart = ChartBuilder::on(&root)
             .margin(8)
-            .caption(title, ("sans-serif", 15))
-            .x_label_area_size(28)
-            .y_label_area_size(44)
-            .build_cartesian_2d(low..high, 0f64..1.02)?;
-        chart.configure_mesh().x_desc(unit).y_desc("share of days").light_line_style(WHITE).draw()?;
-        for ((name, values), colour) in sides.iter().zip(COLOURS) {
-            let mut values = values.clone();
-            values.sort_by(f64::total_cmp);
-            let n = values.len().max(1) as f64;
-            let steps =
-                values.iter().enumerate().flat_map(|(i, v)| [(*v, i as f64 / n), (*v, (i + 1) as f64 / n)]);
-            let legend = move |(x, y)| PathElement::new(vec![(x, y), (x + 14, y)], colour);
-            chart.draw_series(LineSeries::new(steps, colour.stroke_width(2)))?.label(*name).legend(legend);
+            .caption("false alarms: good builds sent back, with 95% (Wilson)", ("sans-serif", 15))
+            .x_label_area_size(20)
+            .y_label_area_size(52)
+            .build_cartesian_2d(0.0..sides.len() as f64, 0.0..top)?;
+        chart.configure_mesh().disable_x_mesh().x_labels(0).y_desc("share").light_line_style(WHITE).draw()?;
+        for (i, ((name, _, colour), [p, low, high])) in sides.iter().zip(&shares).enumerate() {
+            let (left, middle, colour) = (i as f64 + 0.3, i as f64 + 0.5, *colour);
+            let bar = Rectangle::new([(left, 0.0), (left + 0.4, *p)], colour.mix(0.5).filled());
+            let whisker = PathElement::new(vec![(middle, *low), (middle, *high)], colour.stroke_width(2));
+            let label = move |(x, y)| PathElement::new(vec![(x, y), (x + 14, y)], colour.stroke_width(2));
+            chart.draw_series([bar])?.label(*name).legend(label);
+            chart.draw_series([whisker])?;
         }
-        chart
-            .configure_series_labels()
-            .background_style(WHITE.mix(0.8))
-            .position(SeriesLabelPosition::UpperLeft)
-            .draw()?;
+        chart.configure_series_labels().background_style(WHITE.mix(0.8)).draw()?;
         root.present()?;
     }
     Ok(svg)
 }
 
+fn charts(lines: &[Line]) -> Drawn {
+    let sides = sides(lines);
+    let of = |f: &dyn Fn(&Line) -> Option<f64>| -> Vec<(&str, Vec<f64>)> {
+        sides.iter().map(|(n, l)| (*n, l.iter().filter_map(|l| f(l)).collect())).collect()
+    };
+    let coloured = coloured(&sides);
+    let end = lines.iter().map(|l| l.by_second.len()).max().unwrap_or(1) as f64;
+    let per_side = |width: u32, points: &dyn Fn(&[&Line]) -> Vec<(f64, f64)>| -> Vec<Curve> {
+        let curve =
+            |(name, l, colour): &(&'_ str, Vec<&Line>, RGBColor)| (points(l), *colour, name.to_string());
+        let made: Vec<_> = coloured.iter().map(curve).collect();
+        made.into_iter()
+            .zip(&coloured)
+            .map(|((points, colour, _), (name, ..))| Curve { name, colour, width, points })
+            .collect()
+    };
+    let axes = |title, y, top: f64, legend| Axes { title, x: ("s", 0.0..end), y: (y, 0.0..top), legend };
+    use SeriesLabelPosition::{LowerRight, UpperLeft};
+    let mut out = curves(
+        axes("service by second, mean over days", "share of utility", 1.02, LowerRight),
+        per_side(2, &|l| by_second(l, |l| &l.by_second)),
+    )?;
+    if lines.iter().any(|l| !l.caps.is_empty()) {
+        let cap = |l: &[&Line]| l.first().map_or(Vec::new(), |l| steps(&l.caps, 0.0, end));
+        out += &curves(axes("cap as told, first day of each", "cap", 1.05, UpperLeft), per_side(2, &cap))?;
+        let mut both = per_side(1, &cap);
+        both.extend(per_side(3, &|l| {
+            l.first()
+                .map_or(Vec::new(), |l| l.newest.iter().enumerate().map(|(s, v)| (s as f64, *v)).collect())
+        }));
+        let title =
+            "exposure (thick) against cap (thin), first day of each: share of picks at the newest build";
+        out += &curves(axes(title, "share", 1.05, UpperLeft), both)?;
+    }
+    // Nines along the axis: 0.5, 0.9, 0.99, 0.999 lie evenly.
+    let nines = |q: f64| -(1.0 - q).log10();
+    let top = lines.iter().filter_map(|l| l.times.last()).copied().fold(1.0, f64::max);
+    let times = |l: &[&Line]| -> Vec<(f64, f64)> {
+        let at = |i: usize| average(&l.iter().filter_map(|l| l.times.get(i)).copied().collect::<Vec<_>>());
+        QUANTILES.iter().enumerate().map(|(i, q)| (nines(*q), at(i))).collect()
+    };
+    let axes = Axes {
+        title: "time to ok by quantile, mean over days (x: 1 is 0.9, 2 is 0.99, 3 is 0.999)",
+        x: ("nines", 0.0..3.05),
+        y: ("ms", 0.0..top * 1.05),
+        legend: UpperLeft,
+    };
+    out += &curves(axes, per_side(2, &times))?;
+    out += &spread("service of a day", "service", &of(&|l| Some(l.service)))?;
+    out += &spread("picks at builds on trial, of all picks", "share", &of(&|l| Some(l.exposure)))?;
+    let backs = of(&|l| l.back_after);
+    if backs.iter().any(|b| !b.1.is_empty()) {
+        out += &spread("from offer to sent back, days where it was", "s", &backs)?;
+    }
+    if lines.iter().any(|l| l.good > 0) {
+        out += &alarms(&coloured)?;
+    }
+    Ok(out)
+}
+
 fn plain(text: &str) -> String {
     text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
 }
 
+/// A verdict in a line.
+pub fn said(v: &Verdict) -> String {
+    format!(
+        "'{}' less 'as it is': service {:+.4}, interval {:+.4} to {:+.4} ({} pairs); {}",
+        v.choice,
+        v.mean,
+        v.low,
+        v.high,
+        v.pairs,
+        v.why.as_deref().unwrap_or("not settled yet")
+    )
+}
+
 /// One page that needs nothing else: words, table, charts.
 ///
 /// # Errors
 /// A chart that can't be drawn.
-pub fn page(name: &str, plan: &Plan, verdict: &Verdict, lines: &[Line]) -> Result<String, String> {
-    let say = |err: Box<dyn std::error::Error>| err.to_string();
-    let of = |f: &dyn Fn(&Line) -> Option<f64>| -> Vec<(&str, Vec<f64>)> {
-        sides(lines).into_iter().map(|(n, l)| (n, l.into_iter().filter_map(f).collect())).collect()
+pub fn page(study: Option<&Study>, verdicts: &[Verdict], lines: &[Line]) -> Result<String, String> {
+    let charts = charts(lines).map_err(|err| err.to_string())?;
+    let words = match study {
+        Some(study) => {
+            let plan = &study.plan;
+            let day = if plan.trouble.is_empty() { plan.day.clone() } else { plan.trouble.join(" and ") };
+            format!(
+                "<p>Emulated, not measured on real machines: day <b>{}</b>, {} fronts, {} machines, {} RPCs a second, \
+                 seeds from {}. All sides played the same seeds.</p>",
+                plain(&day),
+                plan.fronts,
+                plan.machines,
+                plan.rate,
+                plan.seed
+            )
+        }
+        None => {
+            let mut hows: Vec<&str> = lines.iter().map(|l| l.how.as_str()).collect();
+            hows.sort_unstable();
+            hows.dedup();
+            format!("<p>Figures: {}.</p>", plain(&hows.join(", ")))
+        }
     };
-    let mut charts = by_second(lines).map_err(say)?;
-    charts += &spread("service of a day", "service", &of(&|l| Some(l.service))).map_err(say)?;
-    charts += &spread("picks at builds on trial, of all picks", "share", &of(&|l| Some(l.exposure)))
-        .map_err(say)?;
-    let backs = of(&|l| l.back_after);
-    if backs.iter().any(|b| !b.1.is_empty()) {
-        charts += &spread("from offer to sent back, days where it was", "s", &backs).map_err(say)?;
-    }
-    let day = if plan.trouble.is_empty() { plan.day.clone() } else { plan.trouble.join(" and ") };
+    let verdicts: String = verdicts.iter().map(|v| format!("<p>{}</p>", plain(&said(v)))).collect();
     Ok(format!(
         "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>rockpick experiment</title>\
          <style>body{{font:15px/1.5 sans-serif;margin:2em auto;max-width:900px}}pre{{background:#f4f4f4;padding:1em;\
-         overflow:auto}}svg{{max-width:100%;height:auto;display:block;margin:1em 0}}</style>\
-         <h1>{}</h1><p>Emulated, not measured on real machines: day <b>{}</b>, {} fronts, {} machines, {} RPCs a \
-         second, seeds from {}. Both sides played the same seeds.</p><p>Service less that of <i>as it is</i>: \
-         <b>{:+.4}</b>, interval {:+.4} to {:+.4} from {} pairs; {}.</p><pre>{}</pre>{charts}</html>\n",
-        plain(name), plain(&day), plan.fronts, plan.machines, plan.rate, plan.seed, verdict.mean, verdict.low,
-        verdict.high, verdict.pairs, plain(&verdict.why), plain(&table(lines))
+         overflow:auto;font-size:12px}}svg{{max-width:100%;height:auto;display:block;margin:1em 0}}</style>\
+         <h1>rockpick experiment</h1>{words}{verdicts}<pre>{}</pre>{charts}</html>\n",
+        plain(&table(lines))
     ))
 }
--- a/emu/src/world.rs
+++ b/emu/src/world.rs
@@ -28,12 +28,14 @@
     pub cross: Ns,
     pub client: Ns,
     pub told: Ns,
+    /// What a machine's timers take beyond the work, on its core. Ns.
+    pub over: Ns,
 }
 
 impl Default for Wires {
     /// Two zones of one site, clients near it.
     fn default() -> Wires {
-        Wires { same: MS / 5, cross: MS, client: MS / 2, told: 20 * MS }
+        Wires { same: MS / 5, cross: MS, client: MS / 2, told: 20 * MS, over: 0 }
     }
 }
 
@@ -856,7 +858,8 @@
             key: t.rpc.key,
         };
         let last_method = t.rpc.method + 1 == self.charter.methods.len();
-        let (work, until) = (t.rpc.work_ms / 1e3, open.gives_up);
+        let work = t.rpc.work_ms / 1e3 + self.wires.over as f64 / SEC as f64;
+        let until = open.gives_up;
         let m = &mut self.machines[machine as usize];
         if m.run != run || m.shop.is_none() {
             let end = End::Unreachable;
--- a/emu/tests/days.rs
+++ b/emu/tests/days.rs
@@ -1,6 +1,7 @@
 //! Whole days on the emulator.
-use rockpick_emu::experiment::{day, play, Question};
-use rockpick_emu::World;
+use rockpick_emu::experiment::{day, play};
+use rockpick_emu::study::{load, Lines, BASE};
+use rockpick_emu::{Study, World};
 use rockpick_rehearse::day::TROUBLES;
 use rockpick_rehearse::Plan;
 
@@ -83,13 +84,92 @@
     assert!(line.service > 0.2, "{}", line.service);
 }
 
+fn study(choices: &[&str]) -> Study {
+    let plan = Plan { trouble: vec!["bad_build".into()], ..plan("quiet") };
+    let choices = choices.iter().map(|c| vec![c.to_string()]).collect();
+    Study { rockpick_study: 1, plan, base: Vec::new(), choices, seeds: 24, matters: 0.01 }
+}
+
 #[test]
 fn a_comparison_stops_when_it_is_settled() {
-    let plan = Plan { trouble: vec!["bad_build".into()], ..plan("quiet") };
-    let sides = [("a".to_string(), Vec::new()), ("b".to_string(), vec!["rollout.free=2.0".to_string()])];
-    let question = Question { plan, sides, seeds: 24, matters: 0.01, threads: 2 };
+    let free = rockpick_control::Charter::example(2, 2).rollout.free;
+    let study = study(&[&format!("rollout.free={free}"), "plan.rate=20"]);
     let mut heard = 0;
-    let (verdict, lines) = question.answer(|_| heard += 1).unwrap();
-    assert_eq!((verdict.pairs, lines.len(), heard), (8, 16, 16), "{verdict:?}");
-    assert_eq!((verdict.mean, verdict.low, verdict.high), (0.0, 0.0, 0.0), "the same choice twice");
+    let (verdicts, lines) = study
+        .answer(2, Vec::new(), |_| {
+            heard += 1;
+            Ok(())
+        })
+        .unwrap();
+    assert_eq!((verdicts[0].pairs, heard), (8, lines.len()), "{verdicts:?}");
+    assert_eq!(
+        (verdicts[0].mean, verdicts[0].low, verdicts[0].high),
+        (0.0, 0.0, 0.0),
+        "the same choice twice"
+    );
+    assert!(lines.iter().filter(|l| l.choice == study.sides()[1].0).count() == 8);
+}
+
+#[test]
+fn a_run_that_was_cut_off_goes_on_to_the_same_end_and_a_torn_line_is_made_again() {
+    let dir = tempfile::tempdir().unwrap();
+    let at = dir.path().join("a.jsonl");
+    let study = study(&["rollout.dwell_ms=3000"]);
+    let (mut file, known) = Lines::open(&at, &study).unwrap();
+    assert!(known.is_empty());
+    let (whole, _) = study.answer(2, known, |line| file.put(line)).unwrap();
+    let text = std::fs::read(&at).unwrap();
+    let ends: Vec<usize> = (0..text.len()).filter(|i| text[*i] == b'\n').collect();
+    // In the question itself, after it, within a line, between lines, within the last.
+    for cut in [10, ends[0] + 1, ends[3] + 40, ends[6] + 1, text.len() - 3] {
+        std::fs::write(&at, &text[..cut]).unwrap();
+        let (mut file, known) = Lines::open(&at, &study).unwrap();
+        let (again, _) = study.answer(3, known, |line| file.put(line)).unwrap();
+        assert_eq!(again, whole);
+        assert!(std::fs::read(&at).unwrap() == text, "cut at {cut}");
+    }
+    let other = Study { seeds: 32, ..study };
+    assert!(Lines::open(&at, &other).err().unwrap().contains("another question"));
+    std::fs::write(&at, [&text[..ends[1] + 1], b"{}\n".as_slice()].concat()).unwrap();
+    assert!(load(&at).unwrap_err().contains("line 3"));
+}
+
+/// No difference may be found more often than the level says, however often one looks.
+#[test]
+fn two_choices_that_are_the_same_are_told_apart_in_one_of_twenty_at_most() {
+    use rand::{rngs::StdRng, Rng, SeedableRng};
+    let study = Study { matters: 0.0, ..study(&["a"]) };
+    let mut chance = StdRng::seed_from_u64(11);
+    let mut apart = 0;
+    for _ in 0..100 {
+        let mut lines = Vec::new();
+        for seed in 1..=24 {
+            for choice in [BASE, "a"] {
+                // Skewed as service is: mostly near one, now and then a jam.
+                let service = 1.0 - 0.05 * -(1.0 - chance.random::<f64>()).ln();
+                lines.push(rockpick_emu::Line { choice: choice.into(), seed, service, ..Default::default() });
+            }
+        }
+        apart += usize::from(study.verdict("a", &lines).why.unwrap().contains("leaves 0 out"));
+    }
+    // One in twenty, and three standard deviations of 100 draws.
+    assert!(apart <= 11, "{apart} of 100");
+}
+
+/// A difference of a few per cent is found, and its interval holds it.
+#[test]
+fn a_difference_of_a_few_per_cent_is_found_with_its_interval() {
+    use rand::{rngs::StdRng, Rng, SeedableRng};
+    let study = study(&["a"]);
+    let mut chance = StdRng::seed_from_u64(12);
+    let mut lines = Vec::new();
+    for seed in 1..=24 {
+        let day: f64 = 0.7 + 0.2 * chance.random::<f64>();
+        for (choice, more) in [(BASE, 0.0), ("a", 0.03)] {
+            let service = day + more + 0.02 * (chance.random::<f64>() - 0.5);
+            lines.push(rockpick_emu::Line { choice: choice.into(), seed, service, ..Default::default() });
+        }
+    }
+    let verdict = study.verdict("a", &lines);
+    assert!(verdict.low > 0.0 && verdict.low < 0.03 && verdict.high > 0.03, "{verdict:?}");
 }
--- /dev/null
+++ b/load/src/thread.rs
@@ -0,0 +1,227 @@
+//! One thread: its own event loop and connections, its part of the schedule.
+use crate::{micros, second, Course, Result, Times};
+use rockpick_net::{Call, End, Event, Id, Net, Ns, MS, SEC};
+use rockpick_standin::client::{ask, heard};
+use rockpick_standin::crowd::{Crowd, How, Next, Rpc, GRACE};
+use rockpick_standin::record::Record;
+use serde_json::{json, Value};
+use std::collections::{BTreeMap, HashMap};
+use std::time::Instant;
+
+/// A connection that takes longer was not taken.
+const CONNECT: Ns = 500 * MS;
+/// It polls without sleep for the last of the way to the next RPC: what a sleep may overshoot by.
+const SPIN: Ns = 100_000;
+/// What is open when the schedule ends is waited for this long at most, beyond any deadline.
+const LINGER: Ns = 60 * SEC;
+
+const GIVE_UP: u64 = 1 << 61;
+const AGAIN: u64 = 1 << 60;
+
+struct Try {
+    call: Id,
+    rpc: Rpc,
+    sent: Ns,
+    gives_up: Ns,
+}
+
+struct Thread<'a> {
+    course: &'a Course,
+    nth: usize,
+    net: Net,
+    crowd: Crowd,
+    record: Record,
+    begin: Ns,
+    tries: HashMap<u64, Try>,
+    waiting: BTreeMap<u64, Rpc>,
+    serial: u64,
+    /// RPCs of the schedule so far, of all threads.
+    due: usize,
+    made: Vec<Event>,
+    result: Result,
+}
+
+pub fn run(course: &Course, nth: usize, begin: Instant) -> std::result::Result<Result, String> {
+    let say = |err: std::io::Error| err.to_string();
+    let net = Net::new(1).map_err(say)?;
+    let begin = net.clock() + begin.saturating_duration_since(Instant::now()).as_nanos() as Ns;
+    let c = course.clone();
+    let mut crowd = Crowd::new(c.charter, c.load, c.arrivals, c.fronts.len(), c.retries, c.work_ms, c.seed)?;
+    crowd.schedule.begin_at(begin);
+    let times = || Ok::<Times, String>(Times { due: micros()?, sent: micros()? });
+    let result = Result {
+        tolls: Default::default(),
+        tries: 0,
+        times: course.charter.methods.iter().map(|_| times()).collect::<std::result::Result<_, _>>()?,
+        lag: micros()?,
+        by_second: Vec::new(),
+        builds: BTreeMap::new(),
+        busy: Vec::new(),
+        threads: 1,
+    };
+    let record = Record::open(course.record.as_deref()).map_err(say)?;
+    let (tries, waiting, made) = (HashMap::new(), BTreeMap::new(), Vec::new());
+    let mut thread =
+        Thread { course, nth, net, crowd, record, begin, tries, waiting, serial: 0, due: 0, made, result };
+    thread.work()?;
+    let Thread { mut result, crowd, net, .. } = thread;
+    result.tolls = crowd.tolls;
+    result.tolls.stray = net.stray;
+    Ok(result)
+}
+
+impl Thread<'_> {
+    fn work(&mut self) -> std::result::Result<(), String> {
+        let ends = self.begin + self.course.lasts;
+        let (mut events, mut idle) = (Vec::new(), 0);
+        loop {
+            let now = self.net.clock();
+            let sending = self.crowd.schedule.due < ends;
+            if !sending && self.tries.is_empty() && self.waiting.is_empty() || now > ends + LINGER {
+                let all = (now - self.begin).max(1) as f64;
+                self.result.busy = vec![1.0 - idle as f64 / all];
+                return Ok(());
+            }
+            while self.crowd.schedule.due <= now && self.crowd.schedule.due < ends {
+                self.arrive();
+            }
+            events.append(&mut self.made);
+            let before = self.net.clock();
+            let next = if sending { self.crowd.schedule.due - before } else { SEC };
+            let wait = if next > SPIN { (next - SPIN).min(SEC) } else { 0 };
+            let ready = !events.is_empty() || next <= 0;
+            self.net.turn(&mut events, wait).map_err(|err| err.to_string())?;
+            // Waiting is not work: until something came, or all of it if nothing did.
+            if now > self.begin && !ready {
+                idle += if events.is_empty() { self.net.clock() } else { self.net.now() } - before;
+            }
+            for event in std::mem::take(&mut events) {
+                match event {
+                    Event::Woke { tag } if tag & GIVE_UP != 0 => self.give_up(tag & !GIVE_UP),
+                    Event::Woke { tag } if tag & AGAIN != 0 => {
+                        if let Some(rpc) = self.waiting.remove(&(tag & !AGAIN)) {
+                            self.send(rpc);
+                        }
+                    }
+                    Event::Ended { call, end } => self.ended(call, end),
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    /// Takes the RPC that is due from the schedule, and sends it if it is this thread's.
+    fn arrive(&mut self) {
+        let rpc = self.crowd.schedule.arrive();
+        self.due += 1;
+        if self.due % self.course.threads != self.nth {
+            return;
+        }
+        self.crowd.ask(&rpc);
+        let at = second(rpc.began - self.begin);
+        if self.result.by_second.len() <= at {
+            self.result.by_second.resize(at + 1, [0.0; 2]);
+        }
+        self.result.by_second[at][0] += self.crowd.row(&rpc).utility;
+        let lag = self.net.clock() - rpc.began;
+        let _ = self.result.lag.record((lag / 1_000).max(1) as u64);
+        if self.tries.len() + self.waiting.len() >= self.course.most_open / self.course.threads {
+            self.crowd.tolls.not_sent += 1;
+            return;
+        }
+        self.send(rpc);
+    }
+
+    fn send(&mut self, mut rpc: Rpc) {
+        let now = self.net.clock();
+        let Some(sending) = self.crowd.begin(now, &mut rpc) else { return };
+        self.result.tries += 1;
+        let (gives_up, to) = (sending.gives_up, self.course.fronts[rpc.front]);
+        let row = self.crowd.row(&rpc);
+        let (id, request) = ask(row, &rpc, self.course.seed, sending.told - now, to);
+        let connect_within = CONNECT.min(gives_up - now);
+        let call = Call { to, request: &request, connect_within, stream: false, head_only: false };
+        let call = self.net.call(&mut self.made, call);
+        if self.course.record.is_some() {
+            let (method, front) = (&self.crowd.row(&rpc).name, &self.course.names[rpc.front]);
+            self.record.put(json!({ "event": "sent", "rpc": id, "try": rpc.tries.to_string(), "method": method,
+                "key": rpc.key.to_string(), "front": front, "left_ms": (gives_up - now) / MS, "leaves": rpc.leave,
+                "tenant": rpc.tenant, "work_ms": rpc.work_ms }));
+        }
+        // A timer's tag has no room for all of a call's generation; what is left tells calls of one slot apart.
+        let short = call & (AGAIN - 1);
+        self.net.wake_at(sending.look, GIVE_UP | short);
+        self.tries.insert(short, Try { call, rpc, sent: now, gives_up });
+    }
+
+    fn give_up(&mut self, short: u64) {
+        let Some(t) = self.tries.remove(&short) else { return };
+        self.net.cancel(t.call);
+        self.say(&t, "gave up", "");
+        self.after(t.rpc, How::GaveUp, None);
+    }
+
+    fn ended(&mut self, call: Id, end: End) {
+        let Some(t) = self.tries.remove(&(call & (AGAIN - 1))) else { return };
+        let now = self.net.now();
+        let (how, wait) = match end {
+            End::Answer(r) => {
+                let said: Value = serde_json::from_slice(&r.body).unwrap_or(Value::Null);
+                let (how, wait) = heard(&r, said["right"].as_bool().unwrap_or(true));
+                if let How::Ok { right } = how {
+                    let build = r.lines.get("rockpick-build").and_then(|b| b.parse().ok());
+                    self.ok(now, &t, right, build);
+                }
+                self.say(&t, "answer", r.lines.get("rockpick-answer").unwrap_or("none"));
+                (how, wait)
+            }
+            End::Unreachable | End::Unsent => {
+                self.say(&t, "not taken", "");
+                (How::Unreachable, None)
+            }
+            End::Broken(_) => {
+                self.say(&t, "broken", "");
+                (How::Broken, None)
+            }
+        };
+        self.after(t.rpc, how, wait);
+    }
+
+    fn ok(&mut self, now: Ns, t: &Try, right: bool, build: Option<u32>) {
+        let row = self.crowd.row(&t.rpc);
+        let (soft, utility) = (row.soft_deadline_ms as Ns * MS, row.utility);
+        if right && now - t.rpc.began <= soft {
+            self.result.by_second[second(t.rpc.began - self.begin)][1] += utility;
+        }
+        let times = &mut self.result.times[t.rpc.method];
+        let _ = times.due.record(((now - t.rpc.began) / 1_000).max(1) as u64);
+        let _ = times.sent.record(((now - t.sent) / 1_000).max(1) as u64);
+        if let Some(build) = build {
+            *self.result.builds.entry(build).or_default() += 1;
+        }
+    }
+
+    fn after(&mut self, rpc: Rpc, how: How, wait: Option<Ns>) {
+        let now = self.net.now();
+        match self.crowd.after(now, rpc, how, wait) {
+            Next::Over => {}
+            Next::At(at, rpc) if at <= now => self.send(rpc),
+            Next::At(at, rpc) => {
+                self.serial += 1;
+                self.waiting.insert(self.serial, rpc);
+                self.net.wake_at(at, AGAIN | self.serial);
+            }
+        }
+    }
+
+    fn say(&mut self, t: &Try, event: &str, answer: &str) {
+        if self.course.record.is_none() {
+            return;
+        }
+        let now = self.net.now();
+        self.record.put(json!({ "event": event, "answer": answer, "rpc": format!("{}-{}", self.course.seed, t.rpc.id),
+            "try": t.rpc.tries.to_string(), "method": self.crowd.row(&t.rpc).name, "key": t.rpc.key.to_string(),
+            "front": self.course.names[t.rpc.front], "took_ms": (now - t.sent) as f64 / MS as f64,
+            "late": now > t.gives_up + GRACE }));
+    }
+}
--- /dev/null
+++ b/load/tests/load.rs
@@ -0,0 +1,100 @@
+//! The tool against small fronts made here, on loopback.
+use rockpick_control::Charter;
+use rockpick_load::Course;
+use rockpick_net::{Event, Net, Ns, MS, SEC};
+use rockpick_standin::{Arrivals, Load};
+use std::net::SocketAddr;
+use std::sync::mpsc;
+
+/// A front that answers ok at once, but for a span after its first RPC in which it stands still.
+fn front(stands_still: std::ops::Range<Ns>) -> SocketAddr {
+    let (to, from) = mpsc::channel();
+    std::thread::spawn(move || {
+        let mut net = Net::new(10_000).unwrap();
+        let (_, at) = net.listen(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+        to.send(at).unwrap();
+        let (mut events, mut first) = (Vec::new(), None);
+        loop {
+            net.turn(&mut events, SEC).unwrap();
+            for event in events.drain(..) {
+                if let Event::Request { conn, .. } = event {
+                    let first = *first.get_or_insert(net.now());
+                    if stands_still.contains(&(net.now() - first)) {
+                        let left = stands_still.end - (net.now() - first);
+                        std::thread::sleep(std::time::Duration::from_nanos(left as u64));
+                    }
+                    net.answer(conn, 200, &[("Rockpick-Answer", "ok"), ("Rockpick-Build", "1")], b"{}");
+                }
+            }
+        }
+    });
+    from.recv().unwrap()
+}
+
+fn course(fronts: Vec<SocketAddr>) -> Course {
+    let charter = Charter::example(fronts.len(), 2);
+    Course {
+        names: charter.fronts.iter().map(|f| f.name.clone()).collect(),
+        fronts,
+        charter,
+        load: Load { rate: 400.0, ..Load::default() },
+        arrivals: Arrivals::Poisson,
+        lasts: SEC,
+        retries: 0,
+        work_ms: 1.0,
+        seed: 5,
+        threads: 2,
+        most_open: 4_000,
+        record: None,
+    }
+}
+
+/// What a closed loop would hide: those that were due while the front stood still waited for it.
+#[test]
+fn rpcs_that_were_due_while_a_front_stood_still_count_from_when_they_were_due() {
+    let came = course(vec![front(300 * MS..600 * MS)]).run().unwrap();
+    let all = came.all().unwrap();
+    assert_eq!((came.tolls.ok, all.len()), (came.tolls.rpcs, came.tolls.ok), "{:?}", came.tolls);
+    // 0.3 s of 1 s, so waits up to 0.3 s are spread evenly over three tenths of all.
+    let slow = all.iter_recorded().filter(|v| v.value_iterated_to() > 100_000).map(|v| v.count_at_value());
+    let share = slow.sum::<u64>() as f64 / all.len() as f64;
+    assert!((0.12..0.5).contains(&share), "{share}");
+    assert!(all.max() >= 200_000, "{}", all.max());
+}
+
+/// The number of threads changes who sends, not what.
+#[test]
+fn the_schedule_is_the_same_whatever_the_threads_and_a_record_plays_again() {
+    let dir = tempfile::tempdir().unwrap();
+    let at = front(0..0);
+    let mut sent = Vec::new();
+    let record = |threads: usize, arrivals: Arrivals| {
+        let path = dir.path().join(format!("{threads}.jsonl"));
+        let course = Course { threads, arrivals, record: Some(path.clone()), ..course(vec![at]) };
+        let came = course.run().unwrap();
+        assert_eq!(came.tolls.ok, came.tolls.rpcs, "{:?}", came.tolls);
+        std::fs::read_to_string(path).unwrap()
+    };
+    for threads in [1, 3] {
+        let text = record(threads, Arrivals::Poisson);
+        let mut keys: Vec<(String, String)> = (text.lines())
+            .map(|l| serde_json::from_str::<serde_json::Value>(l).unwrap())
+            .filter(|v| v["event"] == "sent")
+            .map(|v| (v["rpc"].to_string(), v["key"].to_string()))
+            .collect();
+        keys.sort();
+        sent.push((keys, text));
+    }
+    assert!(sent[0].0.len() > 300 && sent[0].0 == sent[1].0);
+    let c = course(vec![at]);
+    let again = record(2, Arrivals::replay(&sent[0].1, &c.charter, &c.names).unwrap());
+    assert_eq!(again.lines().count(), sent[0].1.lines().count());
+}
+
+#[test]
+fn a_tool_that_can_not_hold_what_is_open_says_so() {
+    let course = Course { most_open: 8, threads: 1, ..course(vec![front(100 * MS..700 * MS)]) };
+    let came = course.run().unwrap();
+    assert!(came.tolls.not_sent > 50 && came.limits()[0].contains("were not sent"), "{:?}", came.limits());
+    assert!(Course { threads: 0, ..course }.run().is_err());
+}
--- a/net/src/net.rs
+++ b/net/src/net.rs
@@ -41,6 +41,9 @@
 /// Sockets accepted, and events handled, in one turn, so that no side starves the other.
 const ACCEPTS: usize = 64;
 const EVENTS: usize = 256;
+/// Connections that the system holds until they are taken: a standstill of a second at some thousand new
+/// ones. Past it their senders try again only a second later (std asks for 128). The system may grant less.
+const WAITING: i32 = 4_096;
 /// How often stale connections are looked for.
 const SWEEP: Ns = SEC / 2;
 /// Largest datagram taken.
@@ -348,6 +351,7 @@
     pub fn listen(&mut self, at: SocketAddr) -> io::Result<(Id, SocketAddr)> {
         let listener = TcpListener::bind(at)?;
         listener.set_nonblocking(true)?;
+        rustix::net::listen(&listener, WAITING)?;
         let taken = listener.local_addr()?;
         Ok((self.add(Sock::Listener(listener), epoll::EventFlags::IN)?, taken))
     }
--- a/rehearse/src/crew.rs
+++ b/rehearse/src/crew.rs
@@ -152,12 +152,9 @@
         day::TROUBLES.iter().for_each(|(name, what)| println!("{name:<15} {what}"));
         return Ok(true);
     }
-    let sized = (1..=200).contains(&plan.fronts) && (2..=500).contains(&plan.machines);
-    if !sized || !(1.0..1e5).contains(&plan.rate) {
-        return Err("--fronts 1 to 200, --machines 2 to 500, --rate 1 to 100000".into());
-    }
-    if rockpick_standin::Bad::read(&plan.bad).is_none() {
-        return Err(format!("--bad {}: KIND:SIZE is wanted", plan.bad));
+    plan.check()?;
+    if plan.fronts > 200 || plan.machines > 500 || plan.rate > 1e5 {
+        return Err("on loopback --fronts 200, --machines 500 and --rate 100000 at most".into());
     }
     let (script, lasts) = day::script(&plan)?;
     let charter = day::charter(&plan)?;
@@ -168,6 +165,8 @@
     if std::fs::read_dir(&out).map_err(|err| err.to_string())?.next().is_some() {
         return Err(format!("--out {}: not empty", out.display()));
     }
+    let text = serde_json::to_string(&plan).map_err(|err| err.to_string())?;
+    std::fs::write(out.join("plan.json"), text).map_err(|err| format!("plan.json: {err}"))?;
     let mut crew = Crew::assemble(plan, charter, out)?;
     crew.day(&script, lasts)
 }
@@ -722,7 +721,7 @@
         self.end_agents();
         self.controller = None;
         self.fronts.iter_mut().for_each(|f| *f = None);
-        let evidence = judge::read(&self.charter, &self.written()?);
+        let evidence = judge::read(&self.charter, &written(&self.out)?);
         let judgement = judge::judge(&self.charter, &evidence);
         print(&judgement, "loopback");
         Ok(judgement.breaches.is_empty())
@@ -760,34 +759,38 @@
             stage["phase"].as_str().unwrap_or("")
         );
     }
+}
 
-    fn written(&self) -> Result<Written, String> {
-        let mut evidence = Written::default();
-        let entries = std::fs::read_dir(&self.out).map_err(|err| err.to_string())?;
-        let mut files: Vec<PathBuf> = entries.flatten().map(|e| e.path()).collect();
-        files.sort();
-        for file in files {
-            let name = file.file_name().and_then(|n| n.to_str()).unwrap_or("").to_string();
-            let into = match name.as_str() {
-                "clients.jsonl" => &mut evidence.clients,
-                "acts.jsonl" => &mut evidence.acts,
-                "watch.jsonl" => &mut evidence.watch,
-                _ if name.starts_with("machine-") && name.ends_with(".jsonl") => &mut evidence.machines,
-                _ => continue,
-            };
-            let text = std::fs::read(&file).map_err(|err| err.to_string())?;
-            let lines: Vec<&[u8]> = text.split(|b| *b == b'\n').filter(|l| !l.is_empty()).collect();
-            for (i, line) in lines.iter().enumerate() {
-                match serde_json::from_slice(line) {
-                    Ok(value) => into.push(value),
-                    // A killed machine may leave its last line torn; any other must be whole.
-                    Err(_) if i + 1 == lines.len() && name.starts_with("machine-") => {}
-                    Err(err) => return Err(format!("{name}, line {}: {err}", i + 1)),
-                }
+/// All records of a rehearsal's folder, as they were written.
+///
+/// # Errors
+/// Names the file and the line that is none.
+pub fn written(out: &Path) -> Result<Written, String> {
+    let mut evidence = Written::default();
+    let entries = std::fs::read_dir(out).map_err(|err| err.to_string())?;
+    let mut files: Vec<PathBuf> = entries.flatten().map(|e| e.path()).collect();
+    files.sort();
+    for file in files {
+        let name = file.file_name().and_then(|n| n.to_str()).unwrap_or("").to_string();
+        let into = match name.as_str() {
+            "clients.jsonl" => &mut evidence.clients,
+            "acts.jsonl" => &mut evidence.acts,
+            "watch.jsonl" => &mut evidence.watch,
+            _ if name.starts_with("machine-") && name.ends_with(".jsonl") => &mut evidence.machines,
+            _ => continue,
+        };
+        let text = std::fs::read(&file).map_err(|err| err.to_string())?;
+        let lines: Vec<&[u8]> = text.split(|b| *b == b'\n').filter(|l| !l.is_empty()).collect();
+        for (i, line) in lines.iter().enumerate() {
+            match serde_json::from_slice(line) {
+                Ok(value) => into.push(value),
+                // A killed machine may leave its last line torn; any other must be whole.
+                Err(_) if i + 1 == lines.len() && name.starts_with("machine-") => {}
+                Err(err) => return Err(format!("{name}, line {}: {err}", i + 1)),
             }
         }
-        Ok(evidence)
     }
+    Ok(evidence)
 }
 
 /// Prints stages, the table of methods, and breaches; `how` says where the figures come from.
--- a/rehearse/src/day.rs
+++ b/rehearse/src/day.rs
@@ -2,10 +2,11 @@
 use clap::Args;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 use std::path::PathBuf;
 
-#[derive(Args, Clone, Debug)]
+#[derive(Args, Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Plan {
     /// morning (a bad build, a burst on a drain, a killed front, a silent machine, a controller that stands
     /// still), quiet (one good build), short (eleven seconds, one build on trial), calm (no build) or stop (no
@@ -145,6 +146,26 @@
     TROUBLES.iter().map(|(name, _)| *name)
 }
 
+impl Plan {
+    /// # Errors
+    /// Names the argument that makes no sense.
+    pub fn check(&self) -> Result<(), String> {
+        if !(1..=10_000).contains(&self.fronts) || !(2..=10_000).contains(&self.machines) {
+            return Err("--fronts: 1 to 10000; --machines: 2 to 10000".into());
+        }
+        if !(0.1..=1e6).contains(&self.rate) || !(0.001..=6e4).contains(&self.work_ms) {
+            return Err("--rate: 0.1 to 1000000; --work-ms: 0.001 to 60000".into());
+        }
+        if self.seconds.is_some_and(|s| !(1.0..=86_400.0).contains(&s)) {
+            return Err("--seconds: 1 to 86400".into());
+        }
+        if rockpick_standin::Bad::read(&self.bad).is_none() {
+            return Err(format!("--bad {}: KIND:SIZE is wanted", self.bad));
+        }
+        Ok(())
+    }
+}
+
 pub fn days() -> [&'static str; 5] {
     ["morning", "quiet", "short", "calm", "stop"]
 }
--- a/rehearse/src/lib.rs
+++ b/rehearse/src/lib.rs
@@ -6,7 +6,7 @@
 mod relay;
 mod watch;
 
-pub use crew::print;
+pub use crew::{print, written};
 pub use day::Plan;
 use rockpick_net::http::{self, Response};
 use rockpick_net::{Call, End, Event, Net, MS, SEC};
--- a/standin/src/crowd.rs
+++ b/standin/src/crowd.rs
@@ -22,6 +22,8 @@
     pub rate: f64,
     /// Keys drawn by Zipf; the first few draw `hot` of all traffic besides.
     pub keys: usize,
+    /// The exponent of their Zipf.
+    pub zipf: f64,
     pub hot: f64,
     pub hot_keys: usize,
     /// Share of traffic to one front, the first; the rest goes evenly.
@@ -45,6 +47,7 @@
         Load {
             rate: 100.0,
             keys: 2_000,
+            zipf: 0.9,
             hot: 0.0,
             hot_keys: 1,
             caller: 0.0,
--- a/standin/src/schedule.rs
+++ b/standin/src/schedule.rs
@@ -7,8 +7,6 @@
 use rockpick_net::{Ns, MS, SEC};
 use serde_json::Value;
 
-/// The exponent of the keys' Zipf: a few far more popular than the rest.
-const ZIPF: f64 = 0.9;
 /// Lines of a record at most: a replay is held in memory, some 64 bytes a line.
 pub const MOST_LINES: usize = 20_000_000;
 
@@ -130,7 +128,7 @@
         charter: Charter, load: Load, arrivals: Arrivals, fronts: usize, work_ms: f64, seed: u64,
     ) -> Schedule {
         let mut sum = 0.0;
-        let zipf = (1..=load.keys.max(1)).map(|i| (sum += (i as f64).powf(-ZIPF), sum).1).collect();
+        let zipf = (1..=load.keys.max(1)).map(|i| (sum += (i as f64).powf(-load.zipf), sum).1).collect();
         let chance = StdRng::seed_from_u64(seed);
         Schedule { load, arrivals, charter, fronts, work_ms, chance, zipf, begin: 0, many: 0, due: 0 }
     }
