--- a/cli/src/lab.rs
+++ b/cli/src/lab.rs
@@ -167,8 +167,13 @@
 fn show(study: Option<&Study>, lines: &[Line]) -> Result<ExitCode, Bad2> {
     print!("{}", report::table(lines));
     study.map_or(Vec::new(), |s| s.verdicts(lines)).iter().for_each(|v| println!("{}", report::said(v)));
-    let broken: usize = lines.iter().map(|l| l.broken).sum();
-    println!("rules: {}", if broken == 0 { "kept".into() } else { format!("broken {broken}") });
+    let looked: Vec<usize> = lines.iter().filter_map(|l| l.broken).collect();
+    let broken: usize = looked.iter().sum();
+    match (looked.len(), broken) {
+        (0, _) => println!("rules: not looked at"),
+        (n, 0) => println!("rules: kept in {n} of {} days", lines.len()),
+        (_, n) => println!("rules: broken {n} times"),
+    }
     Ok(if broken == 0 { ExitCode::SUCCESS } else { ExitCode::from(1) })
 }
 
--- a/emu/src/line.rs
+++ b/emu/src/line.rs
@@ -36,7 +36,8 @@
     pub good_back: u32,
     pub bad: u32,
     pub bad_released: u32,
-    pub broken: usize,
+    /// Rules broken; none: they were not looked at, as of load.
+    pub broken: Option<usize>,
     pub events: u64,
     /// Service by second, for charts.
     pub by_second: Vec<f64>,
@@ -59,7 +60,7 @@
     /// Sums up a day that was judged; `script` tells which builds were bad.
     pub fn of(charter: &Charter, evidence: &Evidence, judgement: &Judgement, script: &[(f64, Act)]) -> Line {
         let mut line =
-            Line { service: judgement.service, broken: judgement.breaches.len(), ..Line::default() };
+            Line { service: judgement.service, broken: Some(judgement.breaches.len()), ..Line::default() };
         let picks: u64 = judgement.rows.values().map(|r| r.picks).sum();
         line.exposure = judgement.trial_picks as f64 / picks.max(1) as f64;
         for (name, row) in &judgement.rows {
--- a/emu/src/report.rs
+++ b/emu/src/report.rs
@@ -130,7 +130,7 @@
     Ok(svg)
 }
 
-fn coloured<'a>(sides: &[(&'a str, Vec<&'a Line>)]) -> Vec<(&'a str, Vec<&'a Line>, RGBColor)> {
+fn coloured<'a>(sides: &[(&'a str, Vec<&'a Line>)]) -> Vec<Side<'a>> {
     sides.iter().zip(COLOURS.iter().cycle()).map(|((n, l), c)| (*n, l.clone(), *c)).collect()
 }
 
@@ -155,6 +155,10 @@
     points
 }
 
+/// A choice, its days and its colour; what is drawn of such days.
+type Side<'a> = (&'a str, Vec<&'a Line>, RGBColor);
+type Points<'a> = &'a dyn Fn(&[&Line]) -> Vec<(f64, f64)>;
+
 /// What share of days lies at or below each value.
 fn spread(title: &str, unit: &str, sides: &[(&str, Vec<f64>)]) -> Drawn {
     let all: Vec<f64> = sides.iter().flat_map(|s| s.1.iter().copied()).collect();
@@ -178,7 +182,7 @@
 }
 
 /// Good builds sent back, of all good ones: a bar a choice, with its interval.
-fn alarms(sides: &[(&str, Vec<&Line>, RGBColor)]) -> Drawn {
+fn alarms(sides: &[Side]) -> Drawn {
     let mut svg = String::new();
     {
         let root: Area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
@@ -215,14 +219,12 @@
     };
     let coloured = coloured(&sides);
     let end = lines.iter().map(|l| l.by_second.len()).max().unwrap_or(1) as f64;
-    let per_side = |width: u32, points: &dyn Fn(&[&Line]) -> Vec<(f64, f64)>| -> Vec<Curve> {
-        let curve =
-            |(name, l, colour): &(&'_ str, Vec<&Line>, RGBColor)| (points(l), *colour, name.to_string());
-        let made: Vec<_> = coloured.iter().map(curve).collect();
-        made.into_iter()
-            .zip(&coloured)
-            .map(|((points, colour, _), (name, ..))| Curve { name, colour, width, points })
-            .collect()
+    let per_side = |width: u32, points: Points| -> Vec<Curve> {
+        let mut made = Vec::new();
+        for (name, l, colour) in &coloured {
+            made.push(Curve { name, colour: *colour, width, points: points(l) });
+        }
+        made
     };
     let axes = |title, y, top: f64, legend| Axes { title, x: ("s", 0.0..end), y: (y, 0.0..top), legend };
     use SeriesLabelPosition::{LowerRight, UpperLeft};
--- a/load/src/thread.rs
+++ b/load/src/thread.rs
@@ -10,8 +10,9 @@
 
 /// A connection that takes longer was not taken.
 const CONNECT: Ns = 500 * MS;
-/// It polls without sleep for the last of the way to the next RPC: what a sleep may overshoot by.
-const SPIN: Ns = 100_000;
+/// It polls without sleep for the last of the way to the next RPC: epoll's waits are whole milliseconds,
+/// rounded up, and lateness counts in what is measured.
+const SPIN: Ns = 1_100_000;
 /// What is open when the schedule ends is waited for this long at most, beyond any deadline.
 const LINGER: Ns = 60 * SEC;
 
--- a/rehearse/src/day.rs
+++ b/rehearse/src/day.rs
@@ -10,7 +10,7 @@
 pub struct Plan {
     /// morning (a bad build, a burst on a drain, a killed front, a silent machine, a controller that stands
     /// still), quiet (one good build), short (eleven seconds, one build on trial), calm (no build) or stop (no
-    /// build; all machines stand still for five seconds).
+    /// build; all machines stand still for five seconds) or cold (no build; all machines are lost and come back).
     #[arg(long, default_value = "morning")]
     pub day: String,
     /// A kind of trouble, for a day of its own; may be given several times. `list` names them.
@@ -166,8 +166,8 @@
     }
 }
 
-pub fn days() -> [&'static str; 5] {
-    ["morning", "quiet", "short", "calm", "stop"]
+pub fn days() -> [&'static str; 6] {
+    ["morning", "quiet", "short", "calm", "stop", "cold"]
 }
 
 /// The settings that a plan asks for.
@@ -288,6 +288,11 @@
                 let stop = Act::Fault { share: 1.0, fault: json!({ "slow": 100 }) };
                 (vec![(8.0, stop), (13.0, Act::Heal)], 40.0)
             }
+            "cold" => {
+                // All machines are gone at once and come back cold; the tier has to bring them up.
+                let vanish = |machine: usize| (8.0, Act::Vanish { machine, ms: 1_000 });
+                ((0..plan.machines).map(vanish).collect(), 40.0)
+            }
             "short" => (vec![offer(2.0, 2, false), (4.0, Act::Leave(0))], 11.0),
             other => return Err(format!("--day {other}: one of {}", days().join(", "))),
         }
