--- a/cli/src/lab.rs
+++ b/cli/src/lab.rs
@@ -1,6 +1,7 @@
 //! `rockpick emulate` and `rockpick experiment`: days in virtual time.
 use crate::Bad2;
 use clap::{Args, Subcommand};
+use rockpick_emu::parts::PARTS;
 use rockpick_emu::study::{self, Lines};
 use rockpick_emu::{experiment, fit, report, Line, Study, World};
 use rockpick_rehearse::judge::Written;
@@ -92,7 +93,8 @@
         let began = Instant::now();
         if self.speed || self.plain {
             let mut day = experiment::day(&self.plan, &self.set, self.plan.seed, false).map_err(Bad2)?;
-            day.plain = self.plain;
+            (day.plain, day.watch) = (self.plain, !self.plain);
+            let before = memory();
             let outcome = World::new(day).map_err(Bad2)?.run();
             let took = began.elapsed().as_secs_f64();
             let (t, held) = (outcome.tolls, memory());
@@ -100,6 +102,13 @@
                  virtual s, {:.0} MiB at most, service {:.3}", self.plan.fronts, self.plan.machines, t.rpcs,
                 outcome.virtual_seconds, outcome.events as f64 / took, took / outcome.virtual_seconds,
                 held / 1_048_576.0, t.served / t.asked.max(1e-9));
+            if let Some(shares) = outcome.watch.shares() {
+                let parts =
+                    PARTS.iter().zip(shares).map(|((_, name), s)| format!("{name} {:.0}%", 100.0 * s));
+                println!("time by part: {}", parts.collect::<Vec<_>>().join(", "));
+                println!("memory beyond the program's own: {:.0} KiB a front, {:.0} KiB a machine, were all of it theirs",
+                    (held - before) / 1024.0 / self.plan.fronts as f64, (held - before) / 1024.0 / self.plan.machines as f64);
+            }
             return Ok(ExitCode::SUCCESS);
         }
         let (line, judgement) =
--- a/emu/src/experiment.rs
+++ b/emu/src/experiment.rs
@@ -72,6 +72,7 @@
         plain: false,
         arrivals: Arrivals::Poisson,
         wires: Wires::default(),
+        watch: false,
     })
 }
 
--- a/emu/src/lib.rs
+++ b/emu/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod experiment;
 pub mod fit;
 pub mod line;
+pub mod parts;
 pub mod report;
 mod seat;
 pub mod study;
--- a/emu/src/world.rs
+++ b/emu/src/world.rs
@@ -1,4 +1,5 @@
 //! The fleet: fronts, machines, clients and a controller, and the events between them.
+use crate::parts::{Part, Watch};
 use crate::seat::{Do, Gather, Open, Pick, Seat};
 use hdrhistogram::Histogram;
 use rand::rngs::StdRng;
@@ -77,6 +78,17 @@
     Kill(u32),
 }
 
+/// Whose work an event is.
+fn part(ev: &Ev) -> Part {
+    match ev {
+        Ev::Arrive | Ev::Again(_) | Ev::Answer(..) | Ev::GiveUp(_) => Part::Clients,
+        Ev::PickArrives { .. } | Ev::MachineWake(..) | Ev::Left(..) => Part::Machines,
+        Ev::Pass | Ev::Beats | Ev::Vote(..) | Ev::Act(_) => Part::Controller,
+        Ev::Boot(..) | Ev::Kill(_) => Part::Machines,
+        _ => Part::Fronts,
+    }
+}
+
 struct Entry(Ns, u64, Ev);
 
 impl PartialEq for Entry {
@@ -149,6 +161,8 @@
     pub plain: bool,
     pub arrivals: Arrivals,
     pub wires: Wires,
+    /// Measure where the real time goes.
+    pub watch: bool,
 }
 
 /// A fleet and its day.
@@ -184,6 +198,7 @@
     carried: Carried,
     parted: bool,
     wires: Wires,
+    watch: Watch,
     fault_all: Option<Fault>,
     script: Vec<(f64, Act)>,
     lasts: Ns,
@@ -205,6 +220,7 @@
     pub notes: Vec<String>,
     /// Times to ok, from when the RPC was due, us.
     pub times: Histogram<u64>,
+    pub watch: Watch,
 }
 
 /// The machine's surroundings during one call.
@@ -252,8 +268,20 @@
     /// # Errors
     /// A charter that does not hold, clients that can't be set up.
     pub fn new(day: Day) -> Result<World, String> {
-        let Day { charter, load, work_ms, retries, script, seconds, seed, check, plain, arrivals, wires } =
-            day;
+        let Day {
+            charter,
+            load,
+            work_ms,
+            retries,
+            script,
+            seconds,
+            seed,
+            check,
+            plain,
+            arrivals,
+            wires,
+            watch,
+        } = day;
         if let Some(wrong) = charter.check().first() {
             return Err(format!("{}: {}", wrong.field, wrong.why));
         }
@@ -290,6 +318,7 @@
             carried: Carried::default(),
             parted: false,
             wires,
+            watch: if watch { Watch::started() } else { Watch::default() },
             fault_all: None,
             script,
             lasts: (seconds * SEC as f64) as Ns,
@@ -348,7 +377,10 @@
             }
             self.now = self.now.max(at);
             self.events += 1;
+            let part = part(&ev);
+            self.watch.lap(Part::Heap);
             self.event(ev);
+            self.watch.lap(part);
         }
         if !self.tries.is_empty() {
             self.evidence.whole = false;
@@ -361,6 +393,7 @@
             virtual_seconds: self.now as f64 / SEC as f64,
             notes: self.notes,
             times: self.crowd.times,
+            watch: self.watch,
         }
     }
 
@@ -568,7 +601,9 @@
         }
         let Some(module) = &mut seat.front else { return };
         let mut acts = Vec::new();
+        self.watch.lap(Part::Fronts);
         call(module, &mut Gather { now: self.now, acts: &mut acts, notes: &mut self.notes });
+        self.watch.lap(Part::Decisions);
         self.carry_out(front, acts);
     }
 
