--- a/emu/src/report.rs
+++ b/emu/src/report.rs
@@ -241,7 +241,7 @@
                 .map_or(Vec::new(), |l| l.newest.iter().enumerate().map(|(s, v)| (s as f64, *v)).collect())
         }));
         let title =
-            "exposure (thick) against cap (thin), first day of each: share of picks at the newest build";
+            "share of picks at the newest build (thick) against cap (thin; free ones come on top), first day of each";
         out += &curves(axes(title, "share", 1.05, UpperLeft), both)?;
     }
     // Nines along the axis: 0.5, 0.9, 0.99, 0.999 lie evenly.
