--- a/front/src/hall.rs
+++ b/front/src/hall.rs
@@ -189,6 +189,8 @@
                     self.each(|front, wire| front.heard(wire, rank as usize, note));
                 }
             }
+            // The directory's.
+            Event::Came { .. } | Event::Bytes { .. } | Event::Gone { .. } => {}
             Event::Signal { number } => {
                 tracing::info!(event = "signal", number);
                 if self.leaving.is_none() {
--- /dev/null
+++ b/ldap/src/message.rs
@@ -0,0 +1,312 @@
+//! Messages. The encoding is `rasn`'s, and so are requests (`rasn-ldap`); answers are types of our own, since
+//! those of the library know no result codes beyond RFC 4511's own (4096, say, of RFC 4533), and take no name
+//! that is not UTF-8, where one bad entry must not cost the session.
+use rasn::prelude::*;
+pub use rasn_ldap::{
+    AbandonRequest, AuthenticationChoice, BindRequest, Control, ExtendedRequest, Filter, SaslCredentials,
+    SearchRequest, SearchRequestDerefAliases, SearchRequestScope, UnbindRequest,
+};
+
+pub const START_TLS: &[u8] = b"1.3.6.1.4.1.1466.20037";
+pub const DISCONNECTION: &[u8] = b"1.3.6.1.4.1.1466.20036";
+pub const PAGED: &[u8] = b"1.2.840.113556.1.4.319";
+pub const SYNC_REQUEST: &[u8] = b"1.3.6.1.4.1.4203.1.9.1.1";
+pub const SYNC_STATE: &[u8] = b"1.3.6.1.4.1.4203.1.9.1.2";
+pub const SYNC_DONE: &[u8] = b"1.3.6.1.4.1.4203.1.9.1.3";
+pub const SYNC_INFO: &[u8] = b"1.3.6.1.4.1.4203.1.9.1.4";
+
+/// Result codes that something depends on (RFC 4511 §4.1.9; 4096: RFC 4533 §2.4).
+pub const SUCCESS: u32 = 0;
+pub const PROTOCOL_ERROR: u32 = 2;
+pub const TIME_LIMIT: u32 = 3;
+pub const SIZE_LIMIT: u32 = 4;
+pub const AUTH_METHOD_NOT_SUPPORTED: u32 = 7;
+pub const REFERRAL: u32 = 10;
+pub const UNAVAILABLE_CRITICAL: u32 = 12;
+pub const NO_SUCH_OBJECT: u32 = 32;
+pub const INVALID_CREDENTIALS: u32 = 49;
+pub const UNAVAILABLE: u32 = 52;
+pub const UNWILLING: u32 = 53;
+pub const REFRESH_REQUIRED: u32 = 4096;
+
+/// A result code: an enumerated value, of which new ones may come.
+#[derive(AsnType, Encode, Decode, Debug, Clone, Copy, PartialEq, Eq)]
+#[rasn(tag(universal, 10), delegate)]
+pub struct Code(pub u32);
+
+#[derive(AsnType, Encode, Decode, Debug, Clone, PartialEq)]
+pub struct Message {
+    pub id: u32,
+    pub op: Op,
+    #[rasn(tag(0))]
+    pub controls: Option<SequenceOf<Control>>,
+}
+
+#[derive(AsnType, Encode, Decode, Debug, Clone, PartialEq)]
+#[rasn(choice)]
+pub enum Op {
+    Bind(BindRequest),
+    Bound(Bound),
+    Unbind(UnbindRequest),
+    Search(SearchRequest),
+    Entry(Entry),
+    Done(Done),
+    Reference(Reference),
+    Abandon(AbandonRequest),
+    Extended(ExtendedRequest),
+    Extends(Extends),
+    Between(Between),
+}
+
+#[derive(AsnType, Encode, Decode, Debug, Clone, PartialEq)]
+#[rasn(tag(application, 1))]
+pub struct Bound {
+    pub code: Code,
+    pub matched: OctetString,
+    pub why: OctetString,
+    #[rasn(tag(3))]
+    pub referral: Option<SequenceOf<OctetString>>,
+    #[rasn(tag(7))]
+    pub sasl: Option<OctetString>,
+}
+
+#[derive(AsnType, Encode, Decode, Debug, Clone, PartialEq)]
+#[rasn(tag(application, 4))]
+pub struct Entry {
+    pub dn: OctetString,
+    pub attributes: SequenceOf<Attribute>,
+}
+
+#[derive(AsnType, Encode, Decode, Debug, Clone, PartialEq)]
+pub struct Attribute {
+    pub kind: OctetString,
+    pub values: SetOf<OctetString>,
+}
+
+#[derive(AsnType, Encode, Decode, Debug, Clone, PartialEq)]
+#[rasn(tag(application, 5))]
+pub struct Done {
+    pub code: Code,
+    pub matched: OctetString,
+    pub why: OctetString,
+    #[rasn(tag(3))]
+    pub referral: Option<SequenceOf<OctetString>>,
+}
+
+#[derive(AsnType, Encode, Decode, Debug, Clone, PartialEq)]
+#[rasn(tag(application, 19), delegate)]
+pub struct Reference(pub SequenceOf<OctetString>);
+
+#[derive(AsnType, Encode, Decode, Debug, Clone, PartialEq)]
+#[rasn(tag(application, 24))]
+pub struct Extends {
+    pub code: Code,
+    pub matched: OctetString,
+    pub why: OctetString,
+    #[rasn(tag(3))]
+    pub referral: Option<SequenceOf<OctetString>>,
+    #[rasn(tag(10))]
+    pub name: Option<OctetString>,
+    #[rasn(tag(11))]
+    pub value: Option<OctetString>,
+}
+
+#[derive(AsnType, Encode, Decode, Debug, Clone, PartialEq)]
+#[rasn(tag(application, 25))]
+pub struct Between {
+    #[rasn(tag(0))]
+    pub name: Option<OctetString>,
+    #[rasn(tag(1))]
+    pub value: Option<OctetString>,
+}
+
+/// The value of the paging control (RFC 2696), in requests and answers.
+#[derive(AsnType, Encode, Decode, Debug, Clone, PartialEq)]
+pub struct Paged {
+    pub size: u32,
+    pub cookie: OctetString,
+}
+
+/// Of a sync request: 1 is refreshOnly, 3 refreshAndPersist.
+#[derive(AsnType, Encode, Decode, Debug, Clone, PartialEq)]
+pub struct SyncRequest {
+    pub mode: Code,
+    pub cookie: Option<OctetString>,
+    #[rasn(default)]
+    pub reload: bool,
+}
+
+pub const REFRESH_AND_PERSIST: Code = Code(3);
+
+/// Of an entry: 0 present, 1 add, 2 modify, 3 delete.
+#[derive(AsnType, Encode, Decode, Debug, Clone, PartialEq)]
+pub struct SyncState {
+    pub state: Code,
+    pub uuid: OctetString,
+    pub cookie: Option<OctetString>,
+}
+
+#[derive(AsnType, Encode, Decode, Debug, Clone, PartialEq)]
+pub struct SyncDone {
+    pub cookie: Option<OctetString>,
+    #[rasn(default)]
+    pub deletes: bool,
+}
+
+fn yes() -> bool {
+    true
+}
+
+#[derive(AsnType, Encode, Decode, Debug, Clone, PartialEq)]
+pub struct Refresh {
+    pub cookie: Option<OctetString>,
+    #[rasn(default = "yes")]
+    pub done: bool,
+}
+
+#[derive(AsnType, Encode, Decode, Debug, Clone, PartialEq)]
+pub struct IdSet {
+    pub cookie: Option<OctetString>,
+    #[rasn(default)]
+    pub deletes: bool,
+    pub uuids: SetOf<OctetString>,
+}
+
+#[derive(AsnType, Encode, Decode, Debug, Clone, PartialEq)]
+#[rasn(choice)]
+pub enum SyncInfo {
+    #[rasn(tag(0))]
+    Cookie(OctetString),
+    #[rasn(tag(1))]
+    Delete(Refresh),
+    #[rasn(tag(2))]
+    Present(Refresh),
+    #[rasn(tag(3))]
+    Ids(IdSet),
+}
+
+/// Decodes a message that [`crate::frames`] has cut.
+///
+/// # Errors
+/// Says that it is none, in the decoder's words.
+pub fn read(bytes: &[u8]) -> Result<Message, String> {
+    rasn::ber::decode(bytes).map_err(|err| err.to_string())
+}
+
+/// Decodes a control's value.
+pub fn value<T: rasn::Decode>(bytes: &[u8]) -> Option<T> {
+    crate::frames::check(bytes).ok()?;
+    rasn::ber::decode(bytes).ok()
+}
+
+pub fn write<T: rasn::Encode>(value: &T) -> Vec<u8> {
+    // Encoding to memory has nothing to fail on.
+    rasn::ber::encode(value).unwrap_or_default()
+}
+
+impl Message {
+    pub fn new(id: u32, op: Op) -> Message {
+        Message { id, op, controls: None }
+    }
+
+    pub fn with<T: rasn::Encode>(mut self, kind: &[u8], critical: bool, value: &T) -> Message {
+        let control = Control::new(kind.to_vec().into(), critical, Some(write(value).into()));
+        self.controls.get_or_insert_with(Vec::new).push(control);
+        self
+    }
+
+    pub fn control(&self, kind: &[u8]) -> Option<&[u8]> {
+        let control = self.controls.iter().flatten().find(|c| c.control_type.as_ref() == kind)?;
+        control.control_value.as_ref().map(|v| v.as_ref())
+    }
+
+    pub fn bytes(&self) -> Vec<u8> {
+        write(self)
+    }
+}
+
+impl Entry {
+    /// Values of an attribute; types are compared without case, options are not looked at.
+    pub fn values<'a>(&'a self, kind: &'a str) -> impl Iterator<Item = Vec<u8>> + 'a {
+        let fits = move |a: &&Attribute| a.kind.eq_ignore_ascii_case(kind.as_bytes());
+        self.attributes.iter().filter(fits).flat_map(|a| a.values.to_vec().into_iter().map(|v| v.to_vec()))
+    }
+
+    /// An attribute's only or first value, where it is text.
+    pub fn text(&self, kind: &str) -> Option<String> {
+        let mut texts: Vec<String> = self.values(kind).filter_map(|v| String::from_utf8(v).ok()).collect();
+        texts.sort();
+        texts.into_iter().next()
+    }
+}
+
+/// Sixteen bytes of an entryUUID, from its text (RFC 4530).
+///
+/// ```
+/// let uuid = rockpick_ldap::message::uuid("597ae2f6-16a6-1027-98f4-d28b5365dc14").unwrap();
+/// assert_eq!((uuid[0], uuid[15]), (0x59, 0x14));
+/// assert!(rockpick_ldap::message::uuid("597ae2f6").is_none());
+/// ```
+pub fn uuid(text: &str) -> Option<[u8; 16]> {
+    let digits: Vec<u8> = text.bytes().filter(|b| *b != b'-').collect();
+    let mut out = [0; 16];
+    if digits.len() != 32 || text.len() > 36 {
+        return None;
+    }
+    for (i, pair) in digits.chunks(2).enumerate() {
+        out[i] = u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok()?;
+    }
+    Some(out)
+}
+
+/// The text of an entryUUID.
+pub fn uuid_text(uuid: &[u8; 16]) -> String {
+    let hex: String = uuid.iter().map(|b| format!("{b:02x}")).collect();
+    format!("{}-{}-{}-{}-{}", &hex[..8], &hex[8..12], &hex[12..16], &hex[16..20], &hex[20..])
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn answers_read_back_with_codes_that_are_no_ones_and_names_that_are_no_text() {
+        let done = Done {
+            code: Code(REFRESH_REQUIRED),
+            matched: b"".to_vec().into(),
+            why: b"old".to_vec().into(),
+            referral: None,
+        };
+        let attribute = Attribute {
+            kind: b"cn".to_vec().into(),
+            values: vec![OctetString::from(vec![0xff, 0xfe])].into(),
+        };
+        let entry = Entry { dn: vec![0xc3, 0x28].into(), attributes: vec![attribute] };
+        for op in [Op::Done(done), Op::Entry(entry)] {
+            let state = SyncState { state: Code(1), uuid: vec![7; 16].into(), cookie: None };
+            let message = Message::new(9, op).with(SYNC_STATE, false, &state);
+            let back = read(&message.bytes()).unwrap();
+            assert_eq!(back, message);
+            assert_eq!(value::<SyncState>(back.control(SYNC_STATE).unwrap()), Some(state));
+        }
+    }
+
+    #[test]
+    fn the_wire_is_that_of_the_rfc() {
+        // A simple bind as RFC 4511 §4.2 lays it out: version 3, name, [0] password.
+        let bind = BindRequest::new(3, "cn=a".into(), AuthenticationChoice::Simple(b"pw".to_vec().into()));
+        let bytes = Message::new(1, Op::Bind(bind)).bytes();
+        let wanted: &[u8] = &[
+            0x30, 0x12, 0x02, 0x01, 0x01, 0x60, 0x0d, 0x02, 0x01, 0x03, 0x04, 0x04, b'c', b'n', b'=', b'a',
+            0x80, 0x02, b'p', b'w',
+        ];
+        assert_eq!(bytes, wanted);
+        let sync = SyncRequest { mode: REFRESH_AND_PERSIST, cookie: None, reload: false };
+        assert_eq!(write(&sync), [0x30, 0x03, 0x0a, 0x01, 0x03]);
+        assert_eq!(
+            write(&Message::new(2, Op::Unbind(UnbindRequest))),
+            [0x30, 0x05, 0x02, 0x01, 0x02, 0x42, 0x00]
+        );
+        assert_eq!(write(&SyncInfo::Present(Refresh { cookie: None, done: true })), [0xa2, 0x00]);
+    }
+}
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod http;
 mod net;
 mod often;
+mod streams;
 mod timers;
 
 pub use net::{Call, End, Event, Id, Net, LINGER, MAX_BACKLOG, MAX_CALLS, MAX_IDLE};
--- a/net/src/net.rs
+++ b/net/src/net.rs
@@ -37,7 +37,7 @@
 /// An answer's reader that takes nothing for this long is gone.
 const WRITE_TIME: Ns = 30 * SEC;
 /// Bytes read at once.
-const READ: usize = 64 * 1024;
+pub(crate) const READ: usize = 64 * 1024;
 /// Sockets accepted, and events handled, in one turn, so that no side starves the other.
 const ACCEPTS: usize = 64;
 const EVENTS: usize = 256;
@@ -82,6 +82,18 @@
     Signal {
         number: i32,
     },
+    /// A stream is there: dialled, or come to a listener of streams.
+    Came {
+        conn: Id,
+    },
+    Bytes {
+        conn: Id,
+        bytes: Vec<u8>,
+    },
+    /// A stream was closed by its peer, or could not be made; not told of those closed here.
+    Gone {
+        conn: Id,
+    },
 }
 
 /// How a call ended.
@@ -122,7 +134,7 @@
     Lingering,
 }
 
-struct Client {
+pub(crate) struct Client {
     io: TcpStream,
     buf: Vec<u8>,
     out: Vec<u8>,
@@ -162,7 +174,7 @@
     Idle,
 }
 
-struct Server {
+pub(crate) struct Server {
     io: TcpStream,
     to: SocketAddr,
     buf: Vec<u8>,
@@ -174,8 +186,19 @@
     head_only: bool,
 }
 
-enum Sock {
+pub(crate) struct Stream {
+    pub(crate) io: TcpStream,
+    pub(crate) out: Vec<u8>,
+    pub(crate) sent: usize,
+    pub(crate) up: bool,
+    /// When a dialled one must be there.
+    pub(crate) until: Ns,
+}
+
+pub(crate) enum Sock {
     Listener(TcpListener),
+    Streams(TcpListener),
+    Stream(Stream),
     Client(Client),
     Server(Server),
     Datagrams(UdpSocket),
@@ -185,7 +208,8 @@
 impl Sock {
     fn fd(&self) -> rustix::fd::BorrowedFd<'_> {
         match self {
-            Sock::Listener(s) => s.as_fd(),
+            Sock::Listener(s) | Sock::Streams(s) => s.as_fd(),
+            Sock::Stream(s) => s.io.as_fd(),
             Sock::Client(c) => c.io.as_fd(),
             Sock::Server(s) => s.io.as_fd(),
             Sock::Datagrams(s) => s.as_fd(),
@@ -194,12 +218,12 @@
     }
 }
 
-struct Slot {
+pub(crate) struct Slot {
     generation: u32,
     /// The generation under which epoll knows the socket; a kept connection's calls have later ones.
     born: u32,
     flags: epoll::EventFlags,
-    sock: Sock,
+    pub(crate) sock: Sock,
 }
 
 pub struct Net {
@@ -214,6 +238,7 @@
     clients: usize,
     calls: usize,
     lingering: usize,
+    pub(crate) streams: usize,
     /// Connections answered in this turn, whose next request may be waiting.
     answered: Vec<Id>,
     /// Most client connections; one more is answered 503 at once.
@@ -231,10 +256,18 @@
     full: Vec<u8>,
 }
 
-fn would_block(err: &io::Error) -> bool {
+pub(crate) fn would_block(err: &io::Error) -> bool {
     err.kind() == ErrorKind::WouldBlock || err.kind() == ErrorKind::Interrupted
 }
 
+/// A socket for a connection that is to be made.
+pub(crate) fn socket(to: &SocketAddr) -> io::Result<TcpStream> {
+    use rustix::net::{socket_with, AddressFamily, SocketFlags, SocketType};
+    let family = if to.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+    let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+    Ok(TcpStream::from(socket_with(family, SocketType::STREAM, flags, None)?))
+}
+
 fn spare() -> Option<OwnedFd> {
     std::fs::File::open("/dev/null").ok().map(OwnedFd::from)
 }
@@ -257,6 +290,7 @@
             clients: 0,
             calls: 0,
             lingering: 0,
+            streams: 0,
             answered: Vec::new(),
             most_clients,
             head_time: HEAD_TIME,
@@ -288,7 +322,11 @@
         (self.clients, self.calls)
     }
 
-    fn add(&mut self, sock: Sock, flags: epoll::EventFlags) -> io::Result<Id> {
+    pub(crate) fn wake_inner(&mut self, at: Ns) {
+        self.timers.set(at, INNER);
+    }
+
+    pub(crate) fn add(&mut self, sock: Sock, flags: epoll::EventFlags) -> io::Result<Id> {
         self.generation = self.generation.wrapping_add(1);
         let generation = self.generation;
         let slot = self.socks.vacant_entry();
@@ -298,7 +336,7 @@
         Ok(id)
     }
 
-    fn get(&mut self, id: Id) -> Option<&mut Slot> {
+    pub(crate) fn get(&mut self, id: Id) -> Option<&mut Slot> {
         self.socks.get_mut((id & 0xffff_ffff) as usize).filter(|s| s.generation == (id >> 32) as u32)
     }
 
@@ -316,7 +354,7 @@
         }
     }
 
-    fn drop_sock(&mut self, id: Id) {
+    pub(crate) fn drop_sock(&mut self, id: Id) {
         if self.get(id).is_none() {
             return;
         }
@@ -334,11 +372,12 @@
                 }
             }
             Sock::Server(_) => self.calls -= 1,
+            Sock::Stream(_) => self.streams -= 1,
             _ => {}
         }
     }
 
-    fn want(&mut self, id: Id, flags: epoll::EventFlags) {
+    pub(crate) fn want(&mut self, id: Id, flags: epoll::EventFlags) {
         let index = (id & 0xffff_ffff) as usize;
         if let Some(slot) = self.socks.get_mut(index).filter(|s| s.flags != flags) {
             slot.flags = flags;
@@ -566,14 +605,11 @@
         if self.calls >= MAX_CALLS {
             return Err(ErrorKind::OutOfMemory.into());
         }
-        use rustix::net::{socket_with, AddressFamily, SocketFlags, SocketType};
-        let family = if call.to.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
-        let fd = socket_with(family, SocketType::STREAM, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC, None)?;
-        match rustix::net::connect(&fd, &call.to) {
+        let io = socket(&call.to)?;
+        match rustix::net::connect(&io, &call.to) {
             Ok(()) | Err(Errno::INPROGRESS) => {}
             Err(err) => return Err(err.into()),
         }
-        let io = TcpStream::from(fd);
         let _ = io.set_nodelay(true);
         let server = Server {
             io,
@@ -671,6 +707,8 @@
         let id = u64::from(slot.generation) << 32 | index as u64;
         match &mut slot.sock {
             Sock::Listener(_) => self.accept(id),
+            Sock::Streams(_) => self.accept_streams(events, id),
+            Sock::Stream(_) => self.stream_ready(events, id, flags),
             Sock::Client(_) => self.serve(events, id, flags),
             Sock::Server(_) => self.fetch(events, id, flags),
             Sock::Datagrams(sock) => {
@@ -993,6 +1031,9 @@
         for id in self.ids(late) {
             self.lost(events, id, "");
         }
+        for id in self.ids(|s| matches!(&s.sock, Sock::Stream(s) if s.late(now))) {
+            self.stream_gone(events, id);
+        }
     }
 
     fn sweep(&mut self, events: &mut Vec<Event>) {
