--- a/ldap/src/session.rs
+++ b/ldap/src/session.rs
@@ -273,7 +273,7 @@
             self.step = Step::Sync { id, persists: false };
             self.by = now + self.quest.within;
         } else {
-            let whole = self.polls % self.quest.whole_every.max(1) == 0 || self.stamp.is_empty();
+            let whole = self.polls.is_multiple_of(self.quest.whole_every.max(1)) || self.stamp.is_empty();
             self.polls += 1;
             self.page(now, whole, Vec::new());
         }
