--- a/net/src/streams.rs
+++ b/net/src/streams.rs
@@ -59,6 +59,11 @@
         true
     }
 
+    /// Bytes that wait to be sent on a stream; none: it is gone.
+    pub fn backlog(&mut self, conn: Id) -> Option<usize> {
+        self.stream_of(conn).map(|s| s.out.len() - s.sent)
+    }
+
     pub(crate) fn stream_of(&mut self, id: Id) -> Option<&mut Stream> {
         match &mut self.get(id)?.sock {
             Sock::Stream(s) => Some(s),
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -2,6 +2,7 @@
 //! records of what crossed their ends of the sockets, from which a rehearsal is judged.
 pub mod client;
 pub mod crowd;
+pub mod directory;
 pub mod faulty;
 pub mod machine;
 pub mod record;
@@ -10,6 +11,7 @@
 
 pub use client::Clients;
 pub use crowd::Load;
+pub use directory::DirectoryServer;
 pub use faulty::Faulty;
 pub use machine::Machine;
 pub use schedule::Arrivals;
--- /dev/null
+++ b/tenant/src/books.rs
@@ -0,0 +1,290 @@
+//! The part of the settings that is about directories: where they are, who asks, what is asked, and what a
+//! caller of no tenant may take.
+use crate::limit::Unknown;
+use crate::model::Tenancy;
+use rockpick_ldap::{filter, Login, Quest};
+use rockpick_net::{Ns, MS};
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
+use rustls::{ClientConfig, RootCertStore};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+const MOST_SERVERS: usize = 16;
+/// Longest text of the settings' own: a few certificates.
+const MOST_TEXT: usize = 256 * 1024;
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Books {
+    /// In order of preference.
+    pub servers: Vec<Server>,
+    /// Go over to TLS on the connection itself (StartTLS); not for `ldaps` servers, which begin with it.
+    #[serde(default)]
+    pub start_tls: bool,
+    /// A password may go in the clear: for tests on loopback.
+    #[serde(default)]
+    pub plain: bool,
+    /// Certificates of the authorities that sign servers' ones, PEM.
+    #[serde(default)]
+    pub authorities: String,
+    #[serde(default)]
+    pub login: Who,
+    pub base: String,
+    /// Which entries are tenants and principals (RFC 4515).
+    #[serde(default = "all")]
+    pub filter: String,
+    #[serde(default)]
+    pub tenancy: Tenancy,
+    /// Use content synchronisation where the server has it.
+    #[serde(default = "yes")]
+    pub sync: bool,
+    #[serde(default = "five_seconds")]
+    pub poll_ms: u64,
+    #[serde(default = "five_seconds")]
+    pub answer_within_ms: u64,
+    #[serde(default = "page")]
+    pub page: u32,
+    /// Go where a server refers to, once a connection, if that is among the servers.
+    #[serde(default)]
+    pub follow: bool,
+    /// All fronts together, when a directory returns.
+    #[serde(default = "twenty")]
+    pub binds_a_second: f64,
+    /// Callers of no tenant: refused, or together as a tenant of this share and rate.
+    #[serde(default)]
+    pub unknown: Callers,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Server {
+    pub at: SocketAddr,
+    /// The name that its certificate must have.
+    #[serde(default)]
+    pub name: String,
+    #[serde(default)]
+    pub ldaps: bool,
+}
+
+/// How fronts say who they are.
+#[derive(Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub enum Who {
+    #[default]
+    Anonymous,
+    Simple {
+        dn: String,
+        password: String,
+    },
+    /// By this certificate and key, PEM.
+    External {
+        certificate: String,
+        key: String,
+    },
+}
+
+impl std::fmt::Debug for Who {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        f.write_str(match self {
+            Who::Anonymous => "anonymous",
+            Who::Simple { .. } => "simple",
+            Who::External { .. } => "external",
+        })
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub enum Callers {
+    Refused,
+    Common { share: f64, rate: Option<f64> },
+}
+
+impl Default for Callers {
+    fn default() -> Callers {
+        Callers::Common { share: 1.0, rate: None }
+    }
+}
+
+fn all() -> String {
+    "(objectClass=*)".into()
+}
+
+fn yes() -> bool {
+    true
+}
+
+fn five_seconds() -> u64 {
+    5_000
+}
+
+fn page() -> u32 {
+    500
+}
+
+fn twenty() -> f64 {
+    20.0
+}
+
+fn pem<T: PemObject>(text: &str) -> Result<Vec<T>, String> {
+    T::pem_slice_iter(text.as_bytes()).collect::<Result<_, _>>().map_err(|err| err.to_string())
+}
+
+impl Books {
+    /// Fields that can't be taken, each with why; paths are within the part.
+    pub fn check(&self) -> Vec<(String, String)> {
+        let mut wrong = Vec::new();
+        let mut must = |good: bool, field: &str, why: &str| {
+            if !good {
+                wrong.push((field.to_string(), why.to_string()));
+            }
+        };
+        must((1..=MOST_SERVERS).contains(&self.servers.len()), "servers", "1 to 16 are wanted");
+        must(self.base.len() <= 1_024, "base", "1024 bytes at most");
+        must((100..=3_600_000).contains(&self.poll_ms), "poll_ms", "100 ms to an hour");
+        must((10..=600_000).contains(&self.answer_within_ms), "answer_within_ms", "10 ms to ten minutes");
+        must((1..=10_000).contains(&self.page), "page", "1 to 10000");
+        must((0.1..=1e5).contains(&self.binds_a_second), "binds_a_second", "0.1 to 100000");
+        must((0.0..=1.0).contains(&self.tenancy.believe_loss), "tenancy.believe_loss", "0 to 1");
+        must(self.tenancy.renamed_ms <= 86_400_000, "tenancy.renamed_ms", "a day at most");
+        let named = !self.tenancy.tenant_class.is_empty() && !self.tenancy.name.is_empty();
+        must(named, "tenancy", "tenant_class and name are wanted");
+        if let Callers::Common { share, rate } = self.unknown {
+            must(share > 0.0 && share <= 1e9, "unknown.common.share", "above 0, at most 1e9");
+            must(rate.is_none_or(|r| (0.0..=1e9).contains(&r)), "unknown.common.rate", "0 to 1e9");
+        }
+        if let Err(why) = filter::read(&self.filter) {
+            must(false, "filter", &why);
+        }
+        must(self.authorities.len() <= MOST_TEXT, "authorities", "256 KiB at most");
+        for (i, s) in self.servers.iter().enumerate() {
+            let secured = s.ldaps || self.start_tls;
+            let name = ServerName::try_from(s.name.as_str());
+            must(
+                !secured || name.is_ok(),
+                &format!("servers[{i}].name"),
+                "the name in its certificate is wanted",
+            );
+        }
+        if self.secured() {
+            if let Err((field, why)) = self.tls() {
+                must(false, field, &why);
+            }
+        } else {
+            must(!matches!(self.login, Who::External { .. }), "login.external", "wanted: ldaps or start_tls");
+            let clear = matches!(self.login, Who::Simple { .. }) && !self.plain;
+            must(!clear, "login.simple", "a password would go in the clear: ldaps, start_tls, or plain");
+        }
+        wrong
+    }
+
+    fn secured(&self) -> bool {
+        self.start_tls || self.servers.iter().any(|s| s.ldaps)
+    }
+
+    /// What TLS is made with; names and dates of certificates are checked.
+    ///
+    /// # Errors
+    /// Names the field.
+    pub fn tls(&self) -> Result<Option<Arc<ClientConfig>>, (&'static str, String)> {
+        if !self.secured() {
+            return Ok(None);
+        }
+        let mut roots = RootCertStore::empty();
+        for authority in pem::<CertificateDer>(&self.authorities).map_err(|why| ("authorities", why))? {
+            roots.add(authority).map_err(|err| ("authorities", err.to_string()))?;
+        }
+        if roots.is_empty() {
+            return Err(("authorities", "a certificate is wanted".into()));
+        }
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let with = ClientConfig::builder_with_provider(provider)
+            .with_safe_default_protocol_versions()
+            .map_err(|err| ("start_tls", err.to_string()))?
+            .with_root_certificates(roots);
+        let client = match &self.login {
+            Who::External { certificate, key } => {
+                let chain = pem(certificate).map_err(|why| ("login.external.certificate", why))?;
+                let key = PrivateKeyDer::from_pem_slice(key.as_bytes())
+                    .map_err(|err| ("login.external.key", err.to_string()))?;
+                with.with_client_auth_cert(chain, key).map_err(|err| ("login.external", err.to_string()))?
+            }
+            _ => with.with_no_client_auth(),
+        };
+        Ok(Some(Arc::new(client)))
+    }
+
+    /// What a session asks for.
+    pub fn quest(&self) -> Result<Quest, String> {
+        Ok(Quest {
+            login: match &self.login {
+                Who::Anonymous => Login::Anonymous,
+                Who::Simple { dn, password } => Login::Simple { dn: dn.clone(), password: password.clone() },
+                Who::External { .. } => Login::External,
+            },
+            start_tls: self.start_tls,
+            plain: self.plain,
+            base: self.base.clone(),
+            filter: filter::read(&self.filter)?,
+            attributes: self.tenancy.attributes(),
+            page: self.page,
+            sync: self.sync,
+            poll: self.poll_ms as Ns * MS,
+            within: self.answer_within_ms as Ns * MS,
+            most_entries: crate::model::MOST_ENTRIES,
+            ..Quest::default()
+        })
+    }
+
+    pub fn callers(&self) -> Unknown {
+        match self.unknown {
+            Callers::Refused => Unknown::Refused,
+            Callers::Common { share, rate } => Unknown::Common { share, rate },
+        }
+    }
+
+    /// One server in the clear, to begin with.
+    pub fn example(at: SocketAddr) -> Books {
+        Books {
+            servers: vec![Server { at, name: String::new(), ldaps: false }],
+            start_tls: false,
+            plain: false,
+            authorities: String::new(),
+            login: Who::Anonymous,
+            base: "dc=example".into(),
+            filter: all(),
+            tenancy: Tenancy::default(),
+            sync: true,
+            poll_ms: 5_000,
+            answer_within_ms: 5_000,
+            page: 500,
+            follow: false,
+            binds_a_second: 20.0,
+            unknown: Callers::default(),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn errors_name_their_fields() {
+        let books = Books::example(SocketAddr::from(([127, 0, 0, 1], 389)));
+        assert_eq!(books.check(), []);
+        let bad = Books {
+            login: Who::Simple { dn: "cn=a".into(), password: "x".into() },
+            filter: "(a".into(),
+            page: 0,
+            ..books.clone()
+        };
+        let fields: Vec<String> = bad.check().into_iter().map(|w| w.0).collect();
+        assert_eq!(fields, ["page", "filter", "login.simple"]);
+        let bad = Books { start_tls: true, authorities: "no pem".into(), ..books };
+        let fields: Vec<String> = bad.check().into_iter().map(|w| w.0).collect();
+        assert_eq!(fields, ["servers[0].name", "authorities"]);
+    }
+}
