Fronts know tenants from a directory and keep their limits; settings, status, confirm

The settings gain a checked part 'directory'; a front links to it on its own loop, resolves callers by API key, principal or tenant's name in the version in force, and pushes back untaken what a tenant may not take. The controller sums what fronts count by tenant and tells all.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -145,6 +145,32 @@
         #[arg(long)]
         agent: bool,
     },
+    /// Runs a stand-in directory (LDAPv3).
+    Directory {
+        #[command(flatten)]
+        listen: Listen,
+        /// Address where its content and faults are set, over HTTP.
+        #[arg(long, default_value = "127.0.0.1:0")]
+        control: SocketAddr,
+        /// Begins with TLS.
+        #[arg(long)]
+        ldaps: bool,
+        /// The name in its certificate.
+        #[arg(long, default_value = "localhost")]
+        name: String,
+        /// Its certificate is out of date.
+        #[arg(long)]
+        expired: bool,
+        /// DN=PASSWORD that may bind, may be given several times; without any, anyone may.
+        #[arg(long)]
+        account: Vec<String>,
+    },
+    /// Says that tenants which a directory no longer shows are really gone; to one front.
+    Confirm {
+        /// The front's address.
+        #[arg(long)]
+        front: SocketAddr,
+    },
     /// Runs stand-in clients.
     Client {
         #[command(flatten)]
@@ -430,6 +456,21 @@
             println!("ok after ms: p50 {:.1}  p90 {:.1}  p99 {:.1}", ms(0.5), ms(0.9), ms(0.99));
             good
         }
+        What::Directory { listen, control, ldaps, name, expired, account } => {
+            let split = |a: &String| a.rsplit_once('=').map(|(dn, p)| (dn.to_string(), p.to_string()));
+            let accounts: Option<Vec<(String, String)>> = account.iter().map(split).collect();
+            let accounts = accounts.ok_or(Bad2("--account: DN=PASSWORD is wanted".into()))?;
+            let listen = listen.listen;
+            let server =
+                rockpick_standin::DirectoryServer { listen, control, ldaps, name, expired, accounts };
+            let told = |at, control| {
+                println!("control {control}");
+                ready(at);
+            };
+            server.run(told).map_err(Bad2)?;
+            good
+        }
+        What::Confirm { front } => ask::say(front, "POST", "/directory/confirm", ""),
         What::Faulty { listen, at, name, breaks, seed } => {
             let (listen, controller) = (listen.listen, at.controller);
             rockpick_standin::Faulty { name, listen, controller, breaks, seed }.run(ready).map_err(Bad2)?;
--- a/control/src/charter.rs
+++ b/control/src/charter.rs
@@ -1,6 +1,7 @@
 //! The settings: what an operator may tell a deployment, given by API call as one JSON document, checked as
 //! a whole. Times are whole milliseconds here and whole nanoseconds everywhere else.
 use rockpick::{Control, Group, Guard, Method, Ns, Post, Repeat, Rights, Rollout};
+use rockpick_tenant::Books;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 
@@ -30,6 +31,9 @@
     /// Service lost, as a share, if every pick crossed zones.
     #[serde(default)]
     pub cross_zone_price: f64,
+    /// Where tenants come from; without it all callers are alike.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub directory: Option<Books>,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
@@ -273,6 +277,9 @@
         }
         must((1..65_536).contains(&self.first_build), "first_build".into(), "1 to 65535");
         must(share(self.cross_zone_price), "cross_zone_price".into(), "0 to 1");
+        for (field, why) in self.directory.iter().flat_map(Books::check) {
+            must(false, format!("directory.{field}"), &why);
+        }
         wrong
     }
 
@@ -406,6 +413,7 @@
                 .collect(),
             first_build: 1,
             cross_zone_price: 0.01,
+            directory: None,
         }
     }
 }
--- a/control/src/desk.rs
+++ b/control/src/desk.rs
@@ -10,6 +10,8 @@
 
 const MS: Ns = 1_000_000;
 const SEC: Ns = 1_000 * MS;
+/// Tenants that are summed at once; those beyond are not, and their rates are split by the last sums.
+const MOST_TENANTS: usize = 10_000;
 /// Rows that one report of counts may hold: all methods of a handful of builds.
 const MOST_ROWS: usize = 512;
 /// Builds that one agent may tell of.
@@ -79,6 +81,8 @@
     /// Votes that may still be taken, and as of when.
     bucket: (f64, Ns),
     counts: BTreeMap<(u32, usize), [u64; 2]>,
+    /// By tenant: asked, served, refused.
+    tenants: BTreeMap<String, [u64; 3]>,
     tallied: Ns,
     told: Ns,
     stage_changed: bool,
@@ -407,6 +411,16 @@
                 *count = [count[0] + picks, count[1] + bad];
             }
         }
+        let none = Vec::new();
+        let tenants = json.get("tenants").and_then(Value::as_array).unwrap_or(&none);
+        for row in tenants.iter().take(MOST_TENANTS) {
+            let n = |j: usize| row.get(j).and_then(Value::as_u64).unwrap_or(0).min(1 << 32);
+            let Some(name) = row.get(0).and_then(Value::as_str).filter(|n| n.len() <= 36) else { continue };
+            if self.tenants.len() < MOST_TENANTS || self.tenants.contains_key(name) {
+                let sums = self.tenants.entry(name.to_string()).or_default();
+                (0..3).for_each(|i| sums[i] += n(i + 1));
+            }
+        }
         Answer::Now(200, json!({}))
     }
 
@@ -608,8 +622,15 @@
             self.told = now;
         }
         let mut tally = None;
+        let mut sums = None;
         if r.tally_every_ms > 0 && now - self.tallied >= r.tally_every_ms as Ns * MS {
+            let span = ms(now - self.tallied);
             self.tallied = now;
+            let rows: Vec<Value> =
+                self.tenants.iter().map(|(name, [a, s, r])| json!([name, a, s, r])).collect();
+            sums = (!rows.is_empty())
+                .then(|| json!({ "tenants": { "span_ms": span, "rows": rows } }).to_string());
+            self.tenants.clear();
             let row = |((b, m), [picks, bad]): (&(u32, usize), &[u64; 2])| json!([b, m, picks, bad]);
             let rows: Vec<Value> = self.counts.iter().map(row).collect();
             tally = (!rows.is_empty()).then(|| json!({ "tally": rows }).to_string());
@@ -652,7 +673,7 @@
             if settled {
                 w.serial = Some(self.roster.serial);
             }
-            lines.extend(tally.iter().map(|t| (*conn, t.clone())));
+            lines.extend(tally.iter().chain(&sums).map(|t| (*conn, t.clone())));
         }
         self.watchers = watchers;
         lines
--- a/front/src/hall.rs
+++ b/front/src/hall.rs
@@ -1,5 +1,6 @@
 //! The front's loop: sockets and timers in, calls to the module out.
 use crate::saved::{self, Saved, Writer};
+use crate::shelf::Shelf;
 use crate::wire::{read_note, wait_lines, What, Wire, LAPSE, MODULE, TICK};
 use crate::{fresh, Opening};
 use rockpick::{Front, Member, Ns, Outcome, Reply, Roll, Standing};
@@ -22,6 +23,8 @@
 const TICK_EVERY: Ns = 250 * MS;
 /// A front without settings asks for them this often.
 const ASK_EVERY: Ns = 500 * MS;
+/// The tag of the directory's own wakes; TICK and LAPSE lie below.
+const SHELF: u64 = 7;
 const SIGTERM: i32 = 15;
 const SIGINT: i32 = 2;
 
@@ -43,6 +46,8 @@
     leaving: Option<Ns>,
     asking: bool,
     no_settings: bool,
+    /// Tenants, where the settings name a directory.
+    shelf: Option<Shelf>,
 }
 
 /// Runs a front until a signal ends it; `ready` hears the address taken.
@@ -84,6 +89,7 @@
         leaving: None,
         asking: false,
         no_settings,
+        shelf: None,
     };
     if let Some(kept) = kept {
         hall.restore(kept)?;
@@ -121,6 +127,9 @@
                     let mut last = Vec::new();
                     let _ = self.wire.net.turn(&mut last, 0);
                     let saved = self.snapshot();
+                    if let Some(shelf) = self.shelf.take() {
+                        shelf.end(&mut self.wire.net);
+                    }
                     if let Some(writer) = self.writer.take() {
                         writer.close(saved);
                     }
@@ -149,6 +158,12 @@
         while let Some((rpc, pick, outcome, _)) = self.wire.owed.pop() {
             self.pick_over(rpc, pick, outcome, None);
         }
+        let now = self.wire.net.now();
+        for (tenant, served) in self.wire.over.drain(..) {
+            if let Some(shelf) = &mut self.shelf {
+                shelf.over(now, tenant, served);
+            }
+        }
     }
 
     fn event(&mut self, event: Event) {
@@ -180,6 +195,12 @@
                 }
             }
             Event::Woke { tag: TICK } => self.tick(),
+            Event::Woke { tag: SHELF } => {
+                if let Some(shelf) = &mut self.shelf {
+                    shelf.tick(&mut self.wire.net);
+                    self.wake_shelf();
+                }
+            }
             Event::Woke { .. } => {}
             Event::Datagram { from, bytes } => {
                 // A note counts only from where the controller says that this front is.
@@ -189,8 +210,13 @@
                     self.each(|front, wire| front.heard(wire, rank as usize, note));
                 }
             }
-            // The directory's.
-            Event::Came { .. } | Event::Bytes { .. } | Event::Gone { .. } => {}
+            Event::Came { .. } | Event::Bytes { .. } | Event::Gone { .. } => {
+                if let Some(shelf) = &mut self.shelf {
+                    shelf.event(&mut self.wire.net, &event);
+                    self.wake_shelf();
+                }
+            }
+
             Event::Signal { number } => {
                 tracing::info!(event = "signal", number);
                 if self.leaving.is_none() {
@@ -210,6 +236,10 @@
         let (status, value) = match (request.method.as_str(), path.as_str()) {
             ("GET" | "HEAD", "/status") => (200, self.status()),
             ("POST", "/dispute") => self.dispute(&request.body),
+            ("POST", "/directory/confirm") => match &self.shelf {
+                Some(shelf) => (200, json!({ "suspected": shelf.confirm(self.wire.net.now()) })),
+                None => (404, json!({ "error": "the settings name no directory" })),
+            },
             (_, "/status" | "/dispute") => (405, json!({ "error": "GET /status or POST /dispute" })),
             _ => (404, json!({ "error": "POST /rpc/METHOD, POST /dispute and GET /status are known" })),
         };
@@ -258,13 +288,41 @@
             return self.not_taken(conn, 400, "Idempotency-Key: wanted for this method");
         }
         let key = request.lines.get("rockpick-key").map(key_of);
+        let now = self.wire.net.now();
+        let tenant = match self.shelf.as_mut().map(|s| s.take(now, &request)) {
+            None => None,
+            Some(Ok(tenant)) => Some(tenant),
+            Some(Err(wait)) => return self.over_limit(conn, wait),
+        };
         let (rpc, by) = self.wire.take(conn, method, left, request);
+        if let Some(open) = self.wire.open[rpc].as_mut() {
+            open.tenant = tenant;
+        }
         let life = self.wire.life;
         self.one(life, |front, wire| front.taken(wire, rpc, method, key, by));
         self.settle();
         self.wire.sweep(rpc);
     }
 
+    /// Pushes an RPC back untaken: its tenant has had what it may take.
+    fn over_limit(&mut self, conn: Id, wait: Ns) {
+        self.wire.tolls.not_taken += 1;
+        let [seconds, ms] = wait_lines(wait);
+        let lines = [
+            ("Rockpick-Answer", "pushed-back"),
+            ("Retry-After", &*seconds),
+            ("Rockpick-Retry-After-Ms", &*ms),
+        ];
+        self.wire.net.answer(conn, 503, &lines, b"more than this tenant may take\n");
+    }
+
+    fn wake_shelf(&mut self) {
+        let at = self.shelf.as_ref().map_or(Ns::MAX, |s| s.link.wake());
+        if at < Ns::MAX {
+            self.wire.net.wake_at(at, SHELF);
+        }
+    }
+
     fn pick_over(
         &mut self, rpc: usize, pick: usize, outcome: Outcome, response: Option<rockpick_net::http::Response>,
     ) {
@@ -385,6 +443,9 @@
                 }
             }
         }
+        if let (Some(sums), Some(shelf)) = (line.get("tenants"), &mut self.shelf) {
+            shelf.told(self.wire.net.now(), sums);
+        }
         if let Some(fronts) = line.get("fronts").and_then(Value::as_array) {
             let peer = |f: &Value| {
                 let rank = f.get("rank")?.as_u64()? as u32;
@@ -530,6 +591,14 @@
             self.version = version;
             return;
         };
+        if !self.shelf.as_ref().is_some_and(|s| s.same(&charter)) {
+            if let Some(shelf) = self.shelf.take() {
+                shelf.end(&mut self.wire.net);
+            }
+            let (opening, now) = (&self.wire.opening, self.wire.net.now());
+            self.shelf = Shelf::new(now, &charter, &opening.name, &opening.state, opening.seed);
+            self.wake_shelf();
+        }
         self.wire.charter = charter;
         (self.version, self.no_settings) = (version, false);
         self.wire.life += 1;
@@ -612,12 +681,18 @@
             self.drop_watch("silent");
         }
         let every = self.wire.charter.rollout.tally_every_ms as Ns * MS;
-        if every > 0 && now - self.counted >= every && !self.wire.counts.is_empty() {
+        if let Some(shelf) = &mut self.shelf {
+            shelf.tick(&mut self.wire.net);
+        }
+        let sums = self.shelf.is_some() || !self.wire.counts.is_empty();
+        if every > 0 && now - self.counted >= every && sums {
             self.counted = now;
             let row = |((b, m), [picks, bad]): (&(u32, usize), &[u32; 2])| json!([b, m, picks, bad]);
             let rows: Vec<Value> = self.wire.counts.iter().map(row).collect();
             self.wire.counts.clear();
-            let body = json!({ "front": self.wire.opening.name, "rows": rows }).to_string();
+            let body = json!({ "front": self.wire.opening.name, "rows": rows,
+                "tenants": self.shelf.as_mut().map_or(Vec::new(), Shelf::sums) })
+            .to_string();
             self.wire.ask(What::Else, "POST", "/counts", &body, Some(SEC));
         }
         let newest = self.wire.life;
@@ -659,7 +734,7 @@
             "open": self.wire.door.in_use(), "clients": clients, "calls": calls, "taken": t.taken, "ok": t.ok,
             "pushed_back": t.pushed_back, "aborted": t.aborted, "left": t.left, "late": t.late, "picks": t.picks,
             "not_taken": t.not_taken, "refused_connections": self.wire.net.refused,
-            "peers": self.wire.peers.len(), "module_ms": (self.wire.in_module - self.wire.in_actions) / MS, "up_ms": now / MS })
+            "peers": self.wire.peers.len(), "directory": self.shelf.as_ref().map(|s| s.status(now)), "module_ms": (self.wire.in_module - self.wire.in_actions) / MS, "up_ms": now / MS })
     }
 }
 
--- a/front/src/lib.rs
+++ b/front/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod fresh;
 mod hall;
 mod saved;
+mod shelf;
 mod wire;
 
 pub use hall::run;
--- a/front/src/wire.rs
+++ b/front/src/wire.rs
@@ -61,6 +61,9 @@
     request: Request,
     picks: Vec<Pick>,
     late: bool,
+    /// Whose it is, and whether it was served or refused.
+    pub tenant: Option<u32>,
+    served: Option<bool>,
 }
 
 struct Pick {
@@ -133,6 +136,8 @@
     pub counts: BTreeMap<(u32, usize), [u32; 2]>,
     pub chance: StdRng,
     pub tolls: Tolls,
+    /// RPCs of tenants that are over: whose, and whether served.
+    pub over: Vec<(u32, bool)>,
     pub standing: Option<Standing>,
     pub often: Often,
     /// Time spent in the module, and of that in carrying its actions out, where it is asked for.
@@ -171,6 +176,7 @@
             watch: None,
             voting: None,
             counts: BTreeMap::new(),
+            over: Vec::new(),
             tolls: Tolls::default(),
             standing: None,
             often: Often::new(LOG_LINES),
@@ -189,7 +195,17 @@
         let gives_up = self.net.now() + left;
         let margin = self.charter.guard.answer_margin_ms as Ns * MS;
         let life = self.life;
-        self.open[rpc] = Some(Open { life, conn, method, gives_up, request, picks: Vec::new(), late: false });
+        self.open[rpc] = Some(Open {
+            life,
+            conn,
+            method,
+            gives_up,
+            request,
+            picks: Vec::new(),
+            late: false,
+            tenant: None,
+            served: None,
+        });
         (rpc, gives_up - margin)
     }
 
@@ -253,6 +269,7 @@
         }
         if let Some(response) = response.filter(|_| outcome == Outcome::Ok && !self.door.finished(rpc)) {
             self.tolls.ok += 1;
+            open.served = Some(true);
             let (build, picks) = (build.to_string(), picks.to_string());
             let own = |n: &str| n.len() > 9 && n[..9].eq_ignore_ascii_case("rockpick-");
             let mut lines: Vec<(&str, &str)> = passed(&response.lines).filter(|(n, _)| !own(n)).collect();
@@ -270,7 +287,8 @@
     /// Frees an RPC's slot once nothing more can come of it.
     pub fn sweep(&mut self, rpc: usize) {
         if self.door.sweep(rpc) {
-            self.open[rpc] = None;
+            let over = self.open[rpc].take().and_then(|o| Some((o.tenant?, o.served?)));
+            self.over.extend(over);
         }
     }
 
@@ -356,7 +374,9 @@
     }
 
     fn push_back(&mut self, rpc: usize, wait: Ns) {
-        let Some(open) = self.open[rpc].as_ref().filter(|_| !self.door.finished(rpc)) else { return };
+        let done = self.door.finished(rpc);
+        let Some(open) = self.open[rpc].as_mut().filter(|_| !done) else { return };
+        open.served = Some(false);
         let [seconds, ms] = wait_lines(wait);
         let lines = [
             ("Rockpick-Answer", "pushed-back"),
--- a/tenant/src/model.rs
+++ b/tenant/src/model.rs
@@ -131,6 +131,7 @@
     pub version: u64,
     tenants: OrdMap<Id, Arc<Tenant>>,
     identities: OrdMap<Identity, Id>,
+    uuids: OrdMap<[u8; 16], Id>,
     /// Names in lower case, and until when; the present ones have no end.
     names: OrdMap<Box<str>, (Id, Ns)>,
 }
@@ -147,6 +148,11 @@
         (*until > now).then_some(*id)
     }
 
+    /// The number of an entryUUID.
+    pub fn id(&self, uuid: &[u8; 16]) -> Option<Id> {
+        self.uuids.get(uuid).copied()
+    }
+
     pub fn tenant(&self, id: Id) -> Option<&Tenant> {
         self.tenants.get(&id).map(|t| &**t)
     }
@@ -521,6 +527,7 @@
                 }
             }
         }
+        next.uuids = tenants.iter().map(|(id, t)| (t.uuid, *id)).collect();
         (next.tenants, next.names) = (tenants, names);
         next.identities = OrdMap::new();
         let all: Vec<[u8; 16]> = self.entries.keys().copied().collect();
