--- a/cli/src/lab.rs
+++ b/cli/src/lab.rs
@@ -21,6 +21,15 @@
     /// Plain fronts in place of ours, to set beside: round robin, three repeats, no vote. Prints only service.
     #[arg(long)]
     plain: bool,
+    /// Limits by tenant with the controller's sums (sums), without (alone); with --plain or --speed.
+    #[arg(long)]
+    limits: Option<String>,
+    /// Rate of the first tenant over all fronts, RPCs a second.
+    #[arg(long)]
+    tenant_rate: Option<f64>,
+    /// What else of the load differs from the start: greedy=0.8 and the like, NAME=NUMBER.
+    #[arg(long)]
+    shape: Vec<String>,
     /// Only the time that it takes: nothing is kept for the checker.
     #[arg(long)]
     speed: bool,
@@ -94,6 +103,19 @@
         if self.speed || self.plain {
             let mut day = experiment::day(&self.plan, &self.set, self.plan.seed, false).map_err(Bad2)?;
             (day.plain, day.watch) = (self.plain, !self.plain);
+            for shape in &self.shape {
+                let (name, value) =
+                    shape.split_once('=').ok_or(Bad2(format!("--shape {shape}: NAME=NUMBER")))?;
+                let value: f64 = value.parse().map_err(|_| Bad2(format!("--shape {shape}: NAME=NUMBER")))?;
+                day.load.change(&serde_json::json!({ name: value })).map_err(Bad2)?;
+            }
+            day.limits = match self.limits.as_deref() {
+                None => None,
+                Some(how @ ("sums" | "alone")) => {
+                    Some(rockpick_emu::Kept { rates: [self.tenant_rate, None, None], sums: how == "sums" })
+                }
+                Some(other) => return Err(Bad2(format!("--limits {other}: sums or alone"))),
+            };
             let before = memory();
             let outcome = World::new(day).map_err(Bad2)?.run();
             let took = began.elapsed().as_secs_f64();
@@ -102,6 +124,12 @@
                  virtual s, {:.0} MiB at most, service {:.3}", self.plan.fronts, self.plan.machines, t.rpcs,
                 outcome.virtual_seconds, outcome.events as f64 / took, took / outcome.virtual_seconds,
                 held / 1_048_576.0, t.served / t.asked.max(1e-9));
+            let firms = outcome.firms.map(|[asked, served]| format!("{:.3}", served / asked.max(1e-9)));
+            println!(
+                "service by tenant: {}; served utility/s {}",
+                firms.join(" "),
+                outcome.firms.map(|f| format!("{:.0}", f[1] / outcome.virtual_seconds)).join(" ")
+            );
             if let Some(shares) = outcome.watch.shares() {
                 let parts =
                     PARTS.iter().zip(shares).map(|((_, name), s)| format!("{name} {:.0}%", 100.0 * s));
--- a/emu/src/experiment.rs
+++ b/emu/src/experiment.rs
@@ -73,6 +73,7 @@
         arrivals: Arrivals::Poisson,
         wires: Wires::default(),
         watch: false,
+        limits: None,
     })
 }
 
--- a/emu/src/lib.rs
+++ b/emu/src/lib.rs
@@ -12,4 +12,4 @@
 
 pub use line::Line;
 pub use study::Study;
-pub use world::{Day, Outcome, World};
+pub use world::{Day, Kept, Outcome, World};
--- a/emu/src/seat.rs
+++ b/emu/src/seat.rs
@@ -75,6 +75,8 @@
     pub method: usize,
     pub gives_up: Ns,
     pub picks: Vec<Pick>,
+    /// Whose it is, where limits are kept.
+    pub tenant: Option<u32>,
 }
 
 #[derive(Default)]
@@ -93,6 +95,7 @@
     /// The roster as it last had it: what a restart comes up from.
     pub roster: Vec<rockpick::Member>,
     pub voting: u64,
+    pub limits: Option<rockpick_tenant::Limits>,
     /// A plain front's turn.
     pub turn: usize,
     /// Sampled picks and those not ok, by build and method.
--- a/emu/src/world.rs
+++ b/emu/src/world.rs
@@ -9,12 +9,15 @@
 use rockpick_control::roster::{Beat, Order, Roster};
 use rockpick_control::Charter;
 use rockpick_front::fresh;
+use rockpick_ldap::message::{Attribute, Entry as Record};
+use rockpick_ldap::News;
 use rockpick_net::{MS, SEC};
 use rockpick_rehearse::day::{Act, Carried};
 use rockpick_rehearse::judge::{ClientLine, Deed, Evidence, MachineLine, Saw, Told};
 use rockpick_standin::crowd::{Crowd, How, Load, Next, Rpc, Tolls};
 use rockpick_standin::schedule::Arrivals;
 use rockpick_standin::shop::{Bad, Did, Fault, Job, Kind, Reply, Shop, Yard, HELD};
+use rockpick_tenant::{Directory, Limits, Tenancy, Tenants, Unknown};
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
@@ -68,6 +71,7 @@
     Stage(u32, u32, Standing),
     Members(u32, u32, Roll, Rc<Vec<Member>>),
     Tally(u32, u32, Rc<Vec<[u32; 4]>>),
+    Sums(u32, u32, Ns, Rc<Vec<(u32, [u32; 3])>>),
     Vote(u32, u32, u32, u32, Verdict, u64),
     Voted(u32, u32, Word, Option<Standing>, u64),
     Note(u32, u32, u32, Rc<Vec<u8>>),
@@ -163,6 +167,33 @@
     pub wires: Wires,
     /// Measure where the real time goes.
     pub watch: bool,
+    /// Limits by tenant, and whether fronts hear sums.
+    pub limits: Option<Kept>,
+}
+
+/// How limits by tenant are kept: rates of the three tenants, and the controller's sums.
+#[derive(Clone, Debug, Default)]
+pub struct Kept {
+    pub rates: [Option<f64>; 3],
+    pub sums: bool,
+}
+
+/// The three tenants of clients, as a directory would have them.
+fn tenants(rates: &[Option<f64>; 3]) -> Rc<Tenants> {
+    let mut directory = Directory::new(Tenancy::default());
+    directory.take(0, News::Begin);
+    for (i, rate) in rates.iter().enumerate() {
+        let pair = |kind: &str, value: String| Attribute {
+            kind: kind.as_bytes().to_vec().into(),
+            values: vec![value.into_bytes().into()].into(),
+        };
+        let mut attributes = vec![pair("objectClass", "organization".into()), pair("o", format!("firm-{i}"))];
+        attributes.extend(rate.map(|r| pair("rockpickRate", r.to_string())));
+        let entry = Record { dn: format!("o=firm-{i}").into_bytes().into(), attributes };
+        directory.take(0, News::Entry { uuid: [i as u8; 16], entry });
+    }
+    directory.take(0, News::End { whole: true });
+    Rc::new((**directory.version()).clone())
 }
 
 /// A fleet and its day.
@@ -198,6 +229,12 @@
     carried: Carried,
     parted: bool,
     wires: Wires,
+    /// The tenants, where limits are kept; sums of them on their way.
+    tenants: Option<Rc<Tenants>>,
+    sums: bool,
+    summed: BTreeMap<u32, [u32; 3]>,
+    /// Utility asked for and served in time, by tenant.
+    firms: [[f64; 2]; 3],
     watch: Watch,
     fault_all: Option<Fault>,
     script: Vec<(f64, Act)>,
@@ -221,6 +258,8 @@
     /// Times to ok, from when the RPC was due, us.
     pub times: Histogram<u64>,
     pub watch: Watch,
+    /// Utility asked for and served in time, by tenant.
+    pub firms: [[f64; 2]; 3],
 }
 
 /// The machine's surroundings during one call.
@@ -281,6 +320,7 @@
             arrivals,
             wires,
             watch,
+            limits,
         } = day;
         if let Some(wrong) = charter.check().first() {
             return Err(format!("{}: {}", wrong.field, wrong.why));
@@ -318,6 +358,10 @@
             carried: Carried::default(),
             parted: false,
             wires,
+            tenants: limits.as_ref().map(|l| tenants(&l.rates)),
+            sums: limits.is_some_and(|l| l.sums),
+            summed: BTreeMap::new(),
+            firms: [[0.0; 2]; 3],
             watch: if watch { Watch::started() } else { Watch::default() },
             fault_all: None,
             script,
@@ -394,6 +438,7 @@
             notes: self.notes,
             times: self.crowd.times,
             watch: self.watch,
+            firms: self.firms,
         }
     }
 
@@ -404,7 +449,11 @@
                 Some(*f)
             }
             Ev::Ended { front, .. } => Some(*front),
-            Ev::Members(f, ..) | Ev::Tally(f, ..) | Ev::Voted(f, ..) | Ev::Dispute(f, ..) => Some(*f),
+            Ev::Members(f, ..)
+            | Ev::Sums(f, ..)
+            | Ev::Tally(f, ..)
+            | Ev::Voted(f, ..)
+            | Ev::Dispute(f, ..) => Some(*f),
             Ev::Note(_, f, ..) => Some(*f),
             _ => None,
         };
@@ -468,6 +517,12 @@
                     self.call(front, life, |f, ctl| f.tallied(ctl, build, method as usize, picks, bad));
                 }
             }
+            Ev::Sums(front, life, span, rows) => {
+                let (now, seat) = (self.now, &mut self.seats[front as usize]);
+                if let Some(limits) = seat.limits.as_mut().filter(|_| seat.life == life) {
+                    limits.told(now, span, &rows);
+                }
+            }
             Ev::Vote(front, life, build, stage, verdict, id) => {
                 self.vote(front, life, build, stage, verdict, id)
             }
@@ -511,6 +566,7 @@
             return;
         }
         let rpc = self.crowd.arrive();
+        self.firms[rpc.tenant % 3][0] += self.crowd.row(&rpc).utility;
         // A replay that is over has nothing due any more.
         if self.crowd.schedule.due < Ns::MAX {
             self.at(self.crowd.schedule.due, Ev::Arrive);
@@ -547,6 +603,10 @@
             How::Broken => Saw::Broken,
             How::GaveUp => Saw::GaveUp,
         };
+        let row = self.crowd.row(&t.rpc);
+        if how == (How::Ok { right: true }) && self.now - t.rpc.began <= row.soft_deadline_ms as Ns * MS {
+            self.firms[t.rpc.tenant % 3][1] += row.utility;
+        }
         self.line(&t.rpc, t.front, saw, self.now > t.look.max(t.gives_up));
         self.after(t.rpc, how, (wait >= 0).then_some(wait));
     }
@@ -581,6 +641,8 @@
         let seat = &mut self.seats[front as usize];
         let (standing, roster, zone) = (seat.standing, std::mem::take(&mut seat.roster), seat.zone);
         *seat = Seat { life: seat.life + 1, born: now, zone, ..Seat::default() };
+        let common = Unknown::Common { share: 1.0, rate: None };
+        seat.limits = self.tenants.is_some().then(|| Limits::new(now, self.charter.fronts.len(), common));
         let life = seat.life;
         let (mut acts, mut notes) = (Vec::new(), Vec::new());
         seat.front = Some(Front::start(post, &mut Gather { now, acts: &mut acts, notes: &mut notes }));
@@ -691,17 +753,27 @@
         if seat.life != t.life || seat.front.is_none() {
             return self.answered(attempt, How::Unreachable, -1);
         }
-        let (method, key) = (t.rpc.method, t.rpc.key);
+        let (method, key, firm) = (t.rpc.method, t.rpc.key, t.rpc.tenant as u32);
         if !in_time {
             let wire = self.jitter(self.wires.client);
             return self.at(self.now + wire, Ev::Answer(attempt, How::PushedBack, SEC / 4));
         }
-        let (gives_up, life) = (t.told, seat.life);
+        let (gives_up, life, now) = (t.told, seat.life, self.now);
+        let mut tenant = None;
+        if let (Some(limits), Some(tenants)) = (&mut seat.limits, &self.tenants) {
+            match limits.take(now, tenants, Some(firm)) {
+                Ok(id) => tenant = Some(id),
+                Err(wait) => {
+                    let wire = self.jitter(self.wires.client);
+                    return self.at(self.now + wire, Ev::Answer(attempt, How::PushedBack, wait));
+                }
+            }
+        }
         let rpc = seat.door.open(attempt);
         if seat.open.len() <= rpc {
             seat.open.resize_with(rpc + 1, || None);
         }
-        seat.open[rpc] = Some(Open { attempt, method, gives_up, picks: Vec::new() });
+        seat.open[rpc] = Some(Open { attempt, method, gives_up, picks: Vec::new(), tenant });
         self.call(front, life, |f, ctl| f.taken(ctl, rpc, method, Some(key), gives_up - margin));
         if self.plain {
             self.plain_pick(front, rpc);
@@ -747,7 +819,15 @@
     fn answer(&mut self, front: u32, rpc: usize, how: How, wait: Ns) {
         let seat = &mut self.seats[front as usize];
         let Some(open) = seat.open[rpc].as_ref().filter(|_| !seat.door.finished(rpc)) else { return };
-        let attempt = open.attempt;
+        let (attempt, tenant) = (open.attempt, open.tenant);
+        let served = match how {
+            How::Ok { .. } => Some(true),
+            How::PushedBack => Some(false),
+            _ => None,
+        };
+        if let (Some(limits), Some(tenant), Some(served)) = (&mut seat.limits, tenant, served) {
+            limits.over(self.now, tenant, served);
+        }
         seat.door.finish(rpc);
         // One that would come after the client has given up is not sent.
         if self.now < open.gives_up {
@@ -1103,6 +1183,19 @@
                     *count = [count[0] + picks, count[1] + bad];
                 }
             }
+            for seat in self.seats.iter_mut().filter(|_| self.sums) {
+                for (id, s) in seat.limits.as_mut().map_or(Vec::new(), Limits::tell) {
+                    let sums = self.summed.entry(id).or_default();
+                    (0..3).for_each(|i| sums[i] += s[i]);
+                }
+            }
+            if !self.summed.is_empty() {
+                let rows = Rc::new(std::mem::take(&mut self.summed).into_iter().collect::<Vec<_>>());
+                for front in 0..self.seats.len() as u32 {
+                    let (life, wire) = (self.seats[front as usize].life, self.jitter(self.wires.told));
+                    self.at(now + wire, Ev::Sums(front, life, every, rows.clone()));
+                }
+            }
             let row = |((b, m), [picks, bad]): ((u32, usize), [u32; 2])| [b, m as u32, picks, bad];
             let rows: Rc<Vec<[u32; 4]>> =
                 Rc::new(std::mem::take(&mut self.counts).into_iter().map(row).collect());
--- a/standin/src/crowd.rs
+++ b/standin/src/crowd.rs
@@ -38,6 +38,8 @@
     /// Share of clients with little patience, and what part of the soft deadline they wait.
     pub hasty: f64,
     pub patience: f64,
+    /// Share of traffic that is the first tenant's beyond its part of the three.
+    pub greedy: f64,
     /// They leave early and come back at once; else they come with little time left.
     pub leave: bool,
 }
@@ -57,6 +59,7 @@
             tail_times: 1.0,
             hasty: 0.0,
             patience: 1.0,
+            greedy: 0.0,
             leave: false,
         }
     }
@@ -80,6 +83,7 @@
                 "tail" => self.tail = number?,
                 "tail_times" => self.tail_times = number?,
                 "hasty" => self.hasty = number?,
+                "greedy" => self.greedy = number?.min(1.0),
                 "patience" => self.patience = number?,
                 "leave" => self.leave = number? > 0.0,
                 _ => return Err(format!("{name}: not known")),
--- a/standin/src/schedule.rs
+++ b/standin/src/schedule.rs
@@ -189,7 +189,7 @@
         let mut odds = |p: f64| p > 0.0 && self.chance.random::<f64>() < p;
         let (hot, heavier, tail, hasty) =
             (odds(load.hot), odds(load.heavier), odds(load.tail), odds(load.hasty));
-        let (caller, shift) = (odds(load.caller), odds(load.shift));
+        let (caller, shift, greedy) = (odds(load.caller), odds(load.shift), odds(load.greedy));
         let at = self.chance.random::<f64>() * self.zipf[self.zipf.len() - 1];
         let key = if hot {
             self.chance.random_range(0..load.hot_keys.max(1)) as u64
@@ -218,7 +218,7 @@
             id: self.many,
             method,
             key,
-            tenant: self.chance.random_range(0..3),
+            tenant: if greedy { 0 } else { self.chance.random_range(0..3) },
             // Half of the work is the same for all, half is drawn: a few ms at the least.
             work_ms: self.work_ms * (0.5 + 0.5 * exp).min(4.0) * times,
             began: now,
--- a/tenant/src/limit.rs
+++ b/tenant/src/limit.rs
@@ -25,9 +25,13 @@
 const SCARCE: f64 = 0.03;
 /// Ends in the window below which a front says nothing about that.
 const FEWEST: f64 = 12.0;
-/// By what the divided whole grows in each bucket in which nothing was refused, and where thinning ends: so a
-/// lift of thinning takes ten buckets at twice the capacity.
-const GROW: f64 = 1.08;
+/// What is divided, of the most that was lately served: a little more, so that the module goes on finding out
+/// what there is. Dividing what is served at present would lead down: the module, once it has met a jam, takes
+/// a part of what it is offered that rises by 0.04 each half second at most, and thinning would take from
+/// that again (measured: a tenth of the utility served with 30 fronts).
+const WHOLE: f64 = 1.05;
+/// By what the most lately served fades in each bucket: a half in about a minute.
+const FADE: f64 = 0.994;
 /// A bucket of tokens holds this long of a rate, or one RPC.
 const BURST: f64 = 0.5;
 /// Callers that belong to no tenant are counted as one of this number.
@@ -82,6 +86,8 @@
     /// Sums over all fronts, by tenant, a second, and when they came.
     told: BTreeMap<Id, [f64; 3]>,
     told_at: Option<Ns>,
+    /// The most RPCs a second that were lately served.
+    peak: f64,
     /// RPCs a second that are divided among tenants; none: enough for all.
     whole: Option<f64>,
     pub thinned: u64,
@@ -120,6 +126,7 @@
             turned: now,
             told: BTreeMap::new(),
             told_at: None,
+            peak: 0.0,
             whole: None,
             thinned: 0,
             over_rate: 0,
@@ -262,19 +269,10 @@
         let sum = |i: usize| seen.values().map(|s| s[i]).sum::<f64>();
         let (asked, served, refused) = (sum(0), sum(1), sum(2));
         let ended = served + refused;
-        if ended * window >= FEWEST {
-            let scarce = refused > SCARCE * ended;
-            self.whole = match self.whole {
-                None if scarce => Some(served),
-                None => None,
-                Some(whole) if scarce => Some(served.min(whole).max(0.5 * whole)),
-                Some(whole) if refused < SCARCE / 2.0 * ended => {
-                    let more = whole * GROW;
-                    (more < 1.2 * asked).then_some(more)
-                }
-                Some(whole) => Some(whole),
-            };
-        }
+        self.peak = (self.peak * FADE).max(served);
+        let scarce = ended * window >= FEWEST && refused > SCARCE * ended;
+        let enough = asked < 0.9 * self.peak;
+        self.whole = (scarce || self.whole.is_some() && !enough).then_some(WHOLE * self.peak);
         let Some(whole) = self.whole else {
             return self.rows.values_mut().for_each(|r| r.keep = 1.0);
         };
