--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -464,8 +464,8 @@
             let server =
                 rockpick_standin::DirectoryServer { listen, control, ldaps, name, expired, accounts };
             let told = |at, control| {
-                println!("control {control}");
                 ready(at);
+                println!("control {control}");
             };
             server.run(told).map_err(Bad2)?;
             good
--- a/emu/src/world.rs
+++ b/emu/src/world.rs
@@ -1353,6 +1353,8 @@
             Act::Load(load) => {
                 let _ = self.crowd.schedule.load.change(load);
             }
+            // Fronts go on with what they have; the emulator has no directory to lose.
+            Act::Directory(_) => {}
             Act::Notes(carried) => self.carried = *carried,
             Act::Part(parted) => {
                 self.parted = *parted;
--- a/rehearse/src/crew.rs
+++ b/rehearse/src/crew.rs
@@ -1,5 +1,6 @@
 //! The processes of a rehearsal: started, stopped and killed by the script; a host that starts the machines
 //! which the controller wants; the clients; and the judgement at the end.
+use crate::books;
 use crate::day::{self, Act, Plan};
 use crate::judge::{self, Judgement, Written};
 use crate::relay::Relay;
@@ -132,6 +133,12 @@
     pending: Vec<(i64, Pending)>,
     warm: bool,
     starts: u64,
+    /// The directory: its addresses, its process, when it came back, and what that took all fronts, s.
+    books: Option<[SocketAddr; 2]>,
+    directory: Option<Proc>,
+    returned: Option<i64>,
+    in_force: Option<f64>,
+    looked: i64,
 }
 
 enum Pending {
@@ -204,7 +211,18 @@
             pending: Vec::new(),
             warm: true,
             starts: 0,
+            books: None,
+            directory: None,
+            returned: None,
+            in_force: None,
+            looked: 0,
         };
+        if crew.plan.day == "directory" && crew.plan.trouble.is_empty() {
+            let at = books::addresses().map_err(say)?;
+            crew.charter.directory = Some(books::books(at[0]));
+            crew.books = Some(at);
+            crew.start_directory(false)?;
+        }
         if crew.plan.agents {
             crew.make_repo()?;
         }
@@ -242,6 +260,37 @@
         Ok(crew)
     }
 
+    fn start_directory(&mut self, back: bool) -> Result<(), String> {
+        let Some([at, control]) = self.books else { return Ok(()) };
+        let args = words(&["directory", "--listen", &at.to_string(), "--control", &control.to_string()]);
+        let proc = Proc::start(&args, &self.log("directory"))?;
+        let put = call(control, "POST", "/entries", &books::entries(back).to_string())?;
+        if put.status != 200 {
+            return Err(format!("the directory's entries: {}", String::from_utf8_lossy(&put.body)));
+        }
+        self.directory = Some(proc);
+        Ok(())
+    }
+
+    /// Do all fronts know what the directory has come back with?
+    fn look(&mut self) {
+        let now = clock();
+        let Some(returned) = self.returned.filter(|_| self.in_force.is_none() && now - self.looked > SEC / 5)
+        else {
+            return;
+        };
+        self.looked = now;
+        let knows = |at: &SocketAddr| {
+            let Ok(answer) = call(*at, "GET", "/status", "") else { return false };
+            let status: Value = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
+            let d = &status["directory"];
+            d["tenants"] == books::AFTER && d["settled"] == true
+        };
+        if self.front_at.iter().all(knows) {
+            self.in_force = Some((now - returned) as f64 / SEC as f64);
+        }
+    }
+
     fn start_controller(&mut self) -> Result<(), String> {
         let state = self.out.join("controller");
         let mut args = words(&[
@@ -568,6 +617,15 @@
                 self.note(&format!("{carried:?}"), "fronts");
                 self.relay.change(|way| way.carried = *carried);
             }
+            Act::Directory(back) => {
+                self.note(if *back { "start" } else { "kill" }, "directory");
+                if *back {
+                    self.start_directory(true)?;
+                    self.returned = Some(clock());
+                } else {
+                    self.directory = None;
+                }
+            }
             Act::Part(parted) => {
                 self.note(if *parted { "part" } else { "join" }, "zones");
                 let zones = self.charter.fronts.iter().map(|f| self.charter.zone(&f.zone));
@@ -693,6 +751,7 @@
             }
             self.due()?;
             self.host()?;
+            self.look();
             if now - slowed > SEC {
                 slowed = now;
                 self.share_slowness();
@@ -724,7 +783,22 @@
         let evidence = judge::read(&self.charter, &written(&self.out)?);
         let judgement = judge::judge(&self.charter, &evidence);
         print(&judgement, "loopback");
-        Ok(judgement.breaches.is_empty())
+        let mut good = judgement.breaches.is_empty();
+        if let Some([_, control]) = self.books {
+            let status = call(control, "GET", "/status", "")?;
+            let status: Value = serde_json::from_slice(&status.body).unwrap_or(Value::Null);
+            match self.in_force {
+                Some(s) => println!(
+                    "directory: changes in force at all {} fronts {s:.1} s after its return; \
+                    {} binds in a second at most",
+                    self.fronts.len(),
+                    status["most_binds_a_second"]
+                ),
+                None => println!("directory: changes never came into force at all fronts"),
+            }
+            good &= self.in_force.is_some();
+        }
+        Ok(good)
     }
 
     /// Agents end with their builds.
--- a/rehearse/src/day.rs
+++ b/rehearse/src/day.rs
@@ -10,7 +10,8 @@
 pub struct Plan {
     /// morning (a bad build, a burst on a drain, a killed front, a silent machine, a controller that stands
     /// still), quiet (one good build), short (eleven seconds, one build on trial), calm (no build) or stop (no
-    /// build; all machines stand still for five seconds) or cold (no build; all machines are lost and come back).
+    /// build; all machines stand still for five seconds) cold (no build; all machines are lost and come back) or directory
+    /// (tenants from a directory that is lost in a burst and returns with changes).
     #[arg(long, default_value = "morning")]
     pub day: String,
     /// A kind of trouble, for a day of its own; may be given several times. `list` names them.
@@ -102,6 +103,8 @@
     Notes(Carried),
     /// Fronts and machines of different zones reach each other no more, or again.
     Part(bool),
+    /// The directory is killed; or is back, with other content.
+    Directory(bool),
 }
 
 /// How notes between fronts, datagrams, are carried.
@@ -166,8 +169,8 @@
     }
 }
 
-pub fn days() -> [&'static str; 6] {
-    ["morning", "quiet", "short", "calm", "stop", "cold"]
+pub fn days() -> [&'static str; 7] {
+    ["morning", "quiet", "short", "calm", "stop", "cold", "directory"]
 }
 
 /// The settings that a plan asks for.
@@ -293,6 +296,19 @@
                 let vanish = |machine: usize| (8.0, Act::Vanish { machine, ms: 1_000 });
                 ((0..plan.machines).map(vanish).collect(), 40.0)
             }
+            "directory" => {
+                let burst = json!({ "rate": 2.0 * plan.rate });
+                let acts = vec![
+                    (8.0, Act::Load(burst)),
+                    // In the middle of a burst.
+                    (9.0, Act::Directory(false)),
+                    (12.0, Act::Load(json!({ "rate": plan.rate }))),
+                    offer(13.0, 2, false),
+                    (16.0, Act::KillFront { front: 0, down_ms: 300 }),
+                    (20.0, Act::Directory(true)),
+                ];
+                (acts, 50.0)
+            }
             "short" => (vec![offer(2.0, 2, false), (4.0, Act::Leave(0))], 11.0),
             other => return Err(format!("--day {other}: one of {}", days().join(", "))),
         }
--- a/rehearse/src/lib.rs
+++ b/rehearse/src/lib.rs
@@ -1,5 +1,6 @@
 //! A rehearsal: controller, fronts, machines and clients as processes of their own on loopback, a scripted
 //! day of troubles, and a judgement by [`judge`] of what crossed the sockets.
+mod books;
 mod crew;
 pub mod day;
 pub mod judge;
