--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod lab;
 mod load;
+mod tenants;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use rockpick_control::Charter;
@@ -314,6 +315,8 @@
     Front(bench::Front),
     /// Many agents on one controller: a stage, rollbacks, a controller's restart.
     Agents(fleet::Agents),
+    /// A directory's entries: time, memory, lookups beside a plain hash map.
+    Tenants(tenants::Tenants),
 }
 
 #[derive(Subcommand)]
@@ -491,6 +494,7 @@
         What::Status { at, json } => ask::status(at.controller, json),
         What::Bench { what: Bench::Front(front) } => front.run(),
         What::Bench { what: Bench::Agents(agents) } => agents.run(),
+        What::Bench { what: Bench::Tenants(tenants) } => tenants.run(),
     }
 }
 
--- a/tenant/src/model.rs
+++ b/tenant/src/model.rs
@@ -5,7 +5,7 @@
 //!
 //! A directory that comes back empty, or with most tenants missing, is not believed: the version in force
 //! stays until the content is back or an operator confirms.
-use imbl::OrdMap;
+use imbl::{HashMap, OrdMap};
 use rockpick_ldap::message::{uuid, uuid_text, Entry};
 use rockpick_ldap::News;
 use rockpick_net::{Ns, MS, SEC};
@@ -100,7 +100,7 @@
 }
 
 /// Who calls.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Identity {
     Principal(Box<str>),
     Certificate(Box<str>),
@@ -130,7 +130,8 @@
 pub struct Tenants {
     pub version: u64,
     tenants: OrdMap<Id, Arc<Tenant>>,
-    identities: OrdMap<Identity, Id>,
+    /// Never walked: the order of a hash map shows nowhere.
+    identities: HashMap<Identity, Id>,
     uuids: OrdMap<[u8; 16], Id>,
     /// Names in lower case, and until when; the present ones have no end.
     names: OrdMap<Box<str>, (Id, Ns)>,
@@ -529,7 +530,7 @@
         }
         next.uuids = tenants.iter().map(|(id, t)| (t.uuid, *id)).collect();
         (next.tenants, next.names) = (tenants, names);
-        next.identities = OrdMap::new();
+        next.identities = HashMap::new();
         let all: Vec<[u8; 16]> = self.entries.keys().copied().collect();
         for uuid in all {
             self.identify(&ties, uuid, next);
