--- a/standin/src/directory.rs
+++ b/standin/src/directory.rs
@@ -155,10 +155,14 @@
     format!("{year:04}{month:02}{day:02}{:02}{:02}{:02}Z", rest / 3_600, rest / 60 % 60, rest % 60)
 }
 
-/// An authority, the server's certificate by it, and one for a client.
-fn certificates(
-    name: &str, expired: bool,
-) -> Result<(String, Arc<ServerConfig>, (String, String)), rcgen::Error> {
+/// An authority, what the server shows by it, and a certificate with its key for a client; all PEM.
+struct Certificates {
+    authority: String,
+    tls: Arc<ServerConfig>,
+    client: (String, String),
+}
+
+fn certificates(name: &str, expired: bool) -> Result<Certificates, rcgen::Error> {
     let mut params = CertificateParams::new(Vec::<String>::new())?;
     params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
     let issuer = CertifiedIssuer::self_signed(params, KeyPair::generate()?)?;
@@ -190,7 +194,8 @@
         .with_client_cert_verifier(verifier)
         .with_single_cert(chain, private)
         .map_err(bad)?;
-    Ok((issuer.pem(), Arc::new(config), (client.pem(), client_key.serialize_pem())))
+    let client = (client.pem(), client_key.serialize_pem());
+    Ok(Certificates { authority: issuer.pem(), tls: Arc::new(config), client })
 }
 
 impl DirectoryServer {
@@ -206,8 +211,8 @@
         }
         let (_, at) = net.listen_streams(self.listen).map_err(say)?;
         let (_, control) = net.listen(self.control).map_err(say)?;
-        let (authority, tls, client) =
-            certificates(&self.name, self.expired).map_err(|err| err.to_string())?;
+        let made = certificates(&self.name, self.expired).map_err(|err| err.to_string())?;
+        let Certificates { authority, tls, client } = made;
         ready(at, control);
         let process = Process {
             net,
