--- a/cli/src/lab.rs
+++ b/cli/src/lab.rs
@@ -30,6 +30,9 @@
     /// What else of the load differs from the start: greedy=0.8 and the like, NAME=NUMBER.
     #[arg(long)]
     shape: Vec<String>,
+    /// The shape begins at this second of the day, not at its start.
+    #[arg(long)]
+    shape_at: Option<f64>,
     /// Only the time that it takes: nothing is kept for the checker.
     #[arg(long)]
     speed: bool,
@@ -107,7 +110,13 @@
                 let (name, value) =
                     shape.split_once('=').ok_or(Bad2(format!("--shape {shape}: NAME=NUMBER")))?;
                 let value: f64 = value.parse().map_err(|_| Bad2(format!("--shape {shape}: NAME=NUMBER")))?;
-                day.load.change(&serde_json::json!({ name: value })).map_err(Bad2)?;
+                let change = serde_json::json!({ name: value });
+                let mut tried = day.load.clone();
+                tried.change(&change).map_err(Bad2)?;
+                match self.shape_at {
+                    None => day.load = tried,
+                    Some(at) => day.script.push((at, rockpick_rehearse::day::Act::Load(change))),
+                }
             }
             day.limits = match self.limits.as_deref() {
                 None => None,
@@ -130,6 +139,11 @@
                 firms.join(" "),
                 outcome.firms.map(|f| format!("{:.0}", f[1] / outcome.virtual_seconds)).join(" ")
             );
+            if self.shape_at.is_some() {
+                let second = |s: &[[f64; 2]; 3]| format!("{:.2}", s[1][1] / s[1][0].max(1e-9));
+                let all: Vec<String> = outcome.firm_seconds.iter().map(second).collect();
+                println!("service of the second tenant by second: {}", all.join(" "));
+            }
             if let Some(shares) = outcome.watch.shares() {
                 let parts =
                     PARTS.iter().zip(shares).map(|((_, name), s)| format!("{name} {:.0}%", 100.0 * s));
--- a/emu/src/world.rs
+++ b/emu/src/world.rs
@@ -235,6 +235,8 @@
     summed: BTreeMap<u32, [u32; 3]>,
     /// Utility asked for and served in time, by tenant.
     firms: [[f64; 2]; 3],
+    /// The same by second.
+    firm_seconds: Vec<[[f64; 2]; 3]>,
     watch: Watch,
     fault_all: Option<Fault>,
     script: Vec<(f64, Act)>,
@@ -260,6 +262,7 @@
     pub watch: Watch,
     /// Utility asked for and served in time, by tenant.
     pub firms: [[f64; 2]; 3],
+    pub firm_seconds: Vec<[[f64; 2]; 3]>,
 }
 
 /// The machine's surroundings during one call.
@@ -362,6 +365,7 @@
             sums: limits.is_some_and(|l| l.sums),
             summed: BTreeMap::new(),
             firms: [[0.0; 2]; 3],
+            firm_seconds: Vec::new(),
             watch: if watch { Watch::started() } else { Watch::default() },
             fault_all: None,
             script,
@@ -439,6 +443,7 @@
             times: self.crowd.times,
             watch: self.watch,
             firms: self.firms,
+            firm_seconds: self.firm_seconds,
         }
     }
 
@@ -566,7 +571,11 @@
             return;
         }
         let rpc = self.crowd.arrive();
-        self.firms[rpc.tenant % 3][0] += self.crowd.row(&rpc).utility;
+        let (utility, firm) = (self.crowd.row(&rpc).utility, rpc.tenant % 3);
+        self.firms[firm][0] += utility;
+        let second = ((self.now - SEC) / SEC).max(0) as usize;
+        self.firm_seconds.resize(self.firm_seconds.len().max(second + 1), [[0.0; 2]; 3]);
+        self.firm_seconds[second][firm][0] += utility;
         // A replay that is over has nothing due any more.
         if self.crowd.schedule.due < Ns::MAX {
             self.at(self.crowd.schedule.due, Ev::Arrive);
@@ -605,7 +614,12 @@
         };
         let row = self.crowd.row(&t.rpc);
         if how == (How::Ok { right: true }) && self.now - t.rpc.began <= row.soft_deadline_ms as Ns * MS {
-            self.firms[t.rpc.tenant % 3][1] += row.utility;
+            let (utility, firm) = (row.utility, t.rpc.tenant % 3);
+            self.firms[firm][1] += utility;
+            let second = ((t.rpc.began - SEC) / SEC).max(0) as usize;
+            if let Some(row) = self.firm_seconds.get_mut(second) {
+                row[firm][1] += utility;
+            }
         }
         self.line(&t.rpc, t.front, saw, self.now > t.look.max(t.gives_up));
         self.after(t.rpc, how, (wait >= 0).then_some(wait));
@@ -642,7 +656,10 @@
         let (standing, roster, zone) = (seat.standing, std::mem::take(&mut seat.roster), seat.zone);
         *seat = Seat { life: seat.life + 1, born: now, zone, ..Seat::default() };
         let common = Unknown::Common { share: 1.0, rate: None };
-        seat.limits = self.tenants.is_some().then(|| Limits::new(now, self.charter.fronts.len(), common));
+        seat.limits = self.tenants.is_some().then(|| {
+            let utilities = self.charter.methods.iter().map(|m| m.utility).collect();
+            Limits::new(now, self.charter.fronts.len(), common, utilities)
+        });
         let life = seat.life;
         let (mut acts, mut notes) = (Vec::new(), Vec::new());
         seat.front = Some(Front::start(post, &mut Gather { now, acts: &mut acts, notes: &mut notes }));
@@ -761,7 +778,7 @@
         let (gives_up, life, now) = (t.told, seat.life, self.now);
         let mut tenant = None;
         if let (Some(limits), Some(tenants)) = (&mut seat.limits, &self.tenants) {
-            match limits.take(now, tenants, Some(firm)) {
+            match limits.take(now, tenants, Some(firm), method) {
                 Ok(id) => tenant = Some(id),
                 Err(wait) => {
                     let wire = self.jitter(self.wires.client);
--- a/front/src/hall.rs
+++ b/front/src/hall.rs
@@ -289,7 +289,7 @@
         }
         let key = request.lines.get("rockpick-key").map(key_of);
         let now = self.wire.net.now();
-        let tenant = match self.shelf.as_mut().map(|s| s.take(now, &request)) {
+        let tenant = match self.shelf.as_mut().map(|s| s.take(now, &request, method)) {
             None => None,
             Some(Ok(tenant)) => Some(tenant),
             Some(Err(wait)) => return self.over_limit(conn, wait),
--- a/front/src/shelf.rs
+++ b/front/src/shelf.rs
@@ -20,6 +20,7 @@
 pub struct Shelf {
     books: Books,
     fronts: usize,
+    utilities: Vec<f64>,
     pub link: Link,
     keeper: Keeper,
     limits: Limits,
@@ -49,6 +50,10 @@
     }
 }
 
+fn utilities(charter: &Charter) -> Vec<f64> {
+    charter.methods.iter().map(|m| m.utility).collect()
+}
+
 impl Shelf {
     /// What the settings ask for, if they do.
     pub fn new(now: Ns, charter: &Charter, name: &str, state: &Option<PathBuf>, seed: u64) -> Option<Shelf> {
@@ -71,13 +76,15 @@
             })
         });
         let keeper = Keeper::begin(now, books.tenancy.clone(), kept, save);
-        let limits = Limits::new(now, fronts, books.callers());
-        Some(Shelf { books, fronts, link, keeper, limits })
+        let limits = Limits::new(now, fronts, books.callers(), utilities(charter));
+        Some(Shelf { utilities: utilities(charter), books, fronts, link, keeper, limits })
     }
 
     /// Do other settings mean the same here?
     pub fn same(&self, charter: &Charter) -> bool {
-        charter.directory.as_ref() == Some(&self.books) && charter.fronts.len() == self.fronts
+        charter.directory.as_ref() == Some(&self.books)
+            && charter.fronts.len() == self.fronts
+            && utilities(charter) == self.utilities
     }
 
     /// Ends politely, with a last snapshot.
@@ -113,10 +120,10 @@
     ///
     /// # Errors
     /// The time after which to return.
-    pub fn take(&mut self, now: Ns, request: &Request) -> Result<Id, Ns> {
+    pub fn take(&mut self, now: Ns, request: &Request, method: usize) -> Result<Id, Ns> {
         let tenants: Arc<Tenants> = self.keeper.version();
         let whose = self.whose(now, &tenants, request);
-        self.limits.take(now, &tenants, whose)
+        self.limits.take(now, &tenants, whose, method)
     }
 
     pub fn over(&mut self, now: Ns, id: Id, served: bool) {
--- a/tenant/src/limit.rs
+++ b/tenant/src/limit.rs
@@ -32,6 +32,8 @@
 const WHOLE: f64 = 1.05;
 /// By what the most lately served fades in each bucket: a half in about a minute.
 const FADE: f64 = 0.994;
+/// What is taken of a method at the least, where its tenant is thinned.
+const LEAST: f64 = 0.02;
 /// A bucket of tokens holds this long of a rate, or one RPC.
 const BURST: f64 = 0.5;
 /// Callers that belong to no tenant are counted as one of this number.
@@ -62,9 +64,10 @@
     part: f64,
     tokens: f64,
     filled: Ns,
-    /// What part of its RPCs is taken, and what has gathered of it.
+    /// What part of its RPCs is taken.
     keep: f64,
-    gathered: f64,
+    /// By method: RPCs lately asked for, fading; what part of them is taken, and what has gathered of it.
+    methods: Vec<[f64; 3]>,
 }
 
 impl Row {
@@ -80,6 +83,8 @@
 pub struct Limits {
     fronts: usize,
     pub unknown: Unknown,
+    /// Of each method.
+    utilities: Vec<f64>,
     rows: BTreeMap<Id, Row>,
     at: usize,
     turned: Ns,
@@ -117,10 +122,11 @@
 }
 
 impl Limits {
-    pub fn new(now: Ns, fronts: usize, unknown: Unknown) -> Limits {
+    pub fn new(now: Ns, fronts: usize, unknown: Unknown, utilities: Vec<f64>) -> Limits {
         Limits {
             fronts: fronts.max(1),
             unknown,
+            utilities,
             rows: BTreeMap::new(),
             at: 0,
             turned: now,
@@ -134,7 +140,7 @@
     }
 
     fn row(&mut self, id: Id, now: Ns) -> &mut Row {
-        let part = 1.0 / self.fronts as f64;
+        let (part, methods) = (1.0 / self.fronts as f64, self.utilities.len());
         self.rows.entry(id).or_insert(Row {
             ring: Default::default(),
             tell: Default::default(),
@@ -142,7 +148,7 @@
             tokens: f64::MAX,
             filled: now,
             keep: 1.0,
-            gathered: 0.0,
+            methods: vec![[0.0, 1.0, 0.0]; methods],
         })
     }
 
@@ -157,7 +163,7 @@
     ///
     /// # Errors
     /// The time after which to return.
-    pub fn take(&mut self, now: Ns, tenants: &Tenants, tenant: Option<Id>) -> Result<Id, Ns> {
+    pub fn take(&mut self, now: Ns, tenants: &Tenants, tenant: Option<Id>, method: usize) -> Result<Id, Ns> {
         self.turn(now, tenants);
         let known = tenant.filter(|t| tenants.tenant(*t).is_some());
         let id = known.unwrap_or(UNKNOWN);
@@ -179,12 +185,15 @@
             }
         }
         // Thinned evenly, not by chance: the small ones are not to have bad luck.
-        row.gathered = (row.gathered + row.keep).min(2.0);
-        if row.gathered < 1.0 {
-            self.thinned += 1;
-            return Err(RETURN);
+        if let Some([asked, keep, gathered]) = row.methods.get_mut(method) {
+            *asked += 1.0;
+            *gathered = (*gathered + *keep).min(2.0);
+            if *gathered < 1.0 {
+                self.thinned += 1;
+                return Err(RETURN);
+            }
+            *gathered -= 1.0;
         }
-        row.gathered -= 1.0;
         if rate.is_some() {
             row.tokens -= 1.0;
         }
@@ -274,7 +283,11 @@
         let enough = asked < 0.9 * self.peak;
         self.whole = (scarce || self.whole.is_some() && !enough).then_some(WHOLE * self.peak);
         let Some(whole) = self.whole else {
-            return self.rows.values_mut().for_each(|r| r.keep = 1.0);
+            for row in self.rows.values_mut() {
+                row.keep = 1.0;
+                row.methods.iter_mut().for_each(|m| (m[0], m[1]) = (m[0] / 2.0, 1.0));
+            }
+            return;
         };
         let ids: Vec<Id> = seen.keys().copied().collect();
         let demand = |id: &Id| {
@@ -287,6 +300,22 @@
                 row.keep = if *demand > 0.0 { (part / demand).min(1.0) } else { 1.0 };
             }
         }
+        let mut order: Vec<usize> = (0..self.utilities.len()).collect();
+        order.sort_by(|a, b| self.utilities[*b].total_cmp(&self.utilities[*a]).then(a.cmp(b)));
+        for row in self.rows.values_mut() {
+            // Of what a tenant may take, the most useful first: of equally useful methods each its part.
+            let mut left = row.keep * row.methods.iter().map(|m| m[0]).sum::<f64>();
+            let useful = |a: &usize, b: &usize| self.utilities[*a] == self.utilities[*b];
+            for alike in order.chunk_by(useful) {
+                let asked: f64 = alike.iter().map(|m| row.methods[*m][0]).sum();
+                let keep = if asked > 0.0 { (left / asked).min(1.0) } else { row.keep };
+                left -= asked * keep;
+                for m in alike {
+                    // None is shut out whole: a method of which nothing is taken would never be seen again.
+                    row.methods[*m] = [row.methods[*m][0] / 2.0, keep.max(LEAST), row.methods[*m][2]];
+                }
+            }
+        }
     }
 
     /// For the status: RPCs a second that are divided, and what part of each tenant's is taken.
@@ -326,13 +355,13 @@
         let d = tenants(&[Some(100.0)]);
         for (exchange, low, high) in [(false, 20.0, 30.0), (true, 88.0, 102.0)] {
             // Four fronts; all of the tenant's 400 RPCs a second come to the first.
-            let mut fronts: Vec<Limits> = (0..4).map(|_| Limits::new(0, 4, COMMON)).collect();
+            let mut fronts: Vec<Limits> = (0..4).map(|_| Limits::new(0, 4, COMMON, vec![1.0])).collect();
             let mut taken = 0;
             for ms in 0..20_000_i64 {
                 let now = ms * MS;
                 let asks = if ms % 5 < 2 { 1 } else { 0 };
                 for _ in 0..asks {
-                    taken += i32::from(fronts[0].take(now, d.version(), Some(0)).is_ok() && ms >= 10_000);
+                    taken += i32::from(fronts[0].take(now, d.version(), Some(0), 0).is_ok() && ms >= 10_000);
                 }
                 if exchange && ms % 1_000 == 0 && ms > 0 {
                     let sums: Vec<Vec<(Id, Sums)>> = fronts.iter_mut().map(Limits::tell).collect();
@@ -349,7 +378,7 @@
     #[test]
     fn what_is_scarce_is_divided_by_weight_and_what_is_left_is_lent() {
         let d = tenants(&[None, None, None]);
-        let mut limits = Limits::new(0, 1, COMMON);
+        let mut limits = Limits::new(0, 1, COMMON, vec![1.0]);
         let mut served = [0.0; 3];
         let (mut budget, mut gathered) = (0.0, [0.0; 3]);
         for ms in 0..30_000_i64 {
@@ -361,7 +390,7 @@
                     continue;
                 }
                 gathered[tenant] -= 1.0;
-                let Ok(id) = limits.take(now, d.version(), Some(tenant as Id)) else { continue };
+                let Ok(id) = limits.take(now, d.version(), Some(tenant as Id), 0) else { continue };
                 let room = budget >= 1.0;
                 if room {
                     budget -= 1.0;
@@ -376,20 +405,38 @@
         assert!(a_second[0] > 35.0 && a_second[0] < 55.0, "{a_second:?}");
     }
 
+    #[test]
+    fn of_a_thinned_tenant_the_most_useful_is_taken_first() {
+        let d = tenants(&[None]);
+        let mut limits = Limits::new(0, 1, COMMON, vec![1.0, 5.0]);
+        let (mut taken, mut budget) = ([0; 2], 0.0);
+        for i in 0..60_000_i64 {
+            let (now, method) = (i * MS / 2, (i % 2) as usize);
+            budget = f64::min(budget + 0.6, 5.0);
+            let Ok(id) = limits.take(now, d.version(), Some(0), method) else { continue };
+            let room = budget >= 1.0;
+            budget -= f64::from(u8::from(room));
+            limits.over(now, id, room);
+            taken[method] += i32::from(i >= 20_000);
+        }
+        // 20,000 of each were asked, three fifths can be served: all of the useful, a fifth of the other.
+        assert!(taken[1] > 19_000 && taken[0] < 8_000, "{taken:?}");
+    }
+
     #[test]
     fn unknown_callers_share_one_row_however_many_they_are() {
         let d = tenants(&[None]);
-        let mut limits = Limits::new(0, 1, Unknown::Common { share: 1.0, rate: Some(10.0) });
+        let mut limits = Limits::new(0, 1, Unknown::Common { share: 1.0, rate: Some(10.0) }, vec![1.0]);
         let taken =
-            (0..1_000).filter(|i| limits.take(i * MS, d.version(), Some(50 + *i as Id)).is_ok()).count();
+            (0..1_000).filter(|i| limits.take(i * MS, d.version(), Some(50 + *i as Id), 0).is_ok()).count();
         assert!((10..=16).contains(&taken) && limits.rows.len() == 1, "{taken}");
-        let mut limits = Limits::new(0, 1, Unknown::Refused);
-        assert!(limits.take(0, d.version(), None).is_err() && limits.rows.is_empty());
+        let mut limits = Limits::new(0, 1, Unknown::Refused, vec![1.0]);
+        assert!(limits.take(0, d.version(), None, 0).is_err() && limits.rows.is_empty());
         // Nothing of long ago stays.
         for s in 0..10 {
-            let _ = limits.take(s * SEC, d.version(), Some(0));
+            let _ = limits.take(s * SEC, d.version(), Some(0), 0);
             limits.tell();
         }
-        assert!(limits.take(100 * SEC, d.version(), None).is_err() && limits.rows.is_empty());
+        assert!(limits.take(100 * SEC, d.version(), None, 0).is_err() && limits.rows.is_empty());
     }
 }
