A killed front comes up with its tenants; confirm at all fronts at once

The first copy is kept at once, not after five seconds. Tested on processes: known callers are served without the directory, after a kill from the copy, and a copy that makes no sense costs the tenants until the directory is back.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -166,11 +166,14 @@
         #[arg(long)]
         account: Vec<String>,
     },
-    /// Says that tenants which a directory no longer shows are really gone; to one front.
+    /// Says that tenants which a directory no longer shows are really gone; to all fronts that watch a
+    /// controller, or to those named.
     Confirm {
-        /// The front's address.
-        #[arg(long)]
-        front: SocketAddr,
+        #[arg(long, required_unless_present = "front")]
+        controller: Option<SocketAddr>,
+        /// Addresses of fronts.
+        #[arg(long, value_delimiter = ',')]
+        front: Vec<SocketAddr>,
     },
     /// Runs stand-in clients.
     Client {
@@ -473,7 +476,27 @@
             server.run(told).map_err(Bad2)?;
             good
         }
-        What::Confirm { front } => ask::say(front, "POST", "/directory/confirm", ""),
+        What::Confirm { controller, front } => {
+            let fronts = match controller {
+                Some(at) if front.is_empty() => ask::fronts(at)?.1,
+                _ => front,
+            };
+            // Each is told, whatever became of the others.
+            let mut bad = fronts.is_empty();
+            for front in &fronts {
+                match ask::call(*front, "POST", "/directory/confirm", "") {
+                    Ok(answer) => {
+                        bad |= answer.status != 200;
+                        print!("{front}: {}", String::from_utf8_lossy(&answer.body));
+                    }
+                    Err(Bad2(why)) => {
+                        bad = true;
+                        println!("{front}: {why}");
+                    }
+                }
+            }
+            Ok(if bad { ExitCode::from(1) } else { ExitCode::SUCCESS })
+        }
         What::Faulty { listen, at, name, breaks, seed } => {
             let (listen, controller) = (listen.listen, at.controller);
             rockpick_standin::Faulty { name, listen, controller, breaks, seed }.run(ready).map_err(Bad2)?;
--- a/cli/tests/directory.rs
+++ b/cli/tests/directory.rs
@@ -1,5 +1,9 @@
 //! The link to a directory against the stand-in one, on loopback: each fault that directories have, TLS with
 //! good and bad certificates, and what callers see meanwhile.
+mod peers;
+
+use peers::*;
+use rockpick_control::Charter;
 use rockpick_net::{Event, Net, Ns, MS, SEC};
 use rockpick_rehearse::call;
 use rockpick_standin::DirectoryServer;
@@ -10,7 +14,7 @@
 use std::sync::mpsc;
 
 /// Longest wait for anything: far beyond what any of it takes.
-const PATIENCE: Ns = 20 * SEC;
+const LONGEST: Ns = 20 * SEC;
 
 struct Directory {
     at: SocketAddr,
@@ -90,7 +94,7 @@
 
     /// Goes on until something is so.
     fn until(&mut self, what: &str, fits: impl Fn(&Rig) -> bool) {
-        let by = self.net.clock() + PATIENCE;
+        let by = self.net.clock() + LONGEST;
         let mut events: Vec<Event> = Vec::new();
         while !fits(self) {
             assert!(self.net.clock() < by, "{what}: {:?} {:?}", self.link.tolls, self.keeper.view());
@@ -237,3 +241,65 @@
     rig.until("the second", |r| r.is("ann", "firm1"));
     assert_eq!((rig.link.server(), rig.link.tolls.failed), (Some(d.at), 1));
 }
+
+/// The whole front: known callers are served from the last good copy, whether the directory is there or not,
+/// and after a kill from the snapshot; unknown ones are pushed back untaken.
+#[test]
+fn a_killed_front_comes_up_with_its_tenants_while_the_directory_is_gone() {
+    let d = directory(false, false).filled();
+    let dir = tempfile::tempdir().unwrap();
+    let controller = start(&["controller"]);
+    let mut charter = Charter::example(1, 2);
+    let unknown = rockpick_tenant::books::Callers::Refused;
+    charter.directory = Some(Books { unknown, ..d.books() });
+    let put = call(controller.at, "PUT", "/settings", &serde_json::to_string(&charter).unwrap()).unwrap();
+    assert_eq!(put.status, 200, "{}", String::from_utf8_lossy(&put.body));
+    let at = controller.at.to_string();
+    let _machine = start(&[
+        "machine",
+        "--controller",
+        &at,
+        "--name",
+        "p0..1",
+        "--place",
+        "p0",
+        "--build",
+        "1",
+        "--warm",
+    ]);
+    let state = dir.path().to_string_lossy().into_owned();
+    let answer = |front: SocketAddr, who: &str| -> String {
+        use std::io::{Read, Write};
+        let mut io = std::net::TcpStream::connect(front).unwrap();
+        let head = format!("POST /rpc/lookup HTTP/1.1\r\nHost: x\r\nConnection: close\r\nRockpick-Principal: {who}\r\nContent-Length: 2\r\n\r\n{{}}");
+        io.write_all(head.as_bytes()).unwrap();
+        let mut text = String::new();
+        let _ = io.read_to_string(&mut text);
+        line_of(&text, "rockpick-answer")
+    };
+    let first = front(controller.at, &["--state", &state]);
+    until("ann is known", || answer(first.at, "ann") == "ok");
+    assert_eq!(answer(first.at, "*)(uid=*"), "pushed-back");
+    let file = dir.path().join("f0.tenants.json");
+    until("the copy is kept", || file.exists());
+    until("the front's own snapshot", || dir.path().join("f0.json").exists());
+    d.post("/fault", json!({ "reset": true }));
+    until("served without a directory", || answer(first.at, "ann") == "ok");
+    drop(first);
+    let second = front(controller.at, &["--state", &state]);
+    until("known from the copy", || answer(second.at, "ann") == "ok");
+    assert_eq!(answer(second.at, "eve"), "pushed-back");
+    let status: Value = serde_json::from_slice(&call(second.at, "GET", "/status", "").unwrap().body).unwrap();
+    assert_eq!(
+        (&status["directory"]["settled"], &status["directory"]["tenants"]),
+        (&json!(false), &json!(8))
+    );
+    assert!(status["directory"]["age_ms"].as_f64().unwrap() > 0.0);
+    // A copy that makes no sense costs the tenants until the directory is back, not the front.
+    drop(second);
+    std::fs::write(&file, b"{ half").unwrap();
+    let third = front(controller.at, &["--state", &state]);
+    until("up without tenants", || answer(third.at, "ann") == "pushed-back");
+    d.post("/fault", json!({}));
+    until("known again", || answer(third.at, "ann") == "ok");
+}
--- a/tenant/src/keeper.rs
+++ b/tenant/src/keeper.rs
@@ -100,7 +100,8 @@
     mut directory: Directory, from: &Receiver<Word>, version: &ArcSwap<Tenants>, view: &Mutex<View>,
     mut save: Option<Save>,
 ) {
-    let (mut saved, mut saved_at) = (directory.version().version, 0);
+    // The first version is kept at once: a front that is killed soon after must not come up without it.
+    let (mut saved, mut saved_at) = (directory.version().version, -SAVE_EVERY);
     for word in from {
         let (now, fresh, end) = match word {
             Word::News(now, news) => {
