--- a/emu/tests/days.rs
+++ b/emu/tests/days.rs
@@ -173,3 +173,24 @@
     let verdict = study.verdict("a", &lines);
     assert!(verdict.low > 0.0 && verdict.low < 0.03 && verdict.high > 0.03, "{verdict:?}");
 }
+
+/// One tenant asks ten times its share; limits keep the rules and the others' service.
+#[test]
+fn a_greedy_tenant_does_not_take_what_is_the_others() {
+    use rockpick_rehearse::judge::judge;
+    let plan = Plan { fronts: 2, rate: 747.0, seconds: Some(12.0), ..plan("calm") };
+    let service = |limits: Option<rockpick_emu::Kept>| {
+        let mut day = day(&plan, &[], 3, true).unwrap();
+        (day.load.greedy, day.limits) = (0.839, limits);
+        let charter = day.charter.clone();
+        let outcome = World::new(day).unwrap().run();
+        assert_eq!(judge(&charter, &outcome.evidence).breaches, []);
+        outcome.firms.map(|[asked, served]| served / asked)
+    };
+    let (without, with) =
+        (service(None), service(Some(rockpick_emu::Kept { sums: true, ..Default::default() })));
+    assert!(without[1] < 0.65 && with[1] > 0.85 && with[2] > 0.85, "{without:?} {with:?}");
+    // A rate over both fronts: 20 RPCs a second of some 630.
+    let rated = service(Some(rockpick_emu::Kept { rates: [Some(20.0), None, None], sums: true }));
+    assert!(rated[0] < 0.05 && rated[1] > 0.95, "{rated:?}");
+}
