The directory's waits go by the front's own beat

Each event of the directory's stream set a timer that set the next when it fired: timers grew by one a change, for good. The front's beat of 250 ms is fine enough for a session's waits.

--- a/front/src/hall.rs
+++ b/front/src/hall.rs
@@ -19,12 +19,10 @@
 const MOST_MACHINES: usize = 60_000;
 /// Longest line of a watch: a roster of 10,000 machines.
 const MOST_LINE: usize = 8 * 1024 * 1024;
-/// The front's own beat: counts, snapshot, silence of the watch.
+/// The front's own beat: counts, snapshot, silence of the watch, waits of the directory's session.
 const TICK_EVERY: Ns = 250 * MS;
 /// A front without settings asks for them this often.
 const ASK_EVERY: Ns = 500 * MS;
-/// The tag of the directory's own wakes; TICK and LAPSE lie below.
-const SHELF: u64 = 7;
 const SIGTERM: i32 = 15;
 const SIGINT: i32 = 2;
 
@@ -195,12 +193,6 @@
                 }
             }
             Event::Woke { tag: TICK } => self.tick(),
-            Event::Woke { tag: SHELF } => {
-                if let Some(shelf) = &mut self.shelf {
-                    shelf.tick(&mut self.wire.net);
-                    self.wake_shelf();
-                }
-            }
             Event::Woke { .. } => {}
             Event::Datagram { from, bytes } => {
                 // A note counts only from where the controller says that this front is.
@@ -213,7 +205,6 @@
             Event::Came { .. } | Event::Bytes { .. } | Event::Gone { .. } => {
                 if let Some(shelf) = &mut self.shelf {
                     shelf.event(&mut self.wire.net, &event);
-                    self.wake_shelf();
                 }
             }
 
@@ -316,13 +307,6 @@
         self.wire.net.answer(conn, 503, &lines, b"more than this tenant may take\n");
     }
 
-    fn wake_shelf(&mut self) {
-        let at = self.shelf.as_ref().map_or(Ns::MAX, |s| s.link.wake());
-        if at < Ns::MAX {
-            self.wire.net.wake_at(at, SHELF);
-        }
-    }
-
     fn pick_over(
         &mut self, rpc: usize, pick: usize, outcome: Outcome, response: Option<rockpick_net::http::Response>,
     ) {
@@ -597,7 +581,6 @@
             }
             let (opening, now) = (&self.wire.opening, self.wire.net.now());
             self.shelf = Shelf::new(now, &charter, &opening.name, &opening.state, opening.seed);
-            self.wake_shelf();
         }
         self.wire.charter = charter;
         (self.version, self.no_settings) = (version, false);
--- a/tenant/src/link.rs
+++ b/tenant/src/link.rs
@@ -74,12 +74,6 @@
         self.conn.map(|_| self.books.servers[self.to].at)
     }
 
-    /// When [`Link::tick`] is to be called at the latest.
-    pub fn wake(&self) -> Ns {
-        let session = self.session.as_ref().map_or(self.by, Session::wake);
-        self.source.wake().min(if self.conn.is_some() { session } else { Ns::MAX })
-    }
-
     /// Leaves politely; the connection closes.
     pub fn leave(&mut self, net: &mut Net, keeper: &Keeper) {
         if let Some(session) = &mut self.session {
@@ -88,6 +82,7 @@
         }
     }
 
+    /// Time has passed; to be called some times a second.
     pub fn tick(&mut self, net: &mut Net, keeper: &Keeper) {
         let now = net.now();
         if let Some(session) = &mut self.session {
--- a/tenant/src/source.rs
+++ b/tenant/src/source.rs
@@ -101,10 +101,6 @@
         self.due = now + self.draw(0, chance);
         true
     }
-
-    pub fn wake(&self) -> Ns {
-        self.due.min(self.back)
-    }
 }
 
 #[cfg(test)]
