--- a/cli/src/bench.rs
+++ b/cli/src/bench.rs
@@ -185,10 +185,10 @@
     [11, 12].map(|i| rest.get(i).and_then(|v| v.parse().ok()).unwrap_or(0.0))
 }
 
-/// Resident memory of a process, in bytes.
-fn memory(pid: u32) -> f64 {
+/// A field of a process's memory (VmRSS: now; VmHWM: the most so far), in bytes.
+pub fn memory(pid: u32, field: &str) -> f64 {
     let text = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
-    let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    let line = text.lines().find_map(|l| l.strip_prefix(field)?.strip_prefix(':'));
     line.and_then(|l| l.split_whitespace().next()?.parse::<f64>().ok()).unwrap_or(0.0) * 1024.0
 }
 
@@ -309,7 +309,7 @@
         }
         drop(proxy);
         let pid = front.0.id();
-        let before = memory(pid);
+        let before = memory(pid, "VmRSS");
         let mut idle = Vec::new();
         while idle.len() < self.idle {
             match TcpStream::connect(front.1) {
@@ -324,7 +324,7 @@
         while status(front.1)?["clients"].as_u64().unwrap_or(0) < idle.len() as u64 && Instant::now() < by {
             std::thread::sleep(Duration::from_millis(50));
         }
-        let grown = memory(pid) - before;
+        let grown = memory(pid, "VmRSS") - before;
         println!(
             "{} idle client connections: {:.1} MiB, {:.0} bytes each (kernel's part not counted)",
             idle.len(),
--- a/cli/src/lab.rs
+++ b/cli/src/lab.rs
@@ -1,4 +1,5 @@
 //! `rockpick emulate` and `rockpick experiment`: days in virtual time.
+use crate::bench::memory;
 use crate::Bad2;
 use clap::{Args, Subcommand};
 use rockpick_emu::parts::PARTS;
@@ -93,13 +94,6 @@
     lines: PathBuf,
 }
 
-/// Resident memory, bytes.
-fn memory() -> f64 {
-    let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
-    let line = text.lines().find_map(|l| l.strip_prefix("VmHWM:"));
-    line.and_then(|l| l.split_whitespace().next()?.parse::<f64>().ok()).unwrap_or(0.0) * 1024.0
-}
-
 impl Emulate {
     pub fn run(self) -> Result<ExitCode, Bad2> {
         let began = Instant::now();
@@ -125,10 +119,10 @@
                 }
                 Some(other) => return Err(Bad2(format!("--limits {other}: sums or alone"))),
             };
-            let before = memory();
+            let before = memory(std::process::id(), "VmHWM");
             let outcome = World::new(day).map_err(Bad2)?.run();
             let took = began.elapsed().as_secs_f64();
-            let (t, held) = (outcome.tolls, memory());
+            let (t, held) = (outcome.tolls, memory(std::process::id(), "VmHWM"));
             println!("{} fronts, {} machines, {} RPCs in {:.0} virtual s: {took:.1} s, {:.0} events/s, {:.1} real s a \
                  virtual s, {:.0} MiB at most, service {:.3}", self.plan.fronts, self.plan.machines, t.rpcs,
                 outcome.virtual_seconds, outcome.events as f64 / took, took / outcome.virtual_seconds,
--- a/cli/src/tenants.rs
+++ b/cli/src/tenants.rs
@@ -1,4 +1,5 @@
 //! `rockpick bench tenants`: what 100,000 tenants' entries cost, and what a lookup does beside a plain hash map.
+use crate::bench::memory;
 use crate::Bad2;
 use clap::Args;
 use rockpick_ldap::message::{Attribute, Entry};
@@ -20,9 +21,7 @@
 
 /// Resident memory now, bytes.
 fn held() -> f64 {
-    let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
-    let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:"));
-    line.and_then(|l| l.split_whitespace().next()?.parse::<f64>().ok()).unwrap_or(0.0) * 1024.0
+    memory(std::process::id(), "VmRSS")
 }
 
 fn entry(n: usize, dn: String, attributes: &[(&str, String)]) -> News {
--- a/emu/src/experiment.rs
+++ b/emu/src/experiment.rs
@@ -13,6 +13,9 @@
 use rockpick_rehearse::Plan;
 use rockpick_standin::{Arrivals, Load};
 use serde_json::Value;
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Mutex, PoisonError};
 
 /// Resamples of a bootstrap: enough for the 0.1% quantile that the strictest look asks for.
 const RESAMPLES: usize = 10_000;
@@ -84,18 +87,42 @@
 pub fn play(
     choice: &str, plan: &Plan, changes: &[String], seed: u64,
 ) -> Result<(Line, judge::Judgement), String> {
-    let day = day(plan, changes, seed, true)?;
-    let (charter, script) = (day.charter.clone(), day.script.clone());
+    let (line, judgement) = played(day(plan, changes, seed, true)?)?;
+    Ok((Line { choice: choice.into(), ..line }, judgement))
+}
+
+/// Plays a day that is set up, and sums it up.
+///
+/// # Errors
+/// Settings that do not hold.
+pub fn played(day: Day) -> Result<(Line, judge::Judgement), String> {
+    let (charter, script, seed) = (day.charter.clone(), day.script.clone(), day.seed);
     let outcome = World::new(day)?.run();
     let judgement = judge::judge(&charter, &outcome.evidence);
-    let line = Line {
-        choice: choice.into(),
-        seed,
-        how: "emulated".into(),
-        events: outcome.events,
-        ..Line::of(&charter, &outcome.evidence, &judgement, &script)
+    let line = Line::of(&charter, &outcome.evidence, &judgement, &script);
+    Ok((Line { seed, how: "emulated".into(), events: outcome.events, ..line }, judgement))
+}
+
+/// Runs spread over threads, one at a time on each; their results in the order of the tasks.
+///
+/// # Errors
+/// The first that a run says.
+pub fn spread<T: Sync, R: Send>(
+    threads: usize, tasks: &[T], run: impl Fn(&T) -> Result<R, String> + Sync,
+) -> Result<Vec<R>, String> {
+    let (next, done) = (AtomicUsize::new(0), Mutex::new(BTreeMap::new()));
+    let work = || loop {
+        let nth = next.fetch_add(1, Ordering::Relaxed);
+        let Some(task) = tasks.get(nth) else { return };
+        let result = run(task);
+        done.lock().unwrap_or_else(PoisonError::into_inner).insert(nth, result);
     };
-    Ok((line, judgement))
+    std::thread::scope(|scope| {
+        (0..threads.clamp(1, tasks.len().max(1))).for_each(|_| {
+            scope.spawn(work);
+        });
+    });
+    done.into_inner().unwrap_or_else(PoisonError::into_inner).into_values().collect()
 }
 
 /// The mean, and the ends of its bootstrap interval that misses with the chance `alpha`.
--- a/emu/src/fit.rs
+++ b/emu/src/fit.rs
@@ -1,8 +1,8 @@
 //! Does the emulator predict? Its wires are fitted to the record of one rehearsal on loopback; from then on it
 //! says, with error bars, what further rehearsals will come to.
-use crate::experiment::day;
+use crate::experiment::{day, played, spread};
 use crate::line::{Line, P50, P99};
-use crate::world::{Wires, World};
+use crate::world::Wires;
 use rockpick_net::{Ns, MS};
 use rockpick_rehearse::judge::{self, Written};
 use rockpick_rehearse::Plan;
@@ -112,21 +112,11 @@
     let play = |seed: &u64| -> Result<[f64; 5], String> {
         let mut day = day(plan, &[], *seed, true)?;
         day.wires = wires;
-        let (charter, script) = (day.charter.clone(), day.script.clone());
-        let outcome = World::new(day)?.run();
-        let judgement = judge::judge(&charter, &outcome.evidence);
-        let line = Line::of(&charter, &outcome.evidence, &judgement, &script);
+        let (line, _) = played(day)?;
         let f = figures(&line);
         Ok([f[0], f[1], f[2], f[3], line.rpcs()])
     };
-    let share = seeds.len().div_ceil(threads.max(1));
-    let days: Vec<Result<Vec<[f64; 5]>, String>> = std::thread::scope(|scope| {
-        let parts: Vec<_> =
-            seeds.chunks(share).map(|part| scope.spawn(move || part.iter().map(play).collect())).collect();
-        let joined = parts.into_iter().map(|p| p.join());
-        joined.map(|r| r.unwrap_or_else(|_| Err("a run has panicked".into()))).collect()
-    });
-    let days = days.into_iter().collect::<Result<Vec<_>, _>>()?.concat();
+    let days = spread(threads, &seeds, play)?;
     let n = days.len() as f64;
     let mean = |i: usize| days.iter().map(|d| d[i]).sum::<f64>() / n;
     let rpcs = mean(4);
--- a/emu/src/study.rs
+++ b/emu/src/study.rs
@@ -3,7 +3,7 @@
 //!
 //! Looking again and again, at several choices, would find something by chance sooner or later: each look at
 //! each choice gets its part of the 5% (Bonferroni), so that all together err in 1 of 20 experiments at most.
-use crate::experiment::{interval, play};
+use crate::experiment::{interval, play, spread};
 use crate::line::Line;
 use rockpick_rehearse::Plan;
 use serde::{Deserialize, Serialize};
@@ -11,8 +11,6 @@
 use std::fs::{File, OpenOptions};
 use std::io::{Read, Seek, SeekFrom, Write};
 use std::path::Path;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Mutex, PoisonError};
 
 /// The chance of an interval that misses, over all looks and choices.
 const ALPHA: f64 = 0.05;
@@ -117,29 +115,16 @@
                 .flat_map(|seed| open.iter().map(move |(name, changes)| (name.as_str(), &changes[..], seed)))
                 .filter(|(name, _, seed)| !known(name, *seed))
                 .collect();
-            for line in self.batch(threads, &tasks)? {
+            let run = |(choice, changes, seed): &(&str, &[String], u64)| {
+                play(choice, &self.plan, changes, *seed).map(|(line, _)| line)
+            };
+            for line in spread(threads, &tasks, run)? {
                 heard(&line)?;
                 lines.push(line);
             }
         }
         Ok((self.verdicts(&lines), lines))
     }
-
-    /// Days spread over threads, one run a thread; in the order of the tasks.
-    fn batch(&self, threads: usize, tasks: &[(&str, &[String], u64)]) -> Result<Vec<Line>, String> {
-        let (next, done) = (AtomicUsize::new(0), Mutex::new(BTreeMap::new()));
-        let work = || loop {
-            let nth = next.fetch_add(1, Ordering::Relaxed);
-            let Some((choice, changes, seed)) = tasks.get(nth) else { return };
-            let line = play(choice, &self.plan, changes, *seed).map(|(line, _)| line);
-            done.lock().unwrap_or_else(PoisonError::into_inner).insert(nth, line);
-        };
-        std::thread::scope(|scope| {
-            (0..threads.clamp(1, tasks.len().max(1))).for_each(|_| drop(scope.spawn(work)));
-        });
-        let done = done.into_inner().unwrap_or_else(PoisonError::into_inner);
-        done.into_values().collect()
-    }
 }
 
 /// A study's file: its question, then a line a day.
--- a/emu/src/world.rs
+++ b/emu/src/world.rs
@@ -740,14 +740,8 @@
         if self.parted && from.zone != seat.zone {
             return;
         }
-        let (life, Carried { lost, twice, late_ms }) = (seat.life, self.carried);
-        let mut odds = |p: f64| p > 0.0 && self.chance.random::<f64>() < p;
-        let copies = 1 + usize::from(odds(twice));
-        for _ in 0..copies {
-            if lost > 0.0 && self.chance.random::<f64>() < lost {
-                continue;
-            }
-            let late = if late_ms > 0 { self.chance.random_range(0..=late_ms as Ns * MS) } else { 0 };
+        let life = seat.life;
+        for late in self.carried.copies(&mut self.chance).into_iter().flatten() {
             let wire = self.jitter(self.wires.cross);
             self.at(self.now + wire + late, Ev::Note(front, to, life, note.clone()));
         }
--- a/front/src/hall.rs
+++ b/front/src/hall.rs
@@ -1,7 +1,7 @@
 //! The front's loop: sockets and timers in, calls to the module out.
 use crate::saved::{self, Saved, Writer};
 use crate::shelf::Shelf;
-use crate::wire::{read_note, wait_lines, What, Wire, LAPSE, MODULE, TICK};
+use crate::wire::{back_lines, read_note, wait_lines, What, Wire, LAPSE, MODULE, TICK};
 use crate::{fresh, Opening};
 use rockpick::{Front, Member, Ns, Outcome, Reply, Roll, Standing};
 use rockpick_control::charter::Repeats;
@@ -207,7 +207,6 @@
                     shelf.event(&mut self.wire.net, &event);
                 }
             }
-
             Event::Signal { number } => {
                 tracing::info!(event = "signal", number);
                 if self.leaving.is_none() {
@@ -240,16 +239,20 @@
 
     /// Refuses to take an RPC; the client may send it again as it likes.
     fn not_taken(&mut self, conn: Id, status: u16, why: &str) {
+        if status == 503 {
+            return self.untaken(conn, SEC / 4, why);
+        }
         self.wire.tolls.not_taken += 1;
         let body = format!("{why}\n");
-        let [seconds, ms] = wait_lines(SEC / 4);
-        let back = [
-            ("Rockpick-Answer", "pushed-back"),
-            ("Retry-After", &*seconds),
-            ("Rockpick-Retry-After-Ms", &*ms),
-        ];
-        let lines: &[(&str, &str)] = if status == 503 { &back } else { &[("Rockpick-Answer", "not-taken")] };
-        self.wire.net.answer(conn, status, lines, body.as_bytes());
+        self.wire.net.answer(conn, status, &[("Rockpick-Answer", "not-taken")], body.as_bytes());
+    }
+
+    /// Pushes an RPC back without taking it.
+    fn untaken(&mut self, conn: Id, wait: Ns, why: &str) {
+        self.wire.tolls.not_taken += 1;
+        let [seconds, ms] = wait_lines(wait);
+        let body = format!("{why}\n");
+        self.wire.net.answer(conn, 503, &back_lines(&seconds, &ms), body.as_bytes());
     }
 
     fn rpc(&mut self, conn: Id, name: &str, request: Request) {
@@ -283,7 +286,7 @@
         let tenant = match self.shelf.as_mut().map(|s| s.take(now, &request, method)) {
             None => None,
             Some(Ok(tenant)) => Some(tenant),
-            Some(Err(wait)) => return self.over_limit(conn, wait),
+            Some(Err(wait)) => return self.untaken(conn, wait, "more than this tenant may take"),
         };
         let (rpc, by) = self.wire.take(conn, method, left, request);
         if let Some(open) = self.wire.open[rpc].as_mut() {
@@ -295,18 +298,6 @@
         self.wire.sweep(rpc);
     }
 
-    /// Pushes an RPC back untaken: its tenant has had what it may take.
-    fn over_limit(&mut self, conn: Id, wait: Ns) {
-        self.wire.tolls.not_taken += 1;
-        let [seconds, ms] = wait_lines(wait);
-        let lines = [
-            ("Rockpick-Answer", "pushed-back"),
-            ("Retry-After", &*seconds),
-            ("Rockpick-Retry-After-Ms", &*ms),
-        ];
-        self.wire.net.answer(conn, 503, &lines, b"more than this tenant may take\n");
-    }
-
     fn pick_over(
         &mut self, rpc: usize, pick: usize, outcome: Outcome, response: Option<rockpick_net::http::Response>,
     ) {
@@ -663,19 +654,18 @@
             self.heard = now;
             self.drop_watch("silent");
         }
-        let every = self.wire.charter.rollout.tally_every_ms as Ns * MS;
         if let Some(shelf) = &mut self.shelf {
             shelf.tick(&mut self.wire.net);
         }
-        let sums = self.shelf.is_some() || !self.wire.counts.is_empty();
-        if every > 0 && now - self.counted >= every && sums {
+        let every = self.wire.charter.rollout.tally_every_ms as Ns * MS;
+        let due = every > 0 && now - self.counted >= every;
+        let sums = self.shelf.as_mut().filter(|_| due).map_or(Vec::new(), Shelf::sums);
+        if due && !(self.wire.counts.is_empty() && sums.is_empty()) {
             self.counted = now;
             let row = |((b, m), [picks, bad]): (&(u32, usize), &[u32; 2])| json!([b, m, picks, bad]);
             let rows: Vec<Value> = self.wire.counts.iter().map(row).collect();
             self.wire.counts.clear();
-            let body = json!({ "front": self.wire.opening.name, "rows": rows,
-                "tenants": self.shelf.as_mut().map_or(Vec::new(), Shelf::sums) })
-            .to_string();
+            let body = json!({ "front": self.wire.opening.name, "rows": rows, "tenants": sums }).to_string();
             self.wire.ask(What::Else, "POST", "/counts", &body, Some(SEC));
         }
         let newest = self.wire.life;
--- a/front/src/wire.rs
+++ b/front/src/wire.rs
@@ -346,6 +346,11 @@
     net.answer(conn, status, lines, body);
 }
 
+/// Lines of a pushback, around what [`wait_lines`] has made.
+pub fn back_lines<'a>(seconds: &'a str, ms: &'a str) -> [(&'static str, &'a str); 3] {
+    [("Rockpick-Answer", "pushed-back"), ("Retry-After", seconds), ("Rockpick-Retry-After-Ms", ms)]
+}
+
 /// A pushback's lines: when to return, in whole seconds for any client and in ms for those that know.
 pub fn wait_lines(wait: Ns) -> [String; 2] {
     [((wait + SEC - 1) / SEC).max(1).to_string(), ((wait + MS - 1) / MS).max(0).to_string()]
@@ -378,11 +383,7 @@
         let Some(open) = self.open[rpc].as_mut().filter(|_| !done) else { return };
         open.served = Some(false);
         let [seconds, ms] = wait_lines(wait);
-        let lines = [
-            ("Rockpick-Answer", "pushed-back"),
-            ("Retry-After", &*seconds),
-            ("Rockpick-Retry-After-Ms", &*ms),
-        ];
+        let lines = back_lines(&seconds, &ms);
         self.tolls.pushed_back += 1;
         send(&mut self.net, &mut self.tolls, open.conn, open.gives_up, 503, &lines, b"pushed back\n");
         self.door.finish(rpc);
--- a/ldap/src/message.rs
+++ b/ldap/src/message.rs
@@ -248,20 +248,15 @@
 /// assert!(rockpick_ldap::message::uuid("597ae2f6").is_none());
 /// ```
 pub fn uuid(text: &str) -> Option<[u8; 16]> {
-    let digits: Vec<u8> = text.bytes().filter(|b| *b != b'-').collect();
-    let mut out = [0; 16];
-    if digits.len() != 32 || text.len() > 36 {
+    if text.len() > 36 {
         return None;
     }
-    for (i, pair) in digits.chunks(2).enumerate() {
-        out[i] = u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok()?;
-    }
-    Some(out)
+    hex::decode(text.replace('-', "")).ok()?.try_into().ok()
 }
 
 /// The text of an entryUUID.
 pub fn uuid_text(uuid: &[u8; 16]) -> String {
-    let hex: String = uuid.iter().map(|b| format!("{b:02x}")).collect();
+    let hex = hex::encode(uuid);
     format!("{}-{}-{}-{}-{}", &hex[..8], &hex[8..12], &hex[12..16], &hex[16..20], &hex[20..])
 }
 
--- a/net/src/net.rs
+++ b/net/src/net.rs
@@ -260,12 +260,27 @@
     err.kind() == ErrorKind::WouldBlock || err.kind() == ErrorKind::Interrupted
 }
 
-/// A socket for a connection that is to be made.
-pub(crate) fn socket(to: &SocketAddr) -> io::Result<TcpStream> {
+/// A listener, and the address taken.
+pub(crate) fn bind(at: SocketAddr) -> io::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind(at)?;
+    listener.set_nonblocking(true)?;
+    rustix::net::listen(&listener, WAITING)?;
+    let taken = listener.local_addr()?;
+    Ok((listener, taken))
+}
+
+/// A connection that has begun to be made.
+pub(crate) fn connecting(to: &SocketAddr) -> io::Result<TcpStream> {
     use rustix::net::{socket_with, AddressFamily, SocketFlags, SocketType};
     let family = if to.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
-    let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
-    Ok(TcpStream::from(socket_with(family, SocketType::STREAM, flags, None)?))
+    let fd = socket_with(family, SocketType::STREAM, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC, None)?;
+    match rustix::net::connect(&fd, to) {
+        Ok(()) | Err(Errno::INPROGRESS) => {}
+        Err(err) => return Err(err.into()),
+    }
+    let io = TcpStream::from(fd);
+    let _ = io.set_nodelay(true);
+    Ok(io)
 }
 
 fn spare() -> Option<OwnedFd> {
@@ -388,10 +403,7 @@
 
     /// Listens; port 0 takes one from the system. Returns the address taken.
     pub fn listen(&mut self, at: SocketAddr) -> io::Result<(Id, SocketAddr)> {
-        let listener = TcpListener::bind(at)?;
-        listener.set_nonblocking(true)?;
-        rustix::net::listen(&listener, WAITING)?;
-        let taken = listener.local_addr()?;
+        let (listener, taken) = bind(at)?;
         Ok((self.add(Sock::Listener(listener), epoll::EventFlags::IN)?, taken))
     }
 
@@ -605,12 +617,7 @@
         if self.calls >= MAX_CALLS {
             return Err(ErrorKind::OutOfMemory.into());
         }
-        let io = socket(&call.to)?;
-        match rustix::net::connect(&io, &call.to) {
-            Ok(()) | Err(Errno::INPROGRESS) => {}
-            Err(err) => return Err(err.into()),
-        }
-        let _ = io.set_nodelay(true);
+        let io = connecting(&call.to)?;
         let server = Server {
             io,
             to: call.to,
--- a/net/src/streams.rs
+++ b/net/src/streams.rs
@@ -1,11 +1,10 @@
 //! Streams of bytes in both directions, for protocols other than HTTP: dialled, or taken by a listener of
 //! their own. What crosses them is the caller's; bounds and closing are here.
-use crate::net::{would_block, Event, Id, Net, Sock, Stream, MAX_BACKLOG, READ};
+use crate::net::{bind, connecting, would_block, Event, Id, Net, Sock, Stream, MAX_BACKLOG, READ};
 use crate::Ns;
 use rustix::event::epoll::EventFlags;
-use rustix::io::Errno;
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 
 /// Streams open at once; one more is not dialled, or closed as it comes.
 pub const MAX_STREAMS: usize = 1_024;
@@ -16,9 +15,7 @@
     /// # Errors
     /// An address that can't be had.
     pub fn listen_streams(&mut self, at: SocketAddr) -> io::Result<(Id, SocketAddr)> {
-        let listener = TcpListener::bind(at)?;
-        listener.set_nonblocking(true)?;
-        let taken = listener.local_addr()?;
+        let (listener, taken) = bind(at)?;
         Ok((self.add(Sock::Streams(listener), EventFlags::IN)?, taken))
     }
 
@@ -30,12 +27,7 @@
         if self.streams >= MAX_STREAMS {
             return Err(ErrorKind::OutOfMemory.into());
         }
-        let io = crate::net::socket(&to)?;
-        match rustix::net::connect(&io, &to) {
-            Ok(()) | Err(Errno::INPROGRESS) => {}
-            Err(err) => return Err(err.into()),
-        }
-        let _ = io.set_nodelay(true);
+        let io = connecting(&to)?;
         let until = self.now() + within;
         let stream = Stream { io, out: Vec::new(), sent: 0, up: false, until };
         let id = self.add(Sock::Stream(stream), EventFlags::OUT | EventFlags::RDHUP)?;
--- a/rehearse/src/day.rs
+++ b/rehearse/src/day.rs
@@ -117,6 +117,19 @@
     pub late_ms: u64,
 }
 
+impl Carried {
+    /// What becomes of one note: how much later each copy comes that gets through, ns.
+    pub fn copies(&self, chance: &mut StdRng) -> [Option<i64>; 2] {
+        let mut odds = |p: f64| p > 0.0 && chance.random::<f64>() < p;
+        let twice = odds(self.twice);
+        [true, twice].map(|sent| {
+            let lost = !sent || self.lost > 0.0 && chance.random::<f64>() < self.lost;
+            let span = 0..=self.late_ms as i64 * 1_000_000;
+            (!lost).then(|| if self.late_ms > 0 { chance.random_range(span) } else { 0 })
+        })
+    }
+}
+
 /// What each kind of trouble is, for `list`.
 pub const TROUBLES: [(&str, &str); 24] = [
     ("agent_down", "half the agents are killed for three seconds (--agents)"),
--- a/rehearse/src/relay.rs
+++ b/rehearse/src/relay.rs
@@ -2,7 +2,7 @@
 //! notes can be lost, late, doubled or cut off without the fronts' knowing why.
 use crate::day::Carried;
 use rand::rngs::StdRng;
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use std::collections::{BTreeMap, HashMap};
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -77,17 +77,13 @@
                 (way.carried, way.real.get(&to).copied().filter(|_| !parted))
             };
             let Some(at) = at else { continue };
-            let copies = 1 + usize::from(chance.random::<f64>() < carried.twice);
-            for _ in 0..copies {
-                let late = Duration::from_millis(chance.random_range(0..=carried.late_ms));
-                let lost = chance.random::<f64>() < carried.lost || held.len() >= MOST_HELD;
-                match (lost, late.is_zero()) {
-                    (true, _) => {}
-                    (false, true) => drop(socks[sender].send_to(&buf[..n], at)),
-                    (false, false) => {
-                        serial += 1;
-                        held.insert((now + late, serial), (sender, at, buf[..n].to_vec()));
-                    }
+            for late in carried.copies(&mut chance).into_iter().flatten() {
+                if late == 0 {
+                    let _ = socks[sender].send_to(&buf[..n], at);
+                } else if held.len() < MOST_HELD {
+                    serial += 1;
+                    let due = now + Duration::from_nanos(late as u64);
+                    held.insert((due, serial), (sender, at, buf[..n].to_vec()));
                 }
             }
         }
--- a/standin/src/directory.rs
+++ b/standin/src/directory.rs
@@ -109,7 +109,6 @@
 struct Peer {
     frames: Frames,
     secure: Option<Box<ServerConnection>>,
-    bound: bool,
     running: VecDeque<Running>,
     /// Persistent searches: their ids and requests.
     stays: Vec<(u32, SearchRequest)>,
@@ -441,7 +440,6 @@
             }
             _ => AUTH_METHOD_NOT_SUPPORTED,
         };
-        peer.bound = code == SUCCESS;
         let (empty, why) = (Vec::new(), Vec::new());
         let answer =
             Bound { code: Code(code), matched: empty.into(), why: why.into(), referral: None, sasl: None };
--- a/tenant/src/limit.rs
+++ b/tenant/src/limit.rs
@@ -141,7 +141,7 @@
 
     fn row(&mut self, id: Id, now: Ns) -> &mut Row {
         let (part, methods) = (1.0 / self.fronts as f64, self.utilities.len());
-        self.rows.entry(id).or_insert(Row {
+        self.rows.entry(id).or_insert_with(|| Row {
             ring: Default::default(),
             tell: Default::default(),
             part,
--- a/tenant/src/model.rs
+++ b/tenant/src/model.rs
@@ -626,7 +626,7 @@
         match who {
             Identity::Principal(p) => KeptWho::Principal(p.to_string()),
             Identity::Certificate(c) => KeptWho::Certificate(c.to_string()),
-            Identity::Key(k) => KeptWho::Key(k.iter().map(|b| format!("{b:02x}")).collect()),
+            Identity::Key(k) => KeptWho::Key(hex::encode(k)),
         }
     }
 
@@ -641,15 +641,7 @@
 
 /// 32 bytes from their hex.
 fn hash(text: &str) -> Option<[u8; 32]> {
-    let text = text.trim().as_bytes();
-    let mut out = [0; 32];
-    if text.len() != 64 {
-        return None;
-    }
-    for (i, pair) in text.chunks(2).enumerate() {
-        out[i] = u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok()?;
-    }
-    Some(out)
+    hex::decode(text.trim()).ok()?.try_into().ok()
 }
 
 #[cfg(test)]
