One TLS pump for both ends, one line of a record for client and load

The link and the stand-in directory pumped TLS each by its own loop, and the load tool wrote a client's record lines anew. Both ends call net::secure now, both tools sent_line and end_line. The same tests pass.

--- a/load/src/thread.rs
+++ b/load/src/thread.rs
@@ -1,7 +1,7 @@
 //! One thread: its own event loop and connections, its part of the schedule.
 use crate::{micros, second, Course, Result, Times};
 use rockpick_net::{Call, End, Event, Id, Net, Ns, MS, SEC};
-use rockpick_standin::client::{ask, heard};
+use rockpick_standin::client::{ask, end_line, heard, sent_line};
 use rockpick_standin::crowd::{Crowd, How, Next, Rpc, GRACE};
 use rockpick_standin::record::Record;
 use serde_json::{json, Value};
@@ -144,10 +144,8 @@
         let call = Call { to, request: &request, connect_within, stream: false, head_only: false };
         let call = self.net.call(&mut self.made, call);
         if self.course.record.is_some() {
-            let (method, front) = (&self.crowd.row(&rpc).name, &self.course.names[rpc.front]);
-            self.record.put(json!({ "event": "sent", "rpc": id, "try": rpc.tries.to_string(), "method": method,
-                "key": rpc.key.to_string(), "front": front, "left_ms": (gives_up - now) / MS, "leaves": rpc.leave,
-                "tenant": rpc.tenant, "work_ms": rpc.work_ms }));
+            let (row, front) = (self.crowd.row(&rpc), &self.course.names[rpc.front]);
+            self.record.put(sent_line(row, &rpc, &id, front, gives_up - now));
         }
         // A timer's tag has no room for all of a call's generation; what is left tells calls of one slot apart.
         let short = call & (AGAIN - 1);
@@ -219,10 +217,9 @@
         if self.course.record.is_none() {
             return;
         }
-        let now = self.net.now();
-        self.record.put(json!({ "event": event, "answer": answer, "rpc": format!("{}-{}", self.course.seed, t.rpc.id),
-            "try": t.rpc.tries.to_string(), "method": self.crowd.row(&t.rpc).name, "key": t.rpc.key.to_string(),
-            "front": self.course.names[t.rpc.front], "took_ms": (now - t.sent) as f64 / MS as f64,
-            "late": now > t.gives_up + GRACE }));
+        let (now, row, front) = (self.net.now(), self.crowd.row(&t.rpc), &self.course.names[t.rpc.front]);
+        let (took, late) = (now - t.sent, now > t.gives_up + GRACE);
+        let line = json!({ "event": event, "answer": answer });
+        self.record.put(end_line(line, row, &t.rpc, self.course.seed, front, took, late));
     }
 }
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod http;
 mod net;
 mod often;
+pub mod secure;
 mod streams;
 mod timers;
 
--- a/standin/src/client.rs
+++ b/standin/src/client.rs
@@ -78,6 +78,27 @@
     (id, request)
 }
 
+/// A record's line of a try that was sent; `left`: what time its client has for it.
+pub fn sent_line(row: &Row, rpc: &Rpc, id: &str, front: &str, left: Ns) -> Value {
+    json!({ "event": "sent", "rpc": id, "try": rpc.tries.to_string(), "method": row.name,
+        "key": rpc.key.to_string(), "front": front, "left_ms": left / MS, "leaves": rpc.leave,
+        "tenant": rpc.tenant, "work_ms": rpc.work_ms })
+}
+
+/// A record's line of how a try ended, around what is particular to that.
+pub fn end_line(
+    mut line: Value, row: &Row, rpc: &Rpc, seed: u64, front: &str, took: Ns, late: bool,
+) -> Value {
+    line["rpc"] = format!("{seed}-{}", rpc.id).into();
+    line["try"] = rpc.tries.to_string().into();
+    line["method"] = row.name.clone().into();
+    line["front"] = front.into();
+    line["took_ms"] = (took as f64 / MS as f64).into();
+    line["late"] = late.into();
+    line["key"] = rpc.key.to_string().into();
+    line
+}
+
 /// What an answer says, and when to return if it tells that.
 pub fn heard(r: &Response, right: bool) -> (How, Option<Ns>) {
     let how = match r.lines.get("rockpick-answer") {
@@ -197,10 +218,8 @@
         let connect_within = CONNECT.min(gives_up - now);
         let call = Call { to, request: &request, connect_within, stream: false, head_only: false };
         let call = self.net.call(&mut self.made, call);
-        let name = &self.crowd.row(&rpc).name;
-        self.record.put(json!({ "event": "sent", "rpc": id, "try": rpc.tries.to_string(), "method": name,
-            "key": rpc.key.to_string(), "front": self.clients.names[rpc.front], "left_ms": (gives_up - now) / MS,
-            "leaves": rpc.leave, "tenant": rpc.tenant, "work_ms": rpc.work_ms }));
+        let (row, front) = (self.crowd.row(&rpc), &self.clients.names[rpc.front]);
+        self.record.put(sent_line(row, &rpc, &id, front, gives_up - now));
         self.net.wake_at(sending.look, GIVE_UP | (call & (GIVE_UP - 1)));
         self.tries.insert(call & (GIVE_UP - 1), Try { rpc, sent: now, gives_up });
     }
@@ -226,16 +245,10 @@
         }
     }
 
-    fn say(&mut self, t: &Try, mut line: Value) {
-        let rpc = &t.rpc;
-        line["rpc"] = format!("{}-{}", self.clients.seed, rpc.id).into();
-        line["try"] = rpc.tries.to_string().into();
-        line["method"] = self.crowd.charter.methods[rpc.method].name.clone().into();
-        line["front"] = self.clients.names[rpc.front].clone().into();
-        line["took_ms"] = ((self.net.now() - t.sent) as f64 / MS as f64).into();
-        line["late"] = (self.net.now() > t.gives_up + GRACE).into();
-        line["key"] = rpc.key.to_string().into();
-        self.record.put(line);
+    fn say(&mut self, t: &Try, line: Value) {
+        let (now, row, front) = (self.net.now(), self.crowd.row(&t.rpc), &self.clients.names[t.rpc.front]);
+        let (took, late) = (now - t.sent, now > t.gives_up + GRACE);
+        self.record.put(end_line(line, row, &t.rpc, self.clients.seed, front, took, late));
     }
 
     fn ended(&mut self, call: Id, end: End) {
--- a/standin/src/directory.rs
+++ b/standin/src/directory.rs
@@ -6,13 +6,13 @@
 use rockpick_ldap::frames::Frames;
 use rockpick_ldap::message::*;
 use rockpick_net::http::Request;
-use rockpick_net::{Event, Id, Net, Ns, MS, SEC};
+use rockpick_net::{secure, Event, Id, Net, Ns, MS, SEC};
 use rustls::pki_types::{CertificateDer, PrivateKeyDer, PrivatePkcs8KeyDer};
 use rustls::server::WebPkiClientVerifier;
 use rustls::{RootCertStore, ServerConfig, ServerConnection};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -287,13 +287,9 @@
         match &mut peer.secure {
             None => clear.extend_from_slice(bytes),
             Some(secure) => {
-                let mut rest = bytes;
-                while !rest.is_empty() {
-                    if secure.read_tls(&mut rest).is_err() || secure.process_new_packets().is_err() {
-                        self.flush(conn);
-                        return self.drop(conn);
-                    }
-                    let _ = secure.reader().read_to_end(&mut clear);
+                if secure::taken(secure, bytes, &mut clear).is_err() {
+                    self.flush(conn);
+                    return self.drop(conn);
                 }
             }
         }
@@ -365,8 +361,7 @@
 
     fn flush(&mut self, conn: Id) {
         let Some(secure) = self.peers.get_mut(&conn).and_then(|p| p.secure.as_mut()) else { return };
-        let mut out = Vec::new();
-        while secure.wants_write() && secure.write_tls(&mut out).is_ok_and(|n| n > 0) {}
+        let out = secure::given(secure);
         if !out.is_empty() {
             self.net.send(conn, &out);
         }
--- a/tenant/src/link.rs
+++ b/tenant/src/link.rs
@@ -6,10 +6,10 @@
 use rand::rngs::StdRng;
 use rand::SeedableRng;
 use rockpick_ldap::{News, Out, Quest, Session};
-use rockpick_net::{Event, Id, Net, Ns, SEC};
+use rockpick_net::{secure, Event, Id, Net, Ns, SEC};
 use rustls::pki_types::ServerName;
 use rustls::{ClientConfig, ClientConnection};
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -160,21 +160,15 @@
             }
             return self.act(net, keeper);
         };
-        let mut rest = bytes;
-        while !rest.is_empty() {
-            let taken = secure.read_tls(&mut rest);
-            let result = secure.process_new_packets();
-            if let (Err(_), _) | (_, Err(_)) = (&taken, &result) {
-                let why = result.err().map_or_else(|| "TLS broke off".into(), |err| err.to_string());
-                // What is to be said of it still goes out.
-                self.flush(net);
-                return self.failed(net, &format!("TLS: {why}"));
-            }
-            let mut clear = Vec::new();
-            let _ = secure.reader().read_to_end(&mut clear);
-            if let Some(session) = self.session.as_mut().filter(|_| !clear.is_empty()) {
-                session.bytes(now, &clear);
-            }
+        let mut clear = Vec::new();
+        let taken = secure::taken(secure, bytes, &mut clear);
+        if let Some(session) = self.session.as_mut().filter(|_| !clear.is_empty()) {
+            session.bytes(now, &clear);
+        }
+        if let Err(why) = taken {
+            // What is to be said of it still goes out.
+            self.flush(net);
+            return self.failed(net, &format!("TLS: {why}"));
         }
         if !secure.is_handshaking() {
             match &mut self.session {
@@ -229,8 +223,7 @@
     /// TLS's own bytes go out.
     fn flush(&mut self, net: &mut Net) {
         let (Some(secure), Some(conn)) = (&mut self.secure, self.conn) else { return };
-        let mut out = Vec::new();
-        while secure.wants_write() && secure.write_tls(&mut out).is_ok_and(|n| n > 0) {}
+        let out = secure::given(secure);
         if !out.is_empty() {
             net.send(conn, &out);
         }
