--- a/cli/tests/peers/mod.rs
+++ b/cli/tests/peers/mod.rs
@@ -37,11 +37,15 @@
 
 /// Starts the binary, under a shell's `prefix` if one is given, and waits for its address.
 pub fn start_under(prefix: &str, args: &[&str]) -> Proc {
+    start_with(prefix, args, Stdio::null())
+}
+
+/// The same, with standard error as the test wants it.
+pub fn start_with(prefix: &str, args: &[&str], errors: Stdio) -> Proc {
     let program = env!("CARGO_BIN_EXE_rockpick");
     let mut command = Command::new("sh");
     command.arg("-c").arg(format!("{prefix} exec \"$0\" \"$@\"")).arg(program).args(args);
-    let mut child =
-        command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::null()).spawn().unwrap();
+    let mut child = command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(errors).spawn().unwrap();
     let mut line = String::new();
     BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
     let at =
@@ -93,6 +97,8 @@
     pub votes: Arc<Mutex<Vec<Value>>>,
     /// Connections that asked to watch.
     pub watches: Arc<AtomicU64>,
+    /// The settings and their version; how many answers to who asks for them are nonsense first.
+    pub settings: Arc<Mutex<(u64, Charter, u32)>>,
     lines: Arc<Mutex<Vec<String>>>,
 }
 
@@ -103,19 +109,29 @@
             at: listener.local_addr().unwrap(),
             votes: Arc::default(),
             watches: Arc::default(),
+            settings: Arc::new(Mutex::new((1, charter, 0))),
             lines: Arc::default(),
         };
         let (votes, watches, lines) = (teller.votes.clone(), teller.watches.clone(), teller.lines.clone());
+        let settings = teller.settings.clone();
         std::thread::spawn(move || {
             for io in listener.incoming().flatten() {
                 let (votes, watches, lines) = (votes.clone(), watches.clone(), lines.clone());
-                let charter = charter.clone();
-                std::thread::spawn(move || serve(io, &charter, &votes, &watches, &lines));
+                let settings = settings.clone();
+                std::thread::spawn(move || serve(io, &settings, &votes, &watches, &lines));
             }
         });
         teller
     }
 
+    /// Gives other settings, and tells of them; the first `nonsense` answers to who asks are none.
+    pub fn gives(&self, charter: Charter, nonsense: u32) -> u64 {
+        let mut settings = self.settings.lock().unwrap();
+        *settings = (settings.0 + 1, charter, nonsense);
+        self.tell(json!({ "settings_version": settings.0 }));
+        settings.0
+    }
+
     /// Adds a line; every watch gets all lines from the first on.
     pub fn tell(&self, line: Value) {
         self.lines.lock().unwrap().push(line.to_string());
@@ -144,7 +160,7 @@
 }
 
 fn serve(
-    io: TcpStream, charter: &Charter, votes: &Mutex<Vec<Value>>, watches: &AtomicU64,
+    io: TcpStream, settings: &Mutex<(u64, Charter, u32)>, votes: &Mutex<Vec<Value>>, watches: &AtomicU64,
     lines: &Mutex<Vec<String>>,
 ) {
     let mut out = io.try_clone().unwrap();
@@ -165,7 +181,13 @@
                 std::thread::sleep(Duration::from_millis(2));
             }
         } else if head.starts_with("GET /settings") {
-            json!({ "version": 1, "settings": charter })
+            let mut settings = settings.lock().unwrap();
+            if settings.2 > 0 {
+                settings.2 -= 1;
+                json!("nonsense")
+            } else {
+                json!({ "version": settings.0, "settings": settings.1 })
+            }
         } else {
             if head.starts_with("POST /votes") {
                 votes.lock().unwrap().push(serde_json::from_slice(&body).unwrap());
@@ -199,8 +221,13 @@
     Closes,
     /// 503 that says it never ran.
     Full,
+    /// With [`LONG`] bytes.
+    AtLength,
 }
 
+/// More than the buffers of a connection with a small window take.
+pub const LONG: usize = 1_000_000;
+
 impl Scripted {
     pub fn begin(does: Does) -> Scripted {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -208,7 +235,7 @@
         let (to, got) = channel();
         std::thread::spawn(move || {
             for io in listener.incoming().flatten() {
-                let to = to.clone();
+                let (to, long) = (to.clone(), vec![b'x'; LONG]);
                 std::thread::spawn(move || {
                     let mut out = io.try_clone().unwrap();
                     let mut io = BufReader::new(io);
@@ -224,6 +251,10 @@
                             Does::WrongLength => b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ngood",
                             Does::Never => continue,
                             Does::Closes => return,
+                            Does::AtLength => {
+                                let _ = write!(out, "HTTP/1.1 200 OK\r\nContent-Length: {LONG}\r\n\r\n");
+                                &long
+                            }
                         };
                         if out.write_all(said).is_err() || matches!(does, Does::Half | Does::WrongLength) {
                             return;
@@ -253,3 +284,12 @@
     let answer = rockpick_rehearse::call(at, "GET", target, "").unwrap();
     serde_json::from_slice(&answer.body).unwrap()
 }
+
+pub fn signal(proc: &Proc, signal: rustix::process::Signal) {
+    let pid = rustix::process::Pid::from_raw(proc.child.id() as i32).unwrap();
+    rustix::process::kill_process(pid, signal).unwrap();
+}
+
+pub fn put(at: SocketAddr, charter: &Charter) -> rockpick_net::http::Response {
+    rockpick_rehearse::call(at, "PUT", "/settings", &serde_json::to_string(charter).unwrap()).unwrap()
+}
--- a/control/src/desk.rs
+++ b/control/src/desk.rs
@@ -550,7 +550,8 @@
             self.fronts_serial += 1;
             tracing::info!(event = "front watches", front);
         }
-        let watcher = Watcher { front, serial: None, staged: false, fronts: 0, charter: self.version };
+        // The version is told first of all: settings may have changed while the front was away.
+        let watcher = Watcher { front, serial: None, staged: false, fronts: 0, charter: 0 };
         self.watchers.insert(conn, watcher);
         Answer::Watch
     }
@@ -744,7 +745,7 @@
         let kinds = |lines: Vec<(u64, String)>| -> Vec<String> {
             lines.iter().map(|(_, l)| l[2..].split('"').next().unwrap().to_string()).collect()
         };
-        assert_eq!(kinds(desk.pass(10 * SEC)), ["stage", "fronts"]);
+        assert_eq!(kinds(desk.pass(10 * SEC)), ["stage", "settings_version", "fronts"]);
         let beat = json!({"addr":"127.0.0.1:1","place":"p0","build":1,"run":5,"age_ms":60000.0});
         assert_eq!(say(&mut desk, 11 * SEC, "POST", "/machines/m", beat).1["order"], "serve");
         assert_eq!(kinds(desk.pass(11 * SEC)), Vec::<String>::new());
