--- a/net/src/net.rs
+++ b/net/src/net.rs
@@ -239,13 +239,15 @@
     calls: usize,
     lingering: usize,
     pub(crate) streams: usize,
-    /// Connections answered in this turn, whose next request may be waiting.
+    /// Connections whose answer is out, and whose next request may be waiting.
     answered: Vec<Id>,
     /// Most client connections; one more is answered 503 at once.
     pub most_clients: usize,
     /// A head must be whole this long after its first byte, and a body after its head, else 408.
     pub head_time: Ns,
     pub body_time: Ns,
+    /// A reader that takes nothing of its answer for this long is gone.
+    pub write_time: Ns,
     /// Held back so that a connection can be refused in words when descriptors have run out.
     spare: Option<OwnedFd>,
     scratch: Vec<u8>,
@@ -310,6 +312,7 @@
             most_clients,
             head_time: HEAD_TIME,
             body_time: BODY_TIME,
+            write_time: WRITE_TIME,
             spare: spare(),
             scratch: vec![0; READ],
             refused: 0,
@@ -332,6 +335,12 @@
         self.timers.set(at, tag);
     }
 
+    /// Connections on which an answer is still on its way out.
+    pub fn unsent(&self) -> usize {
+        let owes = |c: &Client| c.sent < c.out.len() || c.file.is_some();
+        self.socks.iter().filter(|(_, s)| matches!(&s.sock, Sock::Client(c) if owes(c))).count()
+    }
+
     /// Client connections now open, and calls now open.
     pub fn open(&self) -> (usize, usize) {
         (self.clients, self.calls)
@@ -453,15 +462,14 @@
 
     /// Answers the request that a connection waits with; nothing happens when the client has gone.
     pub fn answer(&mut self, conn: Id, status: u16, lines: &[(&str, &str)], body: &[u8]) {
-        let now = self.now;
+        let by = self.now + self.write_time;
         let Some(client) = self.client(conn) else { return };
         let Serve::Work { keep, bare } = client.serve else { return };
         let keep = keep && !client.close;
         http::answer(&mut client.out, status, lines, Some(body), keep, bare);
         client.close = !keep;
         client.serve = Serve::Head;
-        client.until = now + WRITE_TIME;
-        self.answered.push(conn);
+        client.until = by;
         self.flush_client(conn);
     }
 
@@ -469,7 +477,7 @@
     pub fn answer_file(
         &mut self, conn: Id, status: u16, lines: &[(&str, &str)], file: std::fs::File, long: u64,
     ) {
-        let now = self.now;
+        let by = self.now + self.write_time;
         let Some(client) = self.client(conn) else { return };
         let Serve::Work { keep, bare } = client.serve else { return };
         client.close |= !keep;
@@ -479,8 +487,7 @@
         http::head(&mut client.out, status, &lines, !client.close);
         client.file = (!bare && long > 0).then_some((file, long));
         client.serve = Serve::Head;
-        client.until = now + WRITE_TIME;
-        self.answered.push(conn);
+        client.until = by;
         self.flush_client(conn);
     }
 
@@ -528,8 +535,9 @@
     }
 
     fn flush_client(&mut self, id: Id) {
-        let now = self.now;
+        let by = self.now + self.write_time;
         let Some(client) = self.client(id) else { return };
+        let owed = client.sent < client.out.len() || client.file.is_some();
         loop {
             if client.sent == client.out.len() && !client.refill() {
                 return self.drop_sock(id); // the file ended before its told length
@@ -543,8 +551,8 @@
                 Err(err) if would_block(&err) => break,
                 Err(_) => return self.drop_sock(id),
             }
-            if client.file.is_some() {
-                client.until = now + WRITE_TIME;
+            if matches!(client.serve, Serve::Head) {
+                client.until = by;
             }
         }
         let flushed = client.sent == client.out.len();
@@ -557,7 +565,8 @@
             }
         }
         let over = flushed && client.close && matches!(client.serve, Serve::Head);
-        let waits = flushed && !client.buf.is_empty() && matches!(client.serve, Serve::Head);
+        // Once for each answer, so that the time for the next head runs from here and is not set anew.
+        let answered = owed && flushed && matches!(client.serve, Serve::Head);
         let mut flags = epoll::EventFlags::RDHUP;
         if client.buf.len() < http::MAX_HEAD || matches!(client.serve, Serve::Body(_)) {
             flags |= epoll::EventFlags::IN;
@@ -568,7 +577,7 @@
         if over {
             return self.linger(id);
         }
-        if waits {
+        if answered {
             self.answered.push(id);
         }
         self.want(id, flags);
@@ -831,7 +840,8 @@
         let Some(client) = self.client(id) else { return };
         let step: Result<(), Refusal> = (|| {
             if let Serve::Head = client.serve {
-                if client.close || client.buf.is_empty() || client.file.is_some() {
+                let owes = client.sent < client.out.len() || client.file.is_some();
+                if client.close || client.buf.is_empty() || owes {
                     return Ok(());
                 }
                 let Some(head) = http::request_head(&client.buf)? else { return Ok(()) };
@@ -893,7 +903,10 @@
     /// After an answer: pipelined requests that wait in the buffer come up now.
     fn resume(&mut self, events: &mut Vec<Event>, conn: Id) {
         let (now, head) = (self.now, self.head_time);
-        if let Some(client) = self.client(conn).filter(|c| matches!(c.serve, Serve::Head)) {
+        // Not before the last byte of the answer is out: a client that sends and never reads would fill the
+        // memory with answers, and be let stay as an idle one.
+        let out = |c: &&mut Client| c.sent == c.out.len() && c.file.is_none();
+        if let Some(client) = self.client(conn).filter(|c| matches!(c.serve, Serve::Head)).filter(out) {
             client.until = now + if client.buf.is_empty() { CLIENT_IDLE } else { head };
             if !client.buf.is_empty() {
                 self.parse(events, conn);
--- a/net/tests/server.rs
+++ b/net/tests/server.rs
@@ -207,3 +207,52 @@
     assert_eq!(end(scripted(b"HTTP/1.1 200 OK\r\n\r\nuntil it closes")), "Answer");
     assert_eq!(end(scripted(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n")), "Answer");
 }
+
+/// A loop that answers each request with so many bytes; `client` is the other side, which may say something first.
+fn answers(long: usize, said: &[u8]) -> (Net, TcpStream, Vec<u8>) {
+    let mut net = Net::new(4).unwrap();
+    let (_, at) = net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
+    (net.head_time, net.write_time) = (300 * MS, 300 * MS);
+    (net, send(at, said), vec![b'x'; long])
+}
+
+/// Turns the loop until `over`, or for ten seconds; returns how many requests came up.
+fn turns(net: &mut Net, body: &[u8], over: impl Fn(&Net, usize) -> bool) -> usize {
+    let (mut events, mut came) = (Vec::new(), 0);
+    while !over(net, came) && net.clock() < 10 * SEC {
+        net.turn(&mut events, 20 * MS).unwrap();
+        for event in std::mem::take(&mut events) {
+            if let Event::Request { conn, .. } = event {
+                came += 1;
+                net.answer(conn, 200, &[], body);
+            }
+        }
+    }
+    came
+}
+
+const GET: &str = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
+/// Finding 12: thirty seconds are stated (here 0.3), not the five minutes of an idle connection.
+#[test]
+fn a_reader_that_takes_nothing_is_gone_after_the_time_to_write() {
+    let (mut net, _client, body) = answers(32 << 20, GET.as_bytes());
+    turns(&mut net, &body, |net, came| came == 1 && net.open().0 == 0);
+    assert!(net.clock() < 10 * SEC);
+}
+
+/// Finding 28: a client that sends and never reads is owed one answer at a time.
+#[test]
+fn pipelined_requests_of_one_that_never_reads_do_not_fill_the_memory() {
+    let (mut net, _client, body) = answers(256 * 1024, GET.repeat(2_000).as_bytes());
+    let came = turns(&mut net, &body, |net, came| came == 2_000 || came > 0 && net.open().0 == 0);
+    assert!(came < 200, "{came} answers of 256 KiB");
+}
+
+/// Finding 29: half a head behind a whole request gets its time from the answer on, and no more.
+#[test]
+fn half_a_request_behind_another_gets_408_too() {
+    let (mut net, mut client, body) = answers(2, format!("{GET}GET / HT").as_bytes());
+    turns(&mut net, &body, |net, came| came == 1 && net.open().0 == 0);
+    assert!(read(&mut client, "").contains("HTTP/1.1 408 "));
+}
