--- a/control/src/roster.rs
+++ b/control/src/roster.rs
@@ -78,12 +78,18 @@
         if known.is_none() && twin {
             return Err("another machine runs this build at this place");
         }
+        let started = now - beat.age.max(0);
+        // A late beat of the process before must not put the one that has its name now out.
+        let there = self.machines.get(beat.name).filter(|m| m.state != State::Gone);
+        if known.is_none() && there.is_some_and(|m| started < m.started) {
+            return Err("a later process has this name");
+        }
         let mut m = known.cloned().unwrap_or(Machine {
             addr: beat.addr.into(),
             place,
             build: beat.build,
             run: beat.run,
-            started: now - beat.age.max(0),
+            started,
             state: State::Gone,
             heard: now,
             leaving: false,
@@ -194,6 +200,23 @@
         assert!(roster.beat(4 * SEC, &charter, &wanted, beat("b", "p9", 0)).is_err());
     }
 
+    /// Finding 25: the former process is heard of once more after the new one has come, then it is gone.
+    #[test]
+    fn a_late_beat_of_a_former_process_does_not_put_the_new_one_out() {
+        let charter = Charter::example(1, 2);
+        let (mut roster, wanted) = (Roster::default(), Running::from([(0, 1)]));
+        let former = Beat { run: 6, age: 9 * SEC, addr: "127.0.0.1:6", ..beat("a", "p0", 0) };
+        let late = Beat { age: 10 * SEC, ..beat("a", "p0", 0) };
+        roster.beat(10 * SEC, &charter, &wanted, former).unwrap();
+        assert_eq!(roster.beat(11 * SEC, &charter, &wanted, beat("a", "p0", 0)), Ok(Order::Serve));
+        assert!(roster.beat(11 * SEC, &charter, &wanted, Beat { run: 6, ..late }).is_err());
+        assert_eq!((roster.machines["a"].run, roster.machines["a"].started), (7, 11 * SEC));
+        roster.leave("a", 7);
+        assert!(roster
+            .beat(12 * SEC, &charter, &wanted, Beat { run: 5, age: 60 * SEC, ..beat("a", "p0", 0) })
+            .is_ok());
+    }
+
     #[test]
     fn silence_is_gone_but_not_when_the_controller_itself_stood_still() {
         let charter = Charter::example(1, 2);
