--- a/control/src/desk.rs
+++ b/control/src/desk.rs
@@ -6,7 +6,7 @@
 use rockpick::{Ns, Phase, State, Verdict};
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 const MS: Ns = 1_000_000;
 const SEC: Ns = 1_000 * MS;
@@ -328,6 +328,10 @@
     fn offer(&mut self, now: Ns, json: &Value) -> Answer {
         let build = field!(json, "build", as_u64);
         let Some(release) = &mut self.release else { return no(409, "settings", "none were given yet") };
+        // Names that no longer are a front's would gather over years of settings.
+        let named: BTreeSet<&String> = charter.fronts.iter().map(|f| &f.name).collect();
+        self.fronts.retain(|name, _| named.contains(name));
+        self.fronts_serial += 1;
         match release.offer(now, build.min(u64::from(u32::MAX)) as u32) {
             Ok(off) => {
                 off.iter().for_each(log);
@@ -764,3 +768,26 @@
         assert_eq!(say(&mut desk, 2 * SEC, "POST", "/votes", vote).0, 200);
     }
 }
+    /// Finding 23.
+    #[test]
+    fn a_refused_report_of_an_agent_changes_nothing() {
+        let mut desk = seated();
+        say(&mut desk, 0, "POST", "/builds", json!({"build":2}));
+        let report = json!({"generation":0,"builds":[{"build":2,"unfit":true},{"build":"x"}]});
+        assert_eq!(say(&mut desk, 0, "POST", "/agents/p0", report).0, 400);
+        assert!(desk.release.unwrap().unfit.is_empty());
+    }
+
+    /// Finding 22.
+    #[test]
+    fn names_of_fronts_that_settings_no_longer_hold_are_forgotten() {
+        let mut desk = seated();
+        for i in 0..100 {
+            let mut charter = Charter::example(2, 4);
+            charter.fronts[0].name = format!("g{i}");
+            assert_eq!(say(&mut desk, 0, "PUT", "/settings", serde_json::to_value(charter).unwrap()).0, 200);
+            say(&mut desk, 0, "GET", &format!("/watch?front=g{i}"), json!(null));
+        }
+        assert_eq!(desk.fronts.len(), 1);
+    }
+
