--- a/control/src/charter.rs
+++ b/control/src/charter.rs
@@ -9,7 +9,8 @@
 
 /// Most methods, zones, fronts and places: five times the largest fleet that was asked for.
 const MOST_METHODS: usize = 64;
-const MOST_ZONES: usize = 64;
+pub const MOST_ZONES: usize = 64;
+pub const MOST_WEIGHT: f64 = 1e6;
 const MOST_FRONTS: usize = 5_000;
 const MOST_PLACES: usize = 5_000;
 const MOST_STAGES: usize = 32;
@@ -273,9 +274,17 @@
             must(zones.contains(zone), format!("{at}.zone"), "not among zones");
         }
         for (i, p) in self.places.iter().enumerate() {
-            must(p.weight > 0.0 && p.weight <= 1e6, format!("places[{i}].weight"), "above 0, at most 1e6");
+            must(
+                p.weight > 0.0 && p.weight <= MOST_WEIGHT,
+                format!("places[{i}].weight"),
+                "above 0, at most 1e6",
+            );
         }
-        must((1..65_536).contains(&self.first_build), "first_build".into(), "1 to 65535");
+        must(
+            (1..=crate::release::MOST_BUILD).contains(&self.first_build),
+            "first_build".into(),
+            "1 to 65535",
+        );
         must(share(self.cross_zone_price), "cross_zone_price".into(), "0 to 1");
         for (field, why) in self.directory.iter().flat_map(Books::check) {
             must(false, format!("directory.{field}"), &why);
--- a/control/src/desk.rs
+++ b/control/src/desk.rs
@@ -1,7 +1,7 @@
 //! The controller without its sockets: each request gets an answer, each pass the lines that watchers are
 //! due. Time is told by the caller; the only file is the snapshot, written by [`Desk::save`]'s caller.
 use crate::charter::{plain, Charter, Wrong};
-use crate::release::{Moot, Moved, Release, Running};
+use crate::release::{Moot, Moved, Release, Running, MOST_BUILD};
 use crate::roster::{Beat, Order, Roster, SETTLE};
 use rockpick::{Ns, Phase, State, Verdict};
 use serde::{Deserialize, Serialize};
@@ -152,10 +152,20 @@
     tracing::info!(event = "stage", build, stage, phase = phase_word(*phase), why);
 }
 
+/// A whole number of 32 bits: one beyond must not be cut to another.
+fn small(value: &Value) -> Option<u32> {
+    value.as_u64()?.try_into().ok()
+}
+
+/// A build's number.
+fn build_of(value: &Value) -> Option<u32> {
+    small(value).filter(|n| *n <= MOST_BUILD)
+}
+
 /// A field of a body, or an answer that names it.
 macro_rules! field {
-    ($body:expr, $name:literal, $read:ident) => {
-        match $body.get($name).and_then(Value::$read) {
+    ($body:expr, $name:literal, $read:expr) => {
+        match $body.get($name).and_then($read) {
             Some(value) => value,
             None => return no(400, $name, "missing, or not of the kind wanted"),
         }
@@ -318,6 +328,10 @@
                 }
             }
         }
+        // Names that no longer are a front's would gather over years of settings.
+        let named: BTreeSet<&String> = charter.fronts.iter().map(|f| &f.name).collect();
+        self.fronts.retain(|name, _| named.contains(name));
+        self.fronts_serial += 1;
         self.charter = Some(charter);
         self.version += 1;
         self.dirty = true;
@@ -326,13 +340,9 @@
     }
 
     fn offer(&mut self, now: Ns, json: &Value) -> Answer {
-        let build = field!(json, "build", as_u64);
+        let build = field!(json, "build", small);
         let Some(release) = &mut self.release else { return no(409, "settings", "none were given yet") };
-        // Names that no longer are a front's would gather over years of settings.
-        let named: BTreeSet<&String> = charter.fronts.iter().map(|f| &f.name).collect();
-        self.fronts.retain(|name, _| named.contains(name));
-        self.fronts_serial += 1;
-        match release.offer(now, build.min(u64::from(u32::MAX)) as u32) {
+        match release.offer(now, build) {
             Ok(off) => {
                 off.iter().for_each(log);
                 tracing::info!(event = "offer", build);
@@ -356,9 +366,9 @@
     }
 
     fn vote(&mut self, now: Ns, json: &Value) -> Answer {
-        let front = field!(json, "front", as_str);
-        let (build, stage) = (field!(json, "build", as_u64) as u32, field!(json, "stage", as_u64) as u32);
-        let Some(verdict) = verdict_of(field!(json, "verdict", as_str)) else {
+        let front = field!(json, "front", Value::as_str);
+        let (build, stage) = (field!(json, "build", build_of), field!(json, "stage", small));
+        let Some(verdict) = verdict_of(field!(json, "verdict", Value::as_str)) else {
             return no(400, "verdict", "on, hold, back or none");
         };
         let (Some(release), Some(charter)) = (&mut self.release, &self.charter) else {
@@ -432,17 +442,17 @@
         if !plain(name) {
             return no(400, "name", "1 to 64 letters, digits, '-', '_' or '.'");
         }
-        let addr = field!(json, "addr", as_str);
+        let addr = field!(json, "addr", Value::as_str);
         if addr.parse::<std::net::SocketAddr>().is_err() {
             return no(400, "addr", "an address and a port are wanted");
         }
         let beat = Beat {
             name,
             addr,
-            place: field!(json, "place", as_str),
-            build: field!(json, "build", as_u64).min(65_535) as u32,
-            run: field!(json, "run", as_u64),
-            age: (field!(json, "age_ms", as_f64).clamp(0.0, 1e12) * MS as f64) as Ns,
+            place: field!(json, "place", Value::as_str),
+            build: field!(json, "build", build_of),
+            run: field!(json, "run", Value::as_u64),
+            age: (field!(json, "age_ms", Value::as_f64).clamp(0.0, 1e12) * MS as f64) as Ns,
             leaving: json.get("leaving").and_then(Value::as_bool).unwrap_or(false),
             held: json.get("held").and_then(Value::as_u64).unwrap_or(0).min(1 << 20) as u32,
         };
@@ -484,26 +494,28 @@
         let Some(index) = charter.places.iter().position(|p| p.name == place) else {
             return no(404, "place", "no such place");
         };
-        let generation = field!(json, "generation", as_u64);
+        let generation = field!(json, "generation", Value::as_u64);
         let Some(builds) = json.get("builds").and_then(Value::as_array).filter(|b| b.len() <= MOST_BUILDS)
         else {
             return no(400, "builds", "a list of at most 16 is wanted");
         };
         let mut orders = serde_json::Map::new();
+        // All of it is read before any of it counts: what is refused changes nothing.
         let mut said = Vec::new();
         for (i, b) in builds.iter().enumerate() {
-            let at = |f: &str| format!("builds[{i}].{f}");
-            let Some(build) = b["build"].as_u64().filter(|n| *n < 65_536).map(|n| n as u32) else {
-                return no(400, &at("build"), "a number below 65536 is wanted");
+            let Some(build) = build_of(&b["build"]) else {
+                return no(400, &format!("builds[{i}].build"), "a number below 65536 is wanted");
             };
-            let word = |name: &str| b[name].as_str().unwrap_or("");
-            let why: String = word("why").chars().take(200).collect();
-            said.push((build, word("state").chars().take(16).collect(), why));
+            let word = |name: &str, most: usize| b[name].as_str().unwrap_or("").chars().take(most).collect();
+            said.push((build, word("state", 16), word("why", 200)));
+        }
+        for (b, (build, _, why)) in builds.iter().zip(&said) {
+            let build = *build;
             let newest = self.release.as_ref().and_then(|r| r.newest.as_ref()).map(|t| t.build);
             if let Some(release) = self.release.as_mut().filter(|_| newest == Some(build)) {
                 let unfit = b["unfit"] == true;
                 if unfit && release.unfit.insert(index) {
-                    tracing::warn!(event = "unfit", place, build, why = word("why"));
+                    tracing::warn!(event = "unfit", place, build, why);
                 } else if !unfit {
                     release.unfit.remove(&index);
                 }
@@ -512,8 +524,7 @@
                 let mut beat = b.clone();
                 beat["place"] = place.into();
                 beat["leaving"] = false.into();
-                let name = word("name").to_string();
-                match self.beat(now, &name, &beat) {
+                match self.beat(now, b["name"].as_str().unwrap_or(""), &beat) {
                     Answer::Now(200, said) => {
                         orders.insert(build.to_string(), said["order"].clone());
                     }
@@ -725,12 +736,21 @@
             ("POST", "/votes", json!({"front":"f9","build":1,"stage":0,"verdict":"on"}), 403),
             ("POST", "/votes", json!({"front":"f0","build":1,"stage":0,"verdict":"maybe"}), 400),
             ("POST", "/votes", json!({"front":"f0","build":1,"stage":0,"verdict":"on"}), 409),
+            ("POST", "/votes", json!({"front":"f0","build":4294967297u64,"stage":0,"verdict":"none"}), 400),
+            ("POST", "/votes", json!({"front":"f0","build":1,"stage":4294967296u64,"verdict":"none"}), 400),
             ("POST", "/builds", json!({"build":1}), 409),
+            ("POST", "/builds", json!({"build":4294967298u64}), 400),
             ("POST", "/builds", json!({"build":"x"}), 400),
             ("POST", "/builds/x/back", json!(null), 400),
             ("POST", "/counts", json!({"rows":[[1,99,1,0]]}), 400),
             ("POST", "/machines/a b", json!({}), 400),
             ("POST", "/machines/a", json!({"addr":"nowhere"}), 400),
+            (
+                "POST",
+                "/machines/a",
+                json!({"addr":"127.0.0.1:1","place":"p0","build":70000,"run":1,"age_ms":1}),
+                400,
+            ),
             ("DELETE", "/stage", json!(null), 405),
             ("GET", "/nothing", json!(null), 404),
         ] {
@@ -757,17 +777,6 @@
         assert!(Desk::open(0, Some(&kept[..kept.len() / 2])).is_err());
     }
 
-    #[test]
-    fn votes_over_the_rate_do_not_count() {
-        let mut desk = seated();
-        say(&mut desk, 0, "POST", "/builds", json!({"build":2}));
-        let vote = json!({"front":"f0","build":2,"stage":0,"verdict":"on"});
-        let statuses: Vec<u16> =
-            (0..200).map(|_| say(&mut desk, SEC, "POST", "/votes", vote.clone()).0).collect();
-        assert_eq!(statuses.iter().filter(|s| **s == 200).count(), 160, "a burst of twice the rate");
-        assert_eq!(say(&mut desk, 2 * SEC, "POST", "/votes", vote).0, 200);
-    }
-}
     /// Finding 23.
     #[test]
     fn a_refused_report_of_an_agent_changes_nothing() {
@@ -791,3 +800,14 @@
         assert_eq!(desk.fronts.len(), 1);
     }
 
+    #[test]
+    fn votes_over_the_rate_do_not_count() {
+        let mut desk = seated();
+        say(&mut desk, 0, "POST", "/builds", json!({"build":2}));
+        let vote = json!({"front":"f0","build":2,"stage":0,"verdict":"on"});
+        let statuses: Vec<u16> =
+            (0..200).map(|_| say(&mut desk, SEC, "POST", "/votes", vote.clone()).0).collect();
+        assert_eq!(statuses.iter().filter(|s| **s == 200).count(), 160, "a burst of twice the rate");
+        assert_eq!(say(&mut desk, 2 * SEC, "POST", "/votes", vote).0, 200);
+    }
+}
--- a/control/src/release.rs
+++ b/control/src/release.rs
@@ -9,6 +9,9 @@
 /// that can't start must not hold a stage for ever.
 const START_WITHIN: Ns = 8_000 * MS;
 
+/// Highest number of a build: notes between fronts carry it in 16 bits.
+pub const MOST_BUILD: u32 = 65_535;
+
 /// What runs: place and build.
 pub type Running = BTreeSet<(usize, u32)>;
 
@@ -121,7 +124,7 @@
         if build <= last {
             return Err("a build's number must be above all before it");
         }
-        if build > 65_535 {
+        if build > MOST_BUILD {
             return Err("builds go up to 65535");
         }
         let mut off = None;
