--- a/control/src/server.rs
+++ b/control/src/server.rs
@@ -2,6 +2,7 @@
 use crate::desk::{Answer, Desk};
 use crate::keep;
 use rockpick_net::{Event, Net, Ns, MS};
+use serde_json::json;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -44,7 +45,7 @@
         let (_, at) = net.listen(self.listen).map_err(|err| format!("{}: {err}", self.listen))?;
         ready(at);
         tracing::info!(event = "controller up", at = %at, settings_version = desk.version);
-        let (mut events, mut passed, mut saved) = (Vec::new(), Ns::MIN / 2, 0);
+        let (mut events, mut passed, mut saved, mut failed) = (Vec::new(), Ns::MIN / 2, 0, false);
         loop {
             net.turn(&mut events, PASS).map_err(|err| err.to_string())?;
             let now = net.now();
@@ -65,13 +66,26 @@
                         }
                     }
                     Event::Request { conn, request } => {
-                        match desk.request(now, conn, &request.method, &request.target, &request.body) {
-                            Answer::Now(status, value) => {
+                        // Only what this very call changed is its to answer for.
+                        let behind = std::mem::take(&mut desk.dirty);
+                        let answer = desk.request(now, conn, &request.method, &request.target, &request.body);
+                        let changed = std::mem::replace(&mut desk.dirty, behind);
+                        match answer {
+                            Answer::Now(mut status, mut value) => {
                                 // What was acknowledged is kept first.
-                                let kept = if desk.dirty { write(&mut desk, now, &file) } else { Ok(()) };
+                                if changed {
+                                    desk.dirty = true;
+                                    saved = now;
+                                    let kept = write(&mut desk, now, &file);
+                                    failed = kept.is_err();
+                                    if let Err(why) = kept {
+                                        let why = format!("in force, but not on disk yet: {why}");
+                                        status = 500;
+                                        value = json!({ "errors": [{ "field": "state", "why": why }] });
+                                    }
+                                }
                                 let mut body = value.to_string();
                                 body.push('\n');
-                                let status = if kept.is_ok() { status } else { 500 };
                                 net.answer(
                                     conn,
                                     status,
@@ -103,9 +117,11 @@
                 }
             }
             let on_trial = desk.release.as_ref().and_then(|r| r.newest.as_ref()).is_some_and(|t| t.ran > 0);
-            if desk.dirty || on_trial && now - saved >= SAVE {
+            // What could not be kept is tried again after as long; the log has said why.
+            let due = now - saved >= SAVE;
+            if desk.dirty && (due || !failed) || on_trial && due {
                 saved = now;
-                let _ = write(&mut desk, now, &file);
+                failed = write(&mut desk, now, &file).is_err();
             }
         }
     }
