--- a/src/logic.rs
+++ b/src/logic.rs
@@ -57,7 +57,7 @@
 impl Ranks {
     /// Mann–Whitney of the new side's rank sum, ties at their middle rank.
     pub fn of<'a>(pairs: impl Iterator<Item = (&'a Sample, &'a Sample)>) -> Ranks {
-        let both = pairs.filter(|(new, old)| new.n * old.n > 0);
+        let both = pairs.filter(|(new, old)| new.n > 0 && old.n > 0);
         Ranks(both.fold([0.0; 3], |[beyond, variance, compared], (new, old)| {
             let (n, m) = (f64::from(new.n), f64::from(old.n));
             let (mut below, mut ranks) = (0.0, 0.0);
--- a/src/tally.rs
+++ b/src/tally.rs
@@ -4,8 +4,9 @@
 /// Picks and failures.
 pub type Count = [u32; 2];
 
+/// Counts told by others may be wild, and must not run over to small ones.
 pub fn add(a: Count, b: Count) -> Count {
-    [a[0] + b[0], a[1] + b[1]]
+    [a[0].saturating_add(b[0]), a[1].saturating_add(b[1])]
 }
 
 pub fn sum<'a>(counts: impl Iterator<Item = &'a Count>) -> Count {
@@ -66,7 +67,11 @@
     pub fn read(note: &[u8]) -> Option<(u32, Tally)> {
         let (head, tail) = note.split_at_checked(2 + 2 * WORDS)?;
         let word = |b: &[u8]| u32::from(b[0]) << 8 | u32::from(b[1]);
-        let words = std::array::from_fn(|i| f32::from_bits(word(&head[2 * i + 2..]) << 16));
+        let words: [f32; WORDS] = std::array::from_fn(|i| f32::from_bits(word(&head[2 * i + 2..]) << 16));
+        // One infinite word would stay in whatever it is added to.
+        if !words.iter().all(|w| w.is_finite()) {
+            return None;
+        }
         let failed = tail.chunks_exact(4).map(|b| ((word(b), b[2].into()), b[3].into())).collect();
         Some((word(head), Tally { words, failed }))
     }
