--- a/src/logic.rs
+++ b/src/logic.rs
@@ -168,7 +168,7 @@
     watching: bool,
     /// RPCs taken and picks at builds on trial: a row a method, or one where the cap is for all.
     exposure: Vec<Ring<Count>>,
-    bound: BTreeMap<u64, u32>, // one-way keys and the newest build that answered them
+    pub(crate) bound: BTreeMap<u64, u32>, // one-way keys and the newest build that answered them
     /// The newest build; its times and the earlier ones' (sides 0 and 1), by method and load.
     watched: u32,
     samples: Vec<[Ring<Sample>; 2]>,
@@ -199,6 +199,10 @@
 const BEAT: u64 = 0; // the timer of the beat; any other asks for the roster
 
 impl Front {
+/// Most one-way keys remembered: some megabytes. At the bound a key not among them counts as answered by the
+/// build last told of, so that none goes back: it waits for room within the cap instead.
+pub const MOST_KEYS: usize = 1 << 18;
+
     pub fn start(post: Post, ctl: &mut dyn Ctl) -> Front {
         let rows = post.methods.len();
         let scopes = if post.rollout.cap_per_method { rows } else { 1 };
@@ -410,7 +414,8 @@
 
     /// The build that a one-way key is bound to; it goes to no earlier one.
     fn bound_to(&self, key: Option<u64>) -> u32 {
-        key.and_then(|key| self.bound.get(&key)).copied().unwrap_or(0)
+        let full = if self.bound.len() < MOST_KEYS { 0 } else { self.told.map_or(0, |t| t.build) };
+        key.map_or(0, |key| self.bound.get(&key).copied().unwrap_or(full))
     }
 
     /// The best machine of earlier builds, also of one on trial within its cap where a newer one is listed.
@@ -447,7 +452,8 @@
                 r.mark = r.mark.or(Some(mark));
             }
             let answered = outcome == Outcome::Ok && front.post.rollout.one_way;
-            if let Some(key) = r.key.filter(|_| answered) {
+            let (room, known) = (front.bound.len() < MOST_KEYS, |key: &u64| front.bound.contains_key(key));
+            if let Some(key) = r.key.filter(|key| answered && (room || known(key))) {
                 front.bound.entry(key).and_modify(|b| *b = build.max(*b)).or_insert(build);
             }
             if last {
