--- a/src/logic.rs
+++ b/src/logic.rs
@@ -98,6 +98,9 @@
     1.0 - under < odds
 }
 
+/// Tells a machine's process from the one before it under the same name: its build and its start.
+type Run = (u32, Option<Ns>);
+
 #[derive(Default)]
 struct Machine {
     member: Member,
@@ -196,13 +199,13 @@
 
 const HEARERS: u32 = 3; // hear the others, as notes to all grow with the square; one may stall, one restart
 
-const BEAT: u64 = 0; // the timer of the beat; any other asks for the roster
-
-impl Front {
 /// Most one-way keys remembered: some megabytes. At the bound a key not among them counts as answered by the
 /// build last told of, so that none goes back: it waits for room within the cap instead.
 pub const MOST_KEYS: usize = 1 << 18;
 
+const BEAT: u64 = 0; // the timer of the beat; any other asks for the roster
+
+impl Front {
     pub fn start(post: Post, ctl: &mut dyn Ctl) -> Front {
         let rows = post.methods.len();
         let scopes = if post.rollout.cap_per_method { rows } else { 1 };
@@ -259,9 +262,10 @@
             let credit = if self.quiet { self.chance.part() } else { 1.0 };
             let known_run = (known.member.build, known.member.started);
             if known.slow == 0.0 || known_run != (entry.build, entry.started) {
-                // A restart, or another machine under this name: what was known of it is void.
+                // A restart, or another machine under this name: what was known of it is void, and so are the
+                // ends of picks at the former one.
                 let credit = (credit, entry.started.unwrap_or(now));
-                *known = Machine { held: known.held, reached: now, slow: 1.0, credit, ..Machine::default() };
+                *known = Machine { reached: now, slow: 1.0, credit, ..Machine::default() };
             }
             known.member = entry.clone();
         }
@@ -436,7 +440,9 @@
         let (credit, ..) = self.credit(&self.machines[machine], now);
         let m = &mut self.machines[machine];
         let mark = (m.member.zone, m.member.cell, now);
-        let (build, cell) = (m.member.build, row * LOADS + (m.held as usize).min(LOADS - 1));
+        let (run, cell) =
+            ((m.member.build, m.member.started), row * LOADS + (m.held as usize).min(LOADS - 1));
+        let build = run.0;
         m.held += 1.0;
         m.credit = (credit - 1.0, now);
         let queued = self.queued.at(now);
@@ -446,7 +452,7 @@
             self.exposure[scope].at(now)[1] += 1;
         }
         self.rpcs[rpc].then.push(Some(Box::new(move |front, ctl, outcome, took, last| {
-            front.learn(ctl.now(), machine, build, cell, outcome, took);
+            front.learn(ctl.now(), machine, run, cell, outcome, took);
             let r = &mut front.rpcs[rpc];
             if !matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::Void) {
                 r.mark = r.mark.or(Some(mark));
@@ -561,12 +567,15 @@
         usize::from(build < self.watched)
     }
 
-    fn learn(&mut self, now: Ns, machine: usize, build: u32, cell: usize, outcome: Outcome, took: Ns) {
+    fn learn(&mut self, now: Ns, machine: usize, run: Run, cell: usize, outcome: Outcome, took: Ns) {
         let (row, side, soft) =
-            (cell / LOADS, self.side(build), self.post.methods[cell / LOADS].soft_deadline);
+            (cell / LOADS, self.side(run.0), self.post.methods[cell / LOADS].soft_deadline);
         let m = &mut self.machines[machine];
+        if (m.member.build, m.member.started) != run {
+            return;
+        }
         m.held = (m.held - 1.0).max(0.0);
-        if matches!(outcome, Outcome::Cancelled | Outcome::Void) || m.member.build != build {
+        if matches!(outcome, Outcome::Cancelled | Outcome::Void) {
             return;
         }
         // Time-outs and broken connections tell of a machine or the net, not of what the build answers.
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -646,3 +646,60 @@
     }
     assert_eq!(desk.votes.last().map(|v| v.2), Some(Verdict::Back));
 }
+
+/// Finding 9: what a machine's former process still owes is not held against the new one of its build.
+#[test]
+fn a_late_end_of_a_former_process_does_not_count_for_the_new_one() {
+    let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
+    let mut front = front(post(), &[member(0, 1, None), member(1, 1, None)], &mut desk);
+    front.told(&mut desk, Reply::News, standing(2, 0, Phase::Withdrawn, 0.0, 0));
+    (0..2).for_each(|rpc| take(&mut front, &mut desk, rpc, 2));
+    // One of them starts anew and is warm by now; then the pick at its former process breaks.
+    let anew = desk.picks[0].1;
+    desk.now += 60 * SEC;
+    front.members(&mut desk, Roll::Changes, &[member(anew, 1, Some(110 * SEC))]);
+    front.ended(&mut desk, 0, 0, Outcome::Broken, 60 * SEC, false);
+    desk.picks.clear();
+    for rpc in 2..10 {
+        take(&mut front, &mut desk, rpc, 2);
+        front.ended(&mut desk, rpc, 0, Outcome::Ok, 30 * MS, true);
+    }
+    // The other one still holds an RPC.
+    assert!(desk.picks.len() == 8 && desk.picks.iter().all(|p| p.1 == anew), "{:?}", desk.picks);
+}
+
+/// Finding 11: keys without number; at the bound those not remembered count as answered by the new build.
+#[test]
+fn one_way_keys_are_bounded_and_none_goes_back_at_the_bound() {
+    let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
+    let mut post = post();
+    post.rollout.one_way = true;
+    let mut front = front(post, &[member(0, 1, None), member(1, 2, None)], &mut desk);
+    front.told(&mut desk, Reply::News, standing(2, 1, Phase::Released, 1.0, 0));
+    for key in 0..MOST_KEYS as u64 + 1_000 {
+        desk.picks.clear();
+        front.taken(&mut desk, 0, 0, Some(key), 101 * SEC);
+        front.ended(&mut desk, 0, 0, Outcome::Ok, MS, true);
+    }
+    assert_eq!(front.bound.len(), MOST_KEYS);
+    front.members(&mut desk, Roll::Changes, &[Member { state: State::Gone, ..member(1, 2, None) }]);
+    desk.picks.clear();
+    front.taken(&mut desk, 0, 0, Some(MOST_KEYS as u64 + 7), 101 * SEC);
+    assert_eq!((desk.picks.len(), desk.pushed_back.len()), (0, 1));
+}
+
+/// Finding 18: what others tell of may be wild, and days of counts long.
+#[test]
+fn sums_of_wild_counts_stay_where_they_end() {
+    let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
+    let mut front = front(post(), &fleet(2), &mut desk);
+    (0..3).for_each(|_| front.tallied(&mut desk, 2, 0, u32::MAX, u32::MAX));
+    let mut wild = Tally::default().note(2);
+    wild[2..6].copy_from_slice(&[0x7f, 0x80, 0xff, 0xc0]); // infinite, and no number
+    front.heard(&mut desk, 0, &wild);
+    front.told(&mut desk, Reply::News, standing(2, 0, Phase::OnTrial, 0.1, 100 * SEC));
+    front.woke(&mut desk, 0);
+    assert!(Tally::read(&wild).is_none());
+    let many = sample(&vec![Some(50 * MS); 70_000]);
+    assert!(z(&many, &many).abs() < 1e-9);
+}
