--- a/front/src/hall.rs
+++ b/front/src/hall.rs
@@ -673,7 +673,8 @@
         self.lives.retain(|(life, _)| *life == newest || !wire.idle(*life));
         if self.dirty && self.writer.is_some() {
             if let Some(saved) = self.snapshot() {
-                self.dirty = !self.writer.as_ref().is_some_and(|w| w.keep(saved));
+                writer.keep(saved);
+                self.dirty = false;
             }
         }
     }
--- a/front/src/saved.rs
+++ b/front/src/saved.rs
@@ -4,9 +4,10 @@
 use rockpick_control::Charter;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use std::path::PathBuf;
-use std::sync::mpsc::{sync_channel, SyncSender, TrySendError};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::path::{Path, PathBuf};
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, TryRecvError};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 #[derive(Clone, Serialize, Deserialize)]
 pub struct Saved {
@@ -16,7 +17,7 @@
     pub stage: Option<Value>,
     /// The roster's lines, `age_ms` as of saving.
     pub members: Vec<Value>,
-    /// By the wall clock, in ms; only to guess how old the list is.
+    /// By the wall clock, in ms: for people. Nothing goes by it, as it may be set.
     pub saved_ms: u64,
 }
 
@@ -24,18 +25,11 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
 }
 
-impl Saved {
-    /// How old it is; a wall clock that was set back counts as no time.
-    pub fn age_ms(&self) -> f64 {
-        wall_ms().saturating_sub(self.saved_ms) as f64
-    }
-}
-
 /// Reads the snapshot of this front.
 ///
 /// # Errors
 /// Names the file and what is wrong with it.
-pub fn load(file: &std::path::Path) -> Result<Option<Saved>, String> {
+pub fn load(file: &Path) -> Result<Option<Saved>, String> {
     let at = |why: String| format!("{}: {why}", file.display());
     let Some(text) = keep::load(file).map_err(|err| at(err.to_string()))? else { return Ok(None) };
     let saved: Saved = serde_json::from_slice(&text).map_err(|err| at(err.to_string()))?;
@@ -45,40 +39,82 @@
     }
 }
 
+/// A write that failed is tried again after this.
+const AGAIN: Duration = Duration::from_secs(1);
+/// A stop waits this long for a disk, and then goes without it.
+pub const LAST: Duration = Duration::from_secs(1);
+
+/// What the writer is to do: the newest snapshot alone, and whether to end after it.
+#[derive(Default)]
+struct Task {
+    next: Option<Saved>,
+    ends: bool,
+}
+
 /// Writes snapshots, the newest that it is given.
 pub struct Writer {
-    to: SyncSender<Saved>,
-    thread: std::thread::JoinHandle<()>,
+    file: PathBuf,
+    task: Arc<(Mutex<Task>, Condvar)>,
+    /// Hears nothing; it closes when the thread has ended.
+    over: Receiver<()>,
+}
+
+fn lock(task: &Mutex<Task>) -> MutexGuard<'_, Task> {
+    task.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn write(file: &Path, task: &(Mutex<Task>, Condvar)) {
+    let mut again = None;
+    loop {
+        let mut now = lock(&task.0);
+        while now.next.is_none() && !now.ends && again.is_none() {
+            now = task.1.wait(now).unwrap_or_else(PoisonError::into_inner);
+        }
+        if now.next.is_none() && !now.ends {
+            now = task.1.wait_timeout(now, AGAIN).unwrap_or_else(PoisonError::into_inner).0;
+        }
+        let ends = now.ends;
+        let Some(saved) = now.next.take().or(again.take()) else { return };
+        drop(now);
+        let text = serde_json::to_vec(&saved).map_err(std::io::Error::other);
+        if let Err(why) = text.and_then(|text| keep::replace(file, &text)) {
+            tracing::error!(event = "snapshot not kept", file = %file.display(), why = %why);
+            again = Some(saved).filter(|_| !ends);
+        }
+    }
 }
 
 impl Writer {
     pub fn new(file: PathBuf) -> Writer {
-        // One is written while one waits.
-        let (to, from) = sync_channel::<Saved>(1);
-        let thread = std::thread::spawn(move || {
-            for saved in from {
-                let kept = serde_json::to_vec(&saved)
-                    .map_err(|err| err.to_string())
-                    .and_then(|text| keep::replace(&file, &text).map_err(|err| err.to_string()));
-                if let Err(why) = kept {
-                    tracing::error!(event = "snapshot not kept", file = %file.display(), why);
-                }
-            }
+        let (ended, over) = channel::<()>();
+        let task: Arc<(Mutex<Task>, Condvar)> = Arc::default();
+        let (theirs, to) = (task.clone(), file.clone());
+        std::thread::spawn(move || {
+            let _ended = ended;
+            write(&to, &theirs);
         });
-        Writer { to, thread }
+        Writer { file, task, over }
     }
 
-    /// False when the disk is behind: to be given again later.
-    pub fn keep(&self, saved: Saved) -> bool {
-        !matches!(self.to.try_send(saved), Err(TrySendError::Full(_)))
+    /// To be written as soon as the disk is there; it takes the place of one that still waits.
+    pub fn keep(&self, saved: Saved) {
+        if self.over.try_recv() == Err(TryRecvError::Disconnected) {
+            tracing::error!(event = "snapshot not kept", file = %self.file.display(), why = "the writer has ended");
+        }
+        lock(&self.task.0).next = Some(saved);
+        self.task.1.notify_one();
     }
 
-    /// Writes a last one and waits for it.
+    /// Writes a last one, and waits for it, but not for ever.
     pub fn close(self, last: Option<Saved>) {
-        if let Some(last) = last {
-            let _ = self.to.send(last);
+        {
+            let mut task = lock(&self.task.0);
+            task.next = last.or(task.next.take());
+            task.ends = true;
+        }
+        self.task.1.notify_one();
+        if self.over.recv_timeout(LAST) == Err(RecvTimeoutError::Timeout) {
+            tracing::error!(event = "snapshot not kept", file = %self.file.display(), why = "the disk does not answer");
         }
-        drop(self.to);
-        let _ = self.thread.join();
     }
 }
--- a/front/src/shelf.rs
+++ b/front/src/shelf.rs
@@ -90,7 +90,9 @@
     /// Ends politely, with a last snapshot.
     pub fn end(mut self, net: &mut Net) {
         self.link.leave(net, &self.keeper);
-        self.keeper.end(net.now());
+        if !self.keeper.end(net.now()) {
+            tracing::error!(event = "tenants not kept", why = "the disk does not answer");
+        }
     }
 
     /// True when the event was the directory's.
--- a/tenant/src/keeper.rs
+++ b/tenant/src/keeper.rs
@@ -5,14 +5,18 @@
 use arc_swap::ArcSwap;
 use rockpick_ldap::News;
 use rockpick_net::{Ns, SEC};
-use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
+use std::sync::mpsc::{channel, sync_channel, Receiver, RecvTimeoutError, SyncSender};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 /// News that wait at most: more than come while a version of the largest directory is made.
 const MOST_WAITING: usize = 200_000;
 /// Between two snapshots.
 const SAVE_EVERY: Ns = 5 * SEC;
 
+/// The end waits this long for a disk, and then goes without it.
+const LAST: Duration = Duration::from_secs(1);
+
 enum Word {
     News(Ns, News),
     Confirm(Ns),
@@ -33,7 +37,8 @@
     to: SyncSender<Word>,
     version: Arc<ArcSwap<Tenants>>,
     view: Arc<Mutex<View>>,
-    thread: Option<std::thread::JoinHandle<()>>,
+    /// Hears nothing; it closes when the thread has ended.
+    over: Receiver<()>,
 }
 
 /// Writes a snapshot; false if it could not, and it is to be tried again.
@@ -50,8 +55,12 @@
         let version = Arc::new(ArcSwap::new(directory.version().clone()));
         let view = Arc::new(Mutex::new(View::of(&directory)));
         let (shared, seen) = (version.clone(), view.clone());
-        let thread = std::thread::spawn(move || work(directory, &from, &shared, &seen, save));
-        Keeper { to, version, view, thread: Some(thread) }
+        let (ended, over) = channel::<()>();
+        std::thread::spawn(move || {
+            let _ended = ended;
+            work(directory, &from, &shared, &seen, save);
+        });
+        Keeper { to, version, view, over }
     }
 
     /// The version in force; an RPC keeps the one that it began with.
@@ -76,12 +85,12 @@
         let _ = self.to.try_send(Word::Tick(now));
     }
 
-    /// Writes a last snapshot and ends.
-    pub fn end(mut self, now: Ns) {
-        let _ = self.to.send(Word::End(now));
-        if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
-        }
+    /// Writes a last snapshot and ends; waits for the disk, but not for ever. False: it did not answer.
+    pub fn end(self, now: Ns) -> bool {
+        // A keeper too far behind for one more word ends with what it has been told.
+        let _ = self.to.try_send(Word::End(now));
+        drop(self.to);
+        self.over.recv_timeout(LAST) != Err(RecvTimeoutError::Timeout)
     }
 }
 
