--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -13,6 +13,7 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+mod lines;
 use std::process::ExitCode;
 
 #[derive(Parser)]
@@ -356,12 +357,19 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    let lines = tracing_subscriber::fmt().with_writer(std::io::stderr).with_target(false);
+    let lines = lines::Lines::begin(cli.log);
+    let theirs = lines.clone();
+    let made = tracing_subscriber::fmt().with_writer(move || theirs.clone()).with_target(false);
     match cli.log {
-        Log::Json => lines.json().flatten_event(true).init(),
-        Log::Text => lines.with_ansi(false).init(),
+        Log::Json => made.json().flatten_event(true).init(),
+        Log::Text => made.with_ansi(false).init(),
     }
-    match act(cli.what) {
+    let end = act(cli.what).and_then(|code| match rockpick_rehearse::out_lost() {
+        None => Ok(code),
+        Some(why) => Err(Bad2(format!("standard output: {why}"))),
+    });
+    lines.end();
+    match end {
         Ok(code) => code,
         Err(Bad2(why)) => {
             eprintln!("rockpick: {why}");
