--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,4 +1,14 @@
 //! The command line: `rockpick`. Exit codes: 0 good, 1 a rule broken or a check failed, 2 bad use.
+
+/// In place of the standard one, which ends the process by a panic when nobody reads.
+macro_rules! println {
+    ($($words:tt)*) => { rockpick_rehearse::out(format_args!("{}\n", format_args!($($words)*))) };
+}
+
+macro_rules! print {
+    ($($words:tt)*) => { rockpick_rehearse::out(format_args!($($words)*)) };
+}
+
 mod ask;
 mod bench;
 mod fleet;
@@ -10,7 +20,6 @@
 use rockpick_control::Charter;
 use rockpick_net::{MS, SEC};
 use rockpick_standin::{Bad, Clients, Load, Machine};
-use std::io::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 mod lines;
@@ -352,7 +361,6 @@
 
 fn ready(at: SocketAddr) {
     println!("listening {at}");
-    let _ = std::io::stdout().flush();
 }
 
 fn main() -> ExitCode {
@@ -495,7 +503,7 @@
                 match ask::call(*front, "POST", "/directory/confirm", "") {
                     Ok(answer) => {
                         bad |= answer.status != 200;
-                        print!("{front}: {}", String::from_utf8_lossy(&answer.body));
+                        println!("{front}: {}", String::from_utf8_lossy(&answer.body).trim_end());
                     }
                     Err(Bad2(why)) => {
                         bad = true;
--- a/rehearse/src/lib.rs
+++ b/rehearse/src/lib.rs
@@ -1,5 +1,11 @@
 //! A rehearsal: controller, fronts, machines and clients as processes of their own on loopback, a scripted
 //! day of troubles, and a judgement by [`judge`] of what crossed the sockets.
+
+/// In place of the standard one, which ends the process by a panic when nobody reads.
+macro_rules! println {
+    ($($words:tt)*) => { crate::out(format_args!("{}\n", format_args!($($words)*))) };
+}
+
 mod books;
 mod crew;
 pub mod day;
@@ -11,7 +17,25 @@
 pub use day::Plan;
 use rockpick_net::http::{self, Response};
 use rockpick_net::{Call, End, Event, Net, MS, SEC};
+use std::io::Write;
 use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+
+/// What became of standard output, if something could not be written there.
+static LOST: Mutex<Option<std::io::ErrorKind>> = Mutex::new(None);
+
+/// Writes to standard output; what can't be written is remembered, and what runs goes on.
+pub fn out(words: std::fmt::Arguments) {
+    let mut out = std::io::stdout().lock();
+    if let Err(err) = out.write_fmt(words).and_then(|()| out.flush()) {
+        LOST.lock().unwrap_or_else(PoisonError::into_inner).get_or_insert(err.kind());
+    }
+}
+
+/// Why something could not be written to standard output, if it could not.
+pub fn out_lost() -> Option<std::io::ErrorKind> {
+    *LOST.lock().unwrap_or_else(PoisonError::into_inner)
+}
 
 /// One call to an HTTP server, waited for: five seconds at most.
 ///
