--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -18,6 +18,7 @@
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use rockpick_control::Charter;
+use rockpick_control::charter::plain;
 use rockpick_net::{MS, SEC};
 use rockpick_standin::{Bad, Clients, Load, Machine};
 use std::net::SocketAddr;
@@ -386,6 +387,14 @@
     }
 }
 
+/// Names go into paths, targets and headers.
+fn named(flag: &str, name: &str) -> Result<(), Bad2> {
+    match plain(name) {
+        true => Ok(()),
+        false => Err(Bad2(format!("{flag} {name:?}: 1 to 64 letters, digits, '-', '_' or '.'"))),
+    }
+}
+
 fn act(what: What) -> Result<ExitCode, Bad2> {
     let good = Ok(ExitCode::SUCCESS);
     match what {
@@ -394,6 +403,11 @@
             good
         }
         What::Front { listen, at, name, state, seed, clients, profile, notes_at } => {
+            named("--name", &name)?;
+            // Their snapshots would be the controller's, and those of another front's tenants.
+            if state.is_some() && (name == "controller" || name.ends_with(".tenants")) {
+                return Err(Bad2(format!("--name {name}: its snapshot would be another's")));
+            }
             let opening = rockpick_front::Opening {
                 name,
                 listen: listen.listen,
@@ -408,6 +422,7 @@
             good
         }
         What::Agent { at, machine, state, root, rate, seed, take_down } => {
+            named("--machine", &machine)?;
             if !(1e3..=1e12).contains(&rate) {
                 return Err(Bad2("--rate: 1000 to 1e12 bytes a second".into()));
             }
@@ -419,6 +434,8 @@
         }
         What::Repo { what } => repo(what),
         What::Machine { listen, at, name, place, build, cores, speed, bad, record, seed, warm, agent } => {
+            named("--name", &name)?;
+            named("--place", &place)?;
             let bad = match bad {
                 None => None,
                 Some(text) => {
