--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -13,17 +13,17 @@
 mod bench;
 mod fleet;
 mod lab;
+mod lines;
 mod load;
 mod tenants;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
-use rockpick_control::Charter;
 use rockpick_control::charter::plain;
+use rockpick_control::Charter;
 use rockpick_net::{MS, SEC};
 use rockpick_standin::{Bad, Clients, Load, Machine};
 use std::net::SocketAddr;
 use std::path::PathBuf;
-mod lines;
 use std::process::ExitCode;
 
 #[derive(Parser)]
--- a/front/src/lib.rs
+++ b/front/src/lib.rs
@@ -2,6 +2,7 @@
 //! the module says ([`wire`]); it decides nothing itself. What a restarted front may do is in [`fresh`].
 pub mod fresh;
 mod hall;
+mod lapses;
 mod saved;
 mod shelf;
 mod wire;
