--- a/control/src/desk.rs
+++ b/control/src/desk.rs
@@ -13,7 +13,7 @@
 /// Tenants that are summed at once; those beyond are not, and their rates are split by the last sums.
 const MOST_TENANTS: usize = 10_000;
 /// Rows that one report of counts may hold: all methods of a handful of builds.
-const MOST_ROWS: usize = 512;
+pub const MOST_ROWS: usize = 512;
 /// Builds that one agent may tell of.
 const MOST_BUILDS: usize = 16;
 /// Most watchers: three times the fronts there may be, as old connections end late.
--- a/door/src/lib.rs
+++ b/door/src/lib.rs
@@ -25,20 +25,33 @@
 pub struct Door {
     machines: HashMap<String, usize>,
     names: Vec<String>,
+    /// Numbers of machines that were forgotten.
+    spare: Vec<usize>,
     rpcs: HashMap<u64, usize>,
     slots: Vec<Slot>,
     free: Vec<usize>,
 }
 
 impl Door {
-    /// The index of a machine; a name not met before gets the next one.
+    /// The index of a machine; a name not met before gets the next one, or that of one forgotten.
     pub fn machine(&mut self, name: &str) -> usize {
         if let Some(&index) = self.machines.get(name) {
             return index;
         }
-        self.names.push(name.to_string());
-        self.machines.insert(name.to_string(), self.names.len() - 1);
-        self.names.len() - 1
+        let index = self.spare.pop().unwrap_or_else(|| {
+            self.names.push(String::new());
+            self.names.len() - 1
+        });
+        self.names[index] = name.to_string();
+        self.machines.insert(name.to_string(), index);
+        index
+    }
+
+    /// Forgets a machine: its index goes to the next new name.
+    pub fn forget(&mut self, machine: usize) {
+        if self.machines.remove(&self.names[machine]).is_some() {
+            self.spare.push(machine);
+        }
     }
 
     /// The index of a machine met before.
@@ -50,8 +63,9 @@
         &self.names[machine]
     }
 
+    /// Machines met and not forgotten.
     pub fn machines(&self) -> usize {
-        self.names.len()
+        self.machines.len()
     }
 
     /// A slot for an RPC that was just taken. Its id must not be open already.
--- a/front/src/hall.rs
+++ b/front/src/hall.rs
@@ -1,27 +1,34 @@
 //! The front's loop: sockets and timers in, calls to the module out.
 use crate::saved::{self, Saved, Writer};
 use crate::shelf::Shelf;
-use crate::wire::{back_lines, read_note, wait_lines, What, Wire, LAPSE, MODULE, TICK};
+use crate::wire::{back_lines, read_note, wait_lines, What, Wire, LAPSE, LOG_LINES, MODULE, TICK};
 use crate::{fresh, Opening};
-use rockpick::{Front, Member, Ns, Outcome, Reply, Roll, Standing};
-use rockpick_control::charter::Repeats;
-use rockpick_control::desk::{phase_of, phase_word, state_of};
+use rockpick::{Front, Member, Ns, Outcome, Reply, Roll, Standing, State};
+use rockpick_control::charter::{plain, Repeats, Wrong, MOST_WEIGHT, MOST_ZONES};
+use rockpick_control::desk::{phase_of, phase_word, state_of, MOST_ROWS};
+use rockpick_control::release::MOST_BUILD;
 use rockpick_control::Charter;
 use rockpick_net::http::Request;
-use rockpick_net::{take_line, End, Event, Id, Net, MS, SEC};
+use rockpick_net::{take_line, End, Event, Id, Net, Often, MS, SEC};
 use serde_json::{json, Value};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 /// Most RPCs open at once; one more is pushed back without the module.
 const MOST_OPEN: usize = 30_000;
-/// Most machines known over a front's life; a roster that names more is cut there.
+/// Most machines known at a time: four times what a controller lists. A roster that names more is cut there.
 const MOST_MACHINES: usize = 60_000;
+/// A machine that has gone is forgotten after this, as the controller does.
+const FORGOTTEN: Ns = 60 * SEC;
+/// Most lives of the module at once; newer settings wait until the oldest's RPCs have ended.
+const MOST_LIVES: usize = 8;
+/// Longest age that is believed, ms: some thirty years.
+const MOST_AGE: f64 = 1e12;
 /// Longest line of a watch: a roster of 10,000 machines.
 const MOST_LINE: usize = 8 * 1024 * 1024;
 /// The front's own beat: counts, snapshot, silence of the watch, waits of the directory's session.
 const TICK_EVERY: Ns = 250 * MS;
-/// A front without settings asks for them this often.
+/// A front without settings, or that was told of others, asks for them this often.
 const ASK_EVERY: Ns = 500 * MS;
 const SIGTERM: i32 = 15;
 const SIGINT: i32 = 2;
@@ -43,7 +50,12 @@
     ticked: Ns,
     leaving: Option<Ns>,
     asking: bool,
+    asked: Ns,
+    /// Settings of another version were told of, and are not in force yet.
+    newer: bool,
     no_settings: bool,
+    /// For lines that make no sense.
+    odd: Often,
     /// Tenants, where the settings name a directory.
     shelf: Option<Shelf>,
 }
@@ -86,7 +98,10 @@
         ticked: 0,
         leaving: None,
         asking: false,
+        asked: -ASK_EVERY,
+        newer: false,
         no_settings,
+        odd: Often::new(LOG_LINES),
         shelf: None,
     };
     if let Some(kept) = kept {
@@ -120,10 +135,8 @@
             }
             if let Some(by) = self.leaving {
                 let open = self.wire.open.iter().flatten().count();
-                if open == 0 || self.wire.net.now() > by {
-                    // Answers still in the sockets' buffers go out with the linger of a closing connection.
-                    let mut last = Vec::new();
-                    let _ = self.wire.net.turn(&mut last, 0);
+                let unsent = self.wire.net.unsent();
+                if open == 0 && unsent == 0 || self.wire.net.now() > by {
                     let saved = self.snapshot();
                     if let Some(shelf) = self.shelf.take() {
                         shelf.end(&mut self.wire.net);
@@ -131,7 +144,7 @@
                     if let Some(writer) = self.writer.take() {
                         writer.close(saved);
                     }
-                    tracing::info!(event = "front down", open);
+                    tracing::info!(event = "front down", open, unsent);
                     return Ok(());
                 }
             }
@@ -187,6 +200,7 @@
                 self.one(life, |front, wire| front.woke(wire, tag));
             }
             Event::Woke { tag: LAPSE } => {
+                self.wire.lapses.woke(self.wire.net.now());
                 while let Some(call) = self.wire.lapsed() {
                     self.lapsed(call);
                     self.settle();
@@ -209,9 +223,14 @@
             }
             Event::Signal { number } => {
                 tracing::info!(event = "signal", number);
+                // A second one changes nothing: the first has a bound.
                 if self.leaving.is_none() {
-                    let longest = self.wire.charter.methods.iter().map(|m| m.deadline_ms).max().unwrap_or(0);
-                    self.leaving = Some(self.wire.net.now() + longest as Ns * MS + SEC);
+                    // Former settings may have had longer deadlines: the RPCs that are open know theirs.
+                    let open = self.wire.open.iter().flatten();
+                    let last = open.map(|o| o.gives_up).max().unwrap_or(0).max(self.wire.net.now());
+                    self.leaving = Some(last + SEC);
+                    let (owed, picks) = self.wire.in_flight();
+                    tracing::info!(event = "leaving", owed, picks_by_build = ?picks);
                     self.wire.net.stop_listening();
                 }
             }
@@ -230,7 +249,9 @@
                 Some(shelf) => (200, json!({ "suspected": shelf.confirm(self.wire.net.now()) })),
                 None => (404, json!({ "error": "the settings name no directory" })),
             },
-            (_, "/status" | "/dispute") => (405, json!({ "error": "GET /status or POST /dispute" })),
+            (_, "/status" | "/dispute" | "/directory/confirm") => {
+                (405, json!({ "error": "GET /status, POST /dispute or POST /directory/confirm" }))
+            }
             _ => (404, json!({ "error": "POST /rpc/METHOD, POST /dispute and GET /status are known" })),
         };
         let body = format!("{value}\n");
@@ -407,13 +428,15 @@
             let changes = roster.get("kind").and_then(Value::as_str) == Some("changes");
             let empty = Vec::new();
             let members = roster.get("members").and_then(Value::as_array).unwrap_or(&empty);
-            self.members(if changes { Roll::Changes } else { Roll::Whole }, members, 0.0);
+            self.members(if changes { Roll::Changes } else { Roll::Whole }, members);
         }
         if let Some(rows) = line.get("tally").and_then(Value::as_array) {
             for row in rows {
-                let at = |i: usize| row.get(i).and_then(Value::as_u64).unwrap_or(0);
-                let (build, method, picks, bad) = (at(0) as u32, at(1) as usize, at(2) as u32, at(3) as u32);
-                if method < self.wire.charter.methods.len() {
+                let at = |i: usize| {
+                    row.get(i).and_then(Value::as_u64).map_or(0, |n| n.min(u32::MAX.into()) as u32)
+                };
+                let (build, method, picks, bad) = (at(0), at(1) as usize, at(2), at(3).min(at(2)));
+                if build <= MOST_BUILD && method < self.wire.charter.methods.len() {
                     self.each(|front, wire| front.tallied(wire, build, method, picks, bad));
                 }
             }
@@ -429,28 +452,35 @@
             self.wire.peers = fronts.iter().filter_map(peer).collect();
         }
         if line.get("settings_version").and_then(Value::as_u64).is_some_and(|v| v != self.version) {
+            self.newer = true;
             self.ask_settings();
         }
     }
 
-    fn standing(&self, stage: &Value, older: f64) -> Option<Standing> {
+    /// Says that a line was passed over, and why, if not too often.
+    fn passed_over(&mut self, what: &str, why: &str) {
+        if let Some(left_out) = self.odd.may(self.wire.net.now()) {
+            tracing::warn!(event = "line passed over", what, why, left_out);
+        }
+    }
+
+    fn standing(&self, stage: &Value) -> Option<Standing> {
         let now = self.wire.net.now();
         let number = |name: &str| stage.get(name).and_then(Value::as_f64);
         Some(Standing {
-            build: number("build")? as u32,
+            build: number("build").filter(|b| (0.0..=MOST_BUILD.into()).contains(b))? as u32,
             stage: number("stage")? as u32,
             phase: phase_of(stage.get("phase")?.as_str()?)?,
             cap: number("cap")?.clamp(0.0, 1.0),
-            since: now - ((number("age_ms")?.clamp(0.0, 1e12) + older) * MS as f64) as Ns,
+            since: now - (number("age_ms")?.clamp(0.0, MOST_AGE) * MS as f64) as Ns,
         })
     }
 
     fn told(&mut self, reply: Reply, stage: Option<Value>) {
-        self.told_older(reply, stage, 0.0);
-    }
-
-    fn told_older(&mut self, reply: Reply, stage: Option<Value>, older: f64) {
-        let news = stage.as_ref().and_then(|s| self.standing(s, older));
+        let news = stage.as_ref().and_then(|s| self.standing(s));
+        if let (Some(stage), None) = (&stage, &news) {
+            self.passed_over("stage", &stage.to_string());
+        }
         let (now, window) = (self.wire.net.now(), self.wire.charter.rollout.window_ms as Ns * MS);
         let mut held = None;
         if let Some(news) = news {
@@ -478,51 +508,59 @@
         }
     }
 
-    fn members(&mut self, roll: Roll, lines: &[Value], older: f64) {
+    fn members(&mut self, roll: Roll, lines: &[Value]) {
         let now = self.wire.net.now();
         let mut entries = Vec::with_capacity(lines.len());
         if roll != Roll::Changes {
-            self.wire.places.iter_mut().for_each(|p| p.gone = true);
+            self.wire.places.iter_mut().for_each(|p| p.gone = p.gone.or(Some(now)));
+        }
+        if self.wire.door.machines() + lines.len() > MOST_MACHINES {
+            self.wire.forget(0);
         }
         for line in lines {
-            let word = |name: &str| line.get(name).and_then(Value::as_str);
-            let number = |name: &str| line.get(name).and_then(Value::as_f64).filter(|x| *x >= 0.0);
-            let (Some(name), Some(state)) = (word("name"), word("state").and_then(state_of)) else {
-                continue;
+            let said = match read_member(line) {
+                Ok(said) => said,
+                Err(field) => {
+                    self.passed_over("member", &format!("{field}: {}", line[field]));
+                    continue;
+                }
             };
-            if self.wire.door.known(name).is_none() && self.wire.door.machines() >= MOST_MACHINES {
+            let known = self.wire.door.known(said.name).is_some();
+            if !known && (said.state == State::Gone || self.wire.door.machines() >= MOST_MACHINES) {
                 continue;
             }
-            let machine = self.wire.door.machine(name);
+            let machine = self.wire.door.machine(said.name);
             if self.wire.places.len() <= machine {
                 self.wire.places.resize_with(machine + 1, Default::default);
             }
-            let run = line.get("run").and_then(Value::as_u64).unwrap_or(0);
             let place = &mut self.wire.places[machine];
+            let former = (place.addr, place.run);
             // The same run keeps its start, whatever the clock of the telling did meanwhile.
-            if place.run != run || place.started.is_none() {
-                let age = number("age_ms").unwrap_or(0.0).min(1e12) + older;
-                place.started = Some(now - (age * MS as f64) as Ns);
-            }
-            (place.run, place.addr) = (run, word("addr").and_then(|a| a.parse().ok()));
-            place.build = number("build").unwrap_or(0.0) as u32;
-            place.gone = state == rockpick::State::Gone;
-            (place.line, place.at) = (line.clone(), now - (older * MS as f64) as Ns);
-            if let Some(addr) = place.addr.filter(|_| place.gone) {
+            if place.run != said.run || place.started.is_none() || place.guess {
+                place.started = Some(now - said.age);
+                place.guess = roll == Roll::Saved;
+            }
+            (place.run, place.addr, place.build) = (said.run, said.addr, said.build);
+            place.gone = (said.state == State::Gone).then_some(place.gone.unwrap_or(now));
+            (place.line, place.at) = (line.clone(), now);
+            let started = place.started;
+            // No pick goes out on a connection to a process that is no more.
+            let over = said.state == State::Gone || former != (said.addr, said.run);
+            if let Some(addr) = former.0.filter(|_| over) {
                 self.wire.net.close_idle(addr);
             }
             entries.push(Member {
                 machine,
-                tag: rockpick_door::tag(name),
-                zone: number("zone").unwrap_or(0.0) as u32,
-                cell: number("cell").unwrap_or(0.0) as u32,
-                build: self.wire.places[machine].build,
-                state,
-                weight: number("weight").filter(|w| *w > 0.0).unwrap_or(1.0),
-                started: self.wire.places[machine].started,
+                tag: rockpick_door::tag(said.name),
+                zone: said.zone,
+                cell: said.cell,
+                build: said.build,
+                state: said.state,
+                weight: said.weight,
+                started,
             });
-            if state == rockpick::State::Draining {
-                tracing::info!(event = "drain", machine = name);
+            if said.state == State::Draining {
+                tracing::info!(event = "drain", machine = said.name);
             }
         }
         self.each(|front, wire| front.members(wire, roll, &entries));
@@ -531,26 +569,35 @@
 
     fn ask_settings(&mut self) {
         if !self.asking {
-            self.asking = true;
+            (self.asking, self.asked) = (true, self.wire.net.now());
             self.wire.ask(What::Settings, "GET", "/settings", "", Some(2 * SEC));
         }
     }
 
-    /// New settings begin a new life of the module; the former one finishes its RPCs.
+    /// New settings begin a new life of the module; the former one finishes its RPCs. What can't be taken now is
+    /// asked for again.
     fn settings(&mut self, body: &[u8]) {
-        let Ok(said) = serde_json::from_slice::<Value>(body) else { return };
-        let version = said.get("version").and_then(Value::as_u64).unwrap_or(0);
-        let text = said.get("settings").map(Value::to_string).unwrap_or_default();
-        match Charter::read(text.as_bytes()) {
-            Ok(charter) if version != self.version => {
-                self.begin(charter, version);
-                self.dirty = true;
+        let said = serde_json::from_slice::<Value>(body).unwrap_or(Value::Null);
+        let (Some(version), Some(settings)) = (said["version"].as_u64(), said.get("settings")) else {
+            return self.passed_over("settings", "version and settings are wanted");
+        };
+        if version != self.version {
+            if self.lives.len() >= MOST_LIVES {
+                return;
             }
-            Ok(_) => {}
-            Err(wrong) => {
-                tracing::warn!(event = "settings refused", field = wrong[0].field, why = wrong[0].why);
+            match Charter::read(settings.to_string().as_bytes()) {
+                Ok(charter) => {
+                    self.begin(charter, version);
+                    self.dirty = true;
+                }
+                Err(wrong) => {
+                    for Wrong { field, why } in &wrong[..1] {
+                        tracing::warn!(event = "settings refused", field, why, version);
+                    }
+                }
             }
         }
+        self.newer = false;
     }
 
     fn begin(&mut self, charter: Charter, version: u64) {
@@ -573,6 +620,8 @@
             let (opening, now) = (&self.wire.opening, self.wire.net.now());
             self.shelf = Shelf::new(now, &charter, &opening.name, &opening.state, opening.seed);
         }
+        // Methods may have other numbers from here on.
+        self.wire.counts.clear();
         self.wire.charter = charter;
         (self.version, self.no_settings) = (version, false);
         self.wire.life += 1;
@@ -588,7 +637,7 @@
         }
         let known: Vec<Value> = self.known();
         if !known.is_empty() {
-            self.members(Roll::Saved, &known, 0.0);
+            self.members(Roll::Saved, &known);
         }
     }
 
@@ -601,7 +650,7 @@
             line["age_ms"] = json!(age + (now - p.at) as f64 / MS as f64);
             line
         };
-        self.wire.places.iter().filter(|p| !p.gone && p.line.is_object()).map(aged).collect()
+        self.wire.places.iter().filter(|p| p.gone.is_none() && p.line.is_object()).map(aged).collect()
     }
 
     fn snapshot(&self) -> Option<Saved> {
@@ -618,13 +667,14 @@
     }
 
     fn restore(&mut self, kept: Saved) -> Result<(), String> {
-        let older = kept.age_ms();
         self.begin(kept.settings.clone(), kept.settings_version);
         if self.lives.is_empty() {
             return Ok(()); // not among the fronts any more: it waits for settings that name it
         }
-        self.told_older(Reply::News, kept.stage, older);
-        self.members(Roll::Saved, &kept.members, older);
+        // Ages as of saving: how long ago that was only the wall clock knows, and one set ahead would make
+        // cold machines pass for warm.
+        self.told(Reply::News, kept.stage);
+        self.members(Roll::Saved, &kept.members);
         Ok(())
     }
 
@@ -644,10 +694,10 @@
         }
         self.ticked = now;
         self.wire.net.wake_at(now + TICK_EVERY, TICK);
-        if self.lives.is_empty() && now - self.heard >= ASK_EVERY {
-            self.heard = now;
+        if (self.lives.is_empty() || self.newer) && now - self.asked >= ASK_EVERY {
             self.ask_settings();
         }
+        self.wire.forget(FORGOTTEN);
         // A watch that has gone silent is dropped: three times the period at which the stage is told.
         let silent = 3 * self.wire.charter.rollout.told_every_ms as Ns * MS + SEC;
         if self.wire.watch.is_some() && now - self.heard > silent && !self.lives.is_empty() {
@@ -663,7 +713,7 @@
         if due && !(self.wire.counts.is_empty() && sums.is_empty()) {
             self.counted = now;
             let row = |((b, m), [picks, bad]): (&(u32, usize), &[u32; 2])| json!([b, m, picks, bad]);
-            let rows: Vec<Value> = self.wire.counts.iter().map(row).collect();
+            let rows: Vec<Value> = self.wire.counts.iter().take(MOST_ROWS).map(row).collect();
             self.wire.counts.clear();
             let body = json!({ "front": self.wire.opening.name, "rows": rows, "tenants": sums }).to_string();
             self.wire.ask(What::Else, "POST", "/counts", &body, Some(SEC));
@@ -671,7 +721,7 @@
         let newest = self.wire.life;
         let wire = &self.wire;
         self.lives.retain(|(life, _)| *life == newest || !wire.idle(*life));
-        if self.dirty && self.writer.is_some() {
+        if let (true, Some(writer)) = (self.dirty, &self.writer) {
             if let Some(saved) = self.snapshot() {
                 writer.keep(saved);
                 self.dirty = false;
@@ -702,7 +752,7 @@
                 "age_ms": (now - s.since) / MS })
         });
         let (clients, calls) = self.wire.net.open();
-        let listed = self.wire.places.iter().filter(|p| !p.gone).count();
+        let listed = self.wire.places.iter().filter(|p| p.gone.is_none() && p.line.is_object()).count();
         json!({ "name": self.wire.opening.name, "settings_version": self.version, "stage": stage,
             "machines": listed, "watching": self.wire.watch.is_some(), "heard_ms_ago": (now - self.heard) / MS,
             "open": self.wire.door.in_use(), "clients": clients, "calls": calls, "taken": t.taken, "ok": t.ok,
@@ -712,6 +762,41 @@
     }
 }
 
+/// What a roster's line says of a machine.
+struct Said<'a> {
+    name: &'a str,
+    addr: Option<SocketAddr>,
+    state: State,
+    zone: u32,
+    cell: u32,
+    build: u32,
+    weight: f64,
+    run: u64,
+    age: Ns,
+}
+
+/// Reads a roster's line, or names the field that is out of its bounds: tables are sized by some, and names go
+/// into headers.
+fn read_member(line: &Value) -> Result<Said<'_>, &'static str> {
+    let word = |field: &'static str| line.get(field).and_then(Value::as_str).ok_or(field);
+    let number = |field: &'static str, most: f64| match line.get(field) {
+        None => Ok(0.0),
+        Some(value) => value.as_f64().filter(|x| (0.0..=most).contains(x)).ok_or(field),
+    };
+    let weight = number("weight", MOST_WEIGHT)?;
+    Ok(Said {
+        name: word("name").ok().filter(|name| plain(name)).ok_or("name")?,
+        addr: line.get("addr").and_then(Value::as_str).and_then(|a| a.parse().ok()),
+        state: state_of(word("state")?).ok_or("state")?,
+        zone: number("zone", MOST_ZONES as f64 - 1.0)? as u32,
+        cell: number("cell", f64::from(u32::MAX))? as u32,
+        build: number("build", f64::from(MOST_BUILD))? as u32,
+        weight: if weight > 0.0 { weight } else { 1.0 },
+        run: line.get("run").and_then(Value::as_u64).unwrap_or(0),
+        age: (number("age_ms", MOST_AGE)? * MS as f64) as Ns,
+    })
+}
+
 /// A key as the module wants it: a number as it is, any other text by its hash (FNV-1a, 64 bits).
 fn key_of(text: &str) -> u64 {
     text.parse().unwrap_or_else(|_| {
--- a/front/src/wire.rs
+++ b/front/src/wire.rs
@@ -1,5 +1,6 @@
 //! What the module's actions do: picks become HTTP requests, answers go to clients, votes to the controller,
 //! notes out as datagrams. It decides nothing.
+use crate::lapses::Lapses;
 use crate::Opening;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -10,8 +11,7 @@
 use rockpick_net::http::{self, Lines, Request, Response};
 use rockpick_net::{Call, Event, Id, Net, Often, MS, SEC};
 use serde_json::{json, Value};
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
 /// A connection to a machine that takes longer is given up. Shorter than any drain grace in use, so that a
@@ -20,7 +20,7 @@
 /// Says who sent a note: four letters, the sender's rank, then the note.
 const NOTE: &[u8; 4] = b"RPN1";
 /// Lines of one kind in the log, a second.
-const LOG_LINES: u32 = 20;
+pub const LOG_LINES: u32 = 20;
 
 /// Lines that concern one connection only (RFC 9110 section 7.6.1), or that this front writes itself.
 fn stays(name: &str) -> bool {
@@ -92,7 +92,11 @@
     pub build: u32,
     pub run: u64,
     pub started: Option<Ns>,
-    pub gone: bool,
+    /// Since when it has been gone; picks that are out there.
+    pub gone: Option<Ns>,
+    out: u32,
+    /// Its start is a snapshot's word: the first telling puts it right.
+    pub guess: bool,
     /// Its line, for the snapshot, and when that came.
     pub line: Value,
     pub at: Ns,
@@ -122,7 +126,7 @@
     pub places: Vec<Place>,
     pub calls: HashMap<Id, What>,
     /// Time-outs of picks and of calls to the controller.
-    pub lapses: BinaryHeap<Reverse<(Ns, Id)>>,
+    pub lapses: Lapses,
     /// Ends that came while the module was at work: told to it next.
     pub owed: Vec<(usize, usize, Outcome, Ns)>,
     pub made: Vec<Event>,
@@ -166,7 +170,7 @@
             open: Vec::new(),
             places: Vec::new(),
             calls: HashMap::new(),
-            lapses: BinaryHeap::new(),
+            lapses: Lapses::default(),
             owed: Vec::new(),
             made: Vec::new(),
             peers: BTreeMap::new(),
@@ -225,30 +229,20 @@
     }
 
     fn lapse_at(&mut self, at: Ns, call: Id) {
-        // One timer for the earliest; later ones are set when it comes up.
-        if self.lapses.peek().is_none_or(|Reverse((first, _))| at < *first) {
+        let calls = &self.calls;
+        if let Some(at) = self.lapses.add(at, call, calls.len(), |c| calls.contains_key(&c)) {
             self.net.wake_at(at, LAPSE);
         }
-        self.lapses.push(Reverse((at, call)));
     }
 
-    /// A call whose time is over; the next timer is set.
+    /// A call whose time is over; after the last one the next timer is set.
     pub fn lapsed(&mut self) -> Option<Id> {
-        while let Some(Reverse((at, call))) = self.lapses.peek().copied() {
-            if at > self.net.now() {
-                if self.calls.contains_key(&call) {
-                    self.net.wake_at(at, LAPSE);
-                    return None;
-                }
-                self.lapses.pop();
-                continue;
-            }
-            self.lapses.pop();
-            if self.calls.contains_key(&call) {
-                return Some(call);
-            }
+        let calls = &self.calls;
+        let over = self.lapses.over(self.net.now(), |c| calls.contains_key(&c));
+        if let (None, Some(at)) = (over, self.lapses.next()) {
+            self.net.wake_at(at, LAPSE);
         }
-        None
+        over
     }
 
     /// A pick has ended: forwards the first ok answer, and returns what the module is to be told.
@@ -263,9 +257,14 @@
         open.late |= outcome == Outcome::TimedOut;
         let picks = open.picks.len();
         self.door.came_back(rpc);
-        if self.chance.random::<f64>() < self.charter.rollout.tally_sample && outcome != Outcome::Cancelled {
+        self.places[machine].out = self.places[machine].out.saturating_sub(1);
+        // Methods of former settings have other numbers; where nothing is told nothing is gathered.
+        let r = &self.charter.rollout;
+        let tells = r.tally_every_ms > 0 && life == self.life && outcome != Outcome::Cancelled;
+        if tells && self.chance.random::<f64>() < r.tally_sample {
             let count = self.counts.entry((build, method)).or_default();
-            *count = [count[0] + 1, count[1] + u32::from(outcome != Outcome::Ok)];
+            let bad = u32::from(outcome != Outcome::Ok);
+            *count = [count[0].saturating_add(1), count[1].saturating_add(bad)];
         }
         if let Some(response) = response.filter(|_| outcome == Outcome::Ok && !self.door.finished(rpc)) {
             self.tolls.ok += 1;
@@ -292,18 +291,43 @@
         }
     }
 
+    /// Forgets machines that have been gone for so long and owe no pick's end: others get their numbers.
+    pub fn forget(&mut self, longer: Ns) {
+        forget(&mut self.places, &mut self.door, self.net.now(), longer);
+    }
+
+    /// RPCs that are owed an answer, and picks that are out by build.
+    pub fn in_flight(&self) -> (usize, BTreeMap<u32, usize>) {
+        let mut out = BTreeMap::new();
+        let open = || self.open.iter().flatten();
+        for pick in open().flat_map(|o| &o.picks).filter(|p| p.out) {
+            *out.entry(pick.build).or_default() += 1;
+        }
+        (self.open.iter().zip(0..).filter(|(o, rpc)| o.is_some() && !self.door.finished(*rpc)).count(), out)
+    }
+
     /// Is no RPC of a life open any more?
     pub fn idle(&self, life: u64) -> bool {
         !self.open.iter().flatten().any(|o| o.life == life)
     }
 }
 
+fn forget(places: &mut [Place], door: &mut Door, now: Ns, longer: Ns) {
+    for (machine, place) in places.iter_mut().enumerate() {
+        if place.out == 0 && place.gone.is_some_and(|since| now - since >= longer) {
+            door.forget(machine);
+            *place = Place::default();
+        }
+    }
+}
+
 impl Wire {
     fn send_pick(&mut self, rpc: usize, machine: usize, time_out: Ns) {
         let Some(open) = self.open.get_mut(rpc).and_then(Option::as_mut) else { return };
-        let place = &self.places[machine];
+        let place = &mut self.places[machine];
         let number = open.picks.len();
         self.door.sent(rpc);
+        place.out += 1;
         self.tolls.picks += 1;
         let now = self.net.now();
         let mut pick = Pick { call: 0, machine, build: place.build, sent: now, out: true };
@@ -470,3 +494,23 @@
     let (rank, note) = rest.split_first_chunk::<4>()?;
     Some((u32::from_be_bytes(*rank), note))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Finding 10: names come and go for years; one whose pick is still out keeps its number.
+    #[test]
+    fn machines_that_have_gone_are_forgotten_but_for_those_that_owe_an_end() {
+        let (mut places, mut door): (Vec<Place>, Door) = (Vec::new(), Door::default());
+        for i in 0..100_000 {
+            let machine = door.machine(&format!("m{i}"));
+            places.resize_with(places.len().max(machine + 1), Place::default);
+            assert_eq!(places[machine].out, 0, "not the number of one that owes an end");
+            places[machine] = Place { gone: Some(i * SEC), out: u32::from(i == 7), ..Place::default() };
+            forget(&mut places, &mut door, i * SEC, 60 * SEC);
+        }
+        assert!(door.machines() <= 61 && places.len() <= 62, "{} names", door.machines());
+        assert_eq!(door.name(door.known("m7").unwrap()), "m7");
+    }
+}
