--- a/cli/tests/hardening.rs
+++ b/cli/tests/hardening.rs
@@ -1,5 +1,4 @@
 //! Findings of the hardening review, each as a test of the running programs. The numbers are the review's.
-#![allow(dead_code, unused_imports)]
 mod peers;
 
 use peers::*;
@@ -61,3 +60,258 @@
     assert_eq!(put(controller.at, &charter()).status, 200);
     in_force(&front(controller.at, &["--state", &state]), 2);
 }
+
+/// 2, 17: an answer that makes no sense is asked for again, though nothing more is told.
+#[test]
+fn settings_asked_for_in_vain_are_asked_for_again() {
+    // Told a minute apart: the watch is not given up for its silence, and begun anew, meanwhile.
+    let mut charter = charter();
+    charter.rollout.told_every_ms = 60_000;
+    let teller = Teller::begin(charter.clone());
+    let front = front(teller.at, &[]);
+    in_force(&front, 1);
+    let version = teller.gives(charter, 2);
+    in_force(&front, version);
+}
+
+/// 4: numbers out of all bounds end neither the front (within 4 GB) nor what else the line says.
+#[test]
+fn a_roster_line_that_makes_no_sense_harms_itself_alone() {
+    let machine = Scripted::begin(Does::Answers);
+    let teller = teller(&[]);
+    let line = |name: &str, field: &str, value: Value| {
+        let mut line = json!({ "name": name, "addr": machine.at.to_string(), "zone": 0, "cell": 0, "build": 1,
+            "run": 1, "weight": 1.0, "state": "up", "age_ms": 1e9 });
+        line[field] = value;
+        line
+    };
+    let bad = [
+        line("a", "zone", json!(4_000_000_000u32)),
+        line("b", "build", json!(4_294_967_295u32)),
+        line("c", "weight", json!(1e308)),
+        line("d\r\nX: y", "cell", json!(0)),
+    ];
+    let members: Vec<Value> = bad.into_iter().chain([line("good", "cell", json!(1))]).collect();
+    teller.tell(json!({ "roster": { "kind": "whole", "serial": 1, "members": members } }));
+    teller.tell(json!({ "stage": { "build": 4_294_967_295u32, "stage": 0, "phase": "released", "cap": 1.0, "age_ms": 1 } }));
+    teller.tell(json!({ "tally": [[1, 0, u64::MAX, 0], [1, 0, u64::MAX, u64::MAX]] }));
+    let at = teller.at.to_string();
+    let front = start_under("ulimit -v 4000000;", &["front", "--name", "f0", "--controller", &at]);
+    listed(&front, 1);
+    for _ in 0..20 {
+        assert_eq!(rpc(front.at, "lookup", "").0, 200);
+    }
+    assert_eq!(get(front.at, "/status")["stage"]["build"], 1);
+}
+
+/// 5: a disk that does not answer, played by a pipe that nobody reads where the snapshot is written.
+#[test]
+fn a_disk_that_does_not_answer_holds_no_stop() {
+    let dir = tempfile::tempdir().unwrap();
+    fifo(&dir.path().join("f0.new"));
+    let machine = Scripted::begin(Does::Answers);
+    let teller = teller(&[("m", machine.at, 1, "up")]);
+    let mut front = front(teller.at, &["--state", &dir.path().to_string_lossy()]);
+    listed(&front, 1);
+    assert_eq!(rpc(front.at, "lookup", "").0, 200);
+    signal(&front, Signal::TERM);
+    ended_well(&mut front);
+}
+
+/// 6: standard error goes to a reader that stands still; more is logged than a pipe holds.
+#[test]
+fn a_log_that_nobody_reads_holds_no_rpc() {
+    let machine = Scripted::begin(Does::Answers);
+    let teller = teller(&[("m", machine.at, 1, "up")]);
+    let at = teller.at.to_string();
+    let mut front = start_with("", &["front", "--name", "f0", "--controller", &at], Stdio::piped());
+    listed(&front, 1);
+    let names: Vec<String> = (0..3_000).map(|i| format!("a-machine-that-goes-{i}")).collect();
+    let lines: Vec<_> = names.iter().map(|n| (n.as_str(), machine.at, 1, "draining")).collect();
+    teller.roster("changes", &lines);
+    listed(&front, 3_001);
+    assert_eq!(rpc(front.at, "lookup", "").0, 200);
+    signal(&front, Signal::TERM);
+    ended_well(&mut front);
+}
+
+/// 7: whoever read standard output has gone.
+#[test]
+fn a_closed_standard_output_is_an_error_and_no_panic() {
+    for args in [&["settings", "example"][..], &["rehearse", "--trouble", "list"]] {
+        let (reader, writer) = std::io::pipe().unwrap();
+        drop(reader);
+        let mut command = Command::new(env!("CARGO_BIN_EXE_rockpick"));
+        let out = command.args(args).stdout(writer).stderr(Stdio::piped()).output().unwrap();
+        let said = String::from_utf8_lossy(&out.stderr);
+        assert!(out.status.code() == Some(2) && said.contains("standard output"), "{said}");
+        assert!(!said.contains("panicked"), "{said}");
+    }
+}
+
+/// 13: the wall clock was set years ahead while a front was down: no machine ages by that.
+#[test]
+fn a_wall_clock_set_ahead_makes_no_cold_machine_warm() {
+    let dir = tempfile::tempdir().unwrap();
+    let (state, file) = (dir.path().to_string_lossy().into_owned(), dir.path().join("f0.json"));
+    let teller = Teller::begin(charter());
+    teller.stage(1, 0, "released", 1.0);
+    teller.tell(
+        json!({ "roster": { "kind": "whole", "serial": 1, "members": [{ "name": "m", "addr": "127.0.0.1:1",
+        "zone": 0, "cell": 0, "build": 1, "run": 1, "weight": 1.0, "state": "up", "age_ms": 5.0 }] } }),
+    );
+    let one = front(teller.at, &["--state", &state]);
+    listed(&one, 1);
+    let kept =
+        || -> Value { std::fs::read(&file).map_or(Value::Null, |t| serde_json::from_slice(&t).unwrap()) };
+    until("its snapshot", || kept()["members"][0]["name"] == "m");
+    drop(one);
+    let mut old = kept();
+    old["saved_ms"] = json!(1);
+    std::fs::write(&file, old.to_string()).unwrap();
+    let mut two = front(nobody(), &["--state", &state]);
+    listed(&two, 1);
+    signal(&two, Signal::TERM);
+    ended_well(&mut two);
+    let age = kept()["members"][0]["age_ms"].as_f64().unwrap();
+    assert!(age < 600_000.0, "{age}");
+}
+
+/// 14: RPCs of former settings are answered by their own deadline, however short the new ones are.
+#[test]
+fn a_stop_waits_for_rpcs_of_former_settings() {
+    let machine = Scripted::begin(Does::Never);
+    let teller = teller(&[("m", machine.at, 1, "up")]);
+    let mut front = front(teller.at, &[]);
+    listed(&front, 1);
+    let at = front.at;
+    let open = std::thread::spawn(move || rpc(at, "lodge", "Rockpick-Time-Left-Ms: 2500\r\n"));
+    machine.got.recv_timeout(PATIENCE).unwrap();
+    let mut short = charter();
+    short.methods.iter_mut().for_each(|m| (m.soft_deadline_ms, m.deadline_ms) = (50, 100));
+    let version = teller.gives(short, 0);
+    in_force(&front, version);
+    signal(&front, Signal::TERM);
+    signal(&front, Signal::TERM); // a second one changes nothing
+    assert_eq!(open.join().unwrap().0, 504);
+    ended_well(&mut front);
+}
+
+/// A client with a small window that has sent an RPC whose answer is long, and not read yet.
+fn slow_reader(front: &Proc) -> TcpStream {
+    use rustix::net::{connect, socket, sockopt, AddressFamily, SocketType};
+    let fd = socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
+    sockopt::set_socket_recv_buffer_size(&fd, 4_096).unwrap();
+    connect(&fd, &front.at).unwrap();
+    let mut io = TcpStream::from(fd);
+    io.write_all(b"POST /rpc/lookup HTTP/1.1\r\nHost: f\r\nContent-Length: 0\r\n\r\n").unwrap();
+    until("its answer at the front", || get(front.at, "/status")["ok"] == 1);
+    io
+}
+
+/// 14: what a slow reader has not taken yet is still sent; one that reads nothing holds no stop.
+#[test]
+fn a_stop_sends_answers_out_and_waits_for_no_reader_for_ever() {
+    for reads in [true, false] {
+        let machine = Scripted::begin(Does::AtLength);
+        let teller = teller(&[("m", machine.at, 1, "up")]);
+        let mut front = front(teller.at, &[]);
+        listed(&front, 1);
+        let mut io = slow_reader(&front);
+        signal(&front, Signal::TERM);
+        until("the door is closed", || TcpStream::connect(front.at).is_err());
+        if reads {
+            let mut said = Vec::new();
+            io.set_read_timeout(Some(PATIENCE)).unwrap();
+            let end = io.read_to_end(&mut said);
+            assert!(said.len() > LONG && end.is_ok(), "{} bytes, {end:?}", said.len());
+        }
+        ended_well(&mut front);
+    }
+}
+
+/// 15: what could not be kept is not answered with the words of success, and is kept once the disk can.
+#[test]
+fn a_change_that_is_not_on_disk_is_told_of_and_kept_later() {
+    let dir = tempfile::tempdir().unwrap();
+    let in_the_way = dir.path().join("controller.new");
+    std::fs::create_dir(&in_the_way).unwrap();
+    let controller = start(&["controller", "--state", &dir.path().to_string_lossy()]);
+    let answer = put(controller.at, &charter());
+    let said: Value = serde_json::from_slice(&answer.body).unwrap();
+    assert_eq!((answer.status, said["errors"][0]["field"].as_str()), (500, Some("state")), "{said}");
+    std::fs::remove_dir(&in_the_way).unwrap();
+    until("the snapshot", || dir.path().join("controller.json").exists());
+}
+
+/// 19: names go into paths and headers.
+#[test]
+fn names_that_lead_elsewhere_are_refused() {
+    let dir = tempfile::tempdir().unwrap();
+    let state = dir.path().join("in").to_string_lossy().into_owned();
+    for name in ["../x", "a b", "", "controller", "f0.tenants"] {
+        let args = ["front", "--name", name, "--controller", "127.0.0.1:1", "--state", &state];
+        let mut child = Command::new(env!("CARGO_BIN_EXE_rockpick"))
+            .args(args)
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut proc = Proc {
+            at: nobody(),
+            child: {
+                child.stdin.take();
+                child
+            },
+        };
+        until("its refusal", || proc.child.try_wait().unwrap().is_some());
+        let mut said = String::new();
+        proc.child.stderr.take().unwrap().read_to_string(&mut said).unwrap();
+        assert!(proc.child.wait().unwrap().code() == Some(2) && said.contains("--name"), "{name}: {said}");
+    }
+}
+
+/// 21: settings that change faster than RPCs end wait their turn.
+#[test]
+fn lives_of_the_module_are_bounded() {
+    let machine = Scripted::begin(Does::Never);
+    let teller = teller(&[("m", machine.at, 1, "up")]);
+    let front = front(teller.at, &[]);
+    listed(&front, 1);
+    let mut open = Vec::new();
+    for _ in 0..12 {
+        let at = front.at;
+        open.push(std::thread::spawn(move || rpc(at, "lodge", "Rockpick-Time-Left-Ms: 2500\r\n").0));
+        let began = Instant::now();
+        let taken = open.len() as u64;
+        until("the RPC", || get(front.at, "/status")["taken"] == taken);
+        let version = teller.gives(charter(), 0);
+        while get(front.at, "/status")["settings_version"] != version
+            && began.elapsed() < Duration::from_millis(60)
+        {}
+    }
+    let version = get(front.at, "/status")["settings_version"].as_u64().unwrap();
+    assert!(version <= 9, "{version}");
+    let answers: Vec<u16> = open.into_iter().map(|o| o.join().unwrap()).collect();
+    assert!(answers.iter().all(|status| [503, 504].contains(status)), "{answers:?}");
+    in_force(&front, 13);
+}
+
+/// 27: not mended; a controller's disk that does not answer holds all its callers.
+#[test]
+#[should_panic(expected = "finding 27")]
+fn a_disk_that_does_not_answer_holds_no_controller() {
+    let dir = tempfile::tempdir().unwrap();
+    fifo(&dir.path().join("controller.new"));
+    let controller = start(&["controller", "--state", &dir.path().to_string_lossy()]);
+    let mut io = TcpStream::connect(controller.at).unwrap();
+    let settings = serde_json::to_string(&charter()).unwrap();
+    write!(io, "PUT /settings HTTP/1.1\r\nHost: c\r\nContent-Length: {}\r\n\r\n{settings}", settings.len())
+        .unwrap();
+    io.set_read_timeout(Some(Duration::from_millis(300))).unwrap();
+    assert!(io.read(&mut [0; 1]).is_err(), "no word before it is kept");
+    let mut other = TcpStream::connect(controller.at).unwrap();
+    other.write_all(b"GET /status HTTP/1.1\r\nHost: c\r\n\r\n").unwrap();
+    other.set_read_timeout(Some(Duration::from_secs(2))).unwrap();
+    assert!(other.read(&mut [0; 1]).is_ok(), "finding 27: nobody else is answered");
+}
