--- a/cli/tests/hardening.rs
+++ b/cli/tests/hardening.rs
@@ -293,10 +293,49 @@
     let version = get(front.at, "/status")["settings_version"].as_u64().unwrap();
     assert!(version <= 9, "{version}");
     let answers: Vec<u16> = open.into_iter().map(|o| o.join().unwrap()).collect();
-    assert!(answers.iter().all(|status| [503, 504].contains(status)), "{answers:?}");
+    assert!(
+        answers.iter().all(|status| [503, 504].contains(status)),
+        "{answers:?} {}",
+        get(front.at, "/status")
+    );
     in_force(&front, 13);
 }
 
+/// What the freeze covers: a front passes over what later versions tell, and goes on under its settings where it
+/// can't read newer ones; a snapshot of settings that it can't read is left as it is.
+#[test]
+fn what_a_later_version_tells_a_front_is_passed_over_but_for_settings() {
+    let dir = tempfile::tempdir().unwrap();
+    let (state, file) = (dir.path().to_string_lossy().into_owned(), dir.path().join("f0.json"));
+    let machine = Scripted::begin(Does::Answers);
+    let teller = Teller::begin(charter());
+    teller.tell(
+        json!({ "later": [1], "stage": { "build": 1, "stage": 0, "phase": "released", "cap": 1.0, "age_ms": 1,
+        "later": 1 } }),
+    );
+    teller.tell(
+        json!({ "roster": { "kind": "whole", "members": [{ "name": "m", "addr": machine.at.to_string(),
+        "build": 1, "run": 1, "state": "up", "later": 1 }] } }),
+    );
+    let mut one = front(teller.at, &["--state", &state]);
+    listed(&one, 1);
+    assert_eq!(rpc(one.at, "lookup", "Rockpick-Later: 1\r\n").0, 200);
+    until("its snapshot", || file.exists());
+    signal(&one, Signal::TERM);
+    ended_well(&mut one);
+    let mut kept: Value = serde_json::from_slice(&std::fs::read(&file).unwrap()).unwrap();
+    kept["later"] = json!(1);
+    std::fs::write(&file, kept.to_string()).unwrap();
+    drop(front(nobody(), &["--state", &state]));
+    kept["settings"]["guard"]["later"] = json!(1);
+    std::fs::write(&file, kept.to_string()).unwrap();
+    let args = ["front", "--name", "f0", "--controller", "127.0.0.1:1", "--state", &state];
+    let out = Command::new(env!("CARGO_BIN_EXE_rockpick")).args(args).output().unwrap();
+    let said = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert!(out.status.code() == Some(2) && said.contains("f0.json") && said.contains("later"), "{said}");
+    assert_eq!(std::fs::read(&file).unwrap(), kept.to_string().as_bytes());
+}
+
 /// 27: not mended; a controller's disk that does not answer holds all its callers.
 #[test]
 #[should_panic(expected = "finding 27")]
--- a/front/src/wire.rs
+++ b/front/src/wire.rs
@@ -239,8 +239,10 @@
     pub fn lapsed(&mut self) -> Option<Id> {
         let calls = &self.calls;
         let over = self.lapses.over(self.net.now(), |c| calls.contains_key(&c));
-        if let (None, Some(at)) = (over, self.lapses.next()) {
-            self.net.wake_at(at, LAPSE);
+        if over.is_none() {
+            if let Some(at) = self.lapses.next() {
+                self.net.wake_at(at, LAPSE);
+            }
         }
         over
     }
@@ -499,6 +501,12 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn a_note_of_another_version_is_none() {
+        assert_eq!(read_note(b"RPN1\0\0\0\x07note"), Some((7, &b"note"[..])));
+        assert!(read_note(b"RPN2\0\0\0\x07note").is_none() && read_note(b"RPN1\0").is_none());
+    }
+
     /// Finding 10: names come and go for years; one whose pick is still out keeps its number.
     #[test]
     fn machines_that_have_gone_are_forgotten_but_for_those_that_owe_an_end() {
