--- a/agent/src/fetch.rs
+++ b/agent/src/fetch.rs
@@ -152,7 +152,7 @@
         fs::create_dir_all(&parts).map_err(|err| format!("{}: {err}", parts.display()))?;
         self.got = fs::metadata(&at).map_or(0, |m| m.len());
         if self.got > length {
-            let _ = fs::remove_file(&at);
+            fs::remove_file(&at).map_err(|err| format!("{}: {err}", at.display()))?;
             self.got = 0;
         }
         self.target = Some((file, path));
@@ -177,7 +177,7 @@
     let say = |err: std::io::Error| err.to_string();
     let bytes = fs::read(part).map_err(say)?;
     // Right or wrong, these bytes are not gone on with.
-    let _ = fs::remove_file(part);
+    fs::remove_file(part).map_err(|err| format!("{}: {err}", part.display()))?;
     rockpick_trust::repo::check(file, &bytes).map_err(|r| r.to_string())?;
     let plain = rockpick_trust::repo::unpack(file, &bytes).map_err(|r| r.to_string())?;
     let (at, told) = place(dir, build);
@@ -194,11 +194,10 @@
 /// Checks an artefact once more, before a start.
 pub fn sound(dir: &Path, build: u32) -> Result<PathBuf, String> {
     let (at, told) = place(dir, build);
-    let told: serde_json::Value = fs::read(&told)
-        .ok()
-        .and_then(|t| serde_json::from_slice(&t).ok())
-        .ok_or("its hash is not on record")?;
-    let bytes = fs::read(&at).map_err(|err| err.to_string())?;
+    let say = |at: &Path, err: std::io::Error| format!("{}: {err}", at.display());
+    let text = fs::read(&told).map_err(|err| say(&told, err))?;
+    let told: serde_json::Value = serde_json::from_slice(&text).map_err(|err| say(&told, err.into()))?;
+    let bytes = fs::read(&at).map_err(|err| say(&at, err))?;
     match told["sha256"] == rockpick_trust::meta::sha256(&bytes) {
         true => Ok(at),
         false => Err("the artefact has changed on disk".into()),
--- a/agent/src/hand.rs
+++ b/agent/src/hand.rs
@@ -75,6 +75,19 @@
 
 const FLAG: u64 = 1;
 
+/// Works on a thread and says what came of it, also when the work ends in a panic: a build whose check is never
+/// heard of would wait for ever.
+fn aside<T: 'static>(
+    to: Sender<Found>, found: impl FnOnce(Result<T, String>) -> Found + Send + 'static,
+    work: impl FnOnce() -> Result<T, String> + Send + 'static,
+) {
+    std::thread::spawn(move || {
+        let end = std::panic::catch_unwind(std::panic::AssertUnwindSafe(work));
+        // An agent that has ended listens no more.
+        let _ = to.send(found(end.unwrap_or_else(|_| Err("the thread at work on it has ended".into()))));
+    });
+}
+
 impl Agent {
     /// Runs until a signal; builds go on running without it.
     ///
@@ -148,7 +161,7 @@
                 .extend(build.into_iter().filter(|b: &u32| fetch::place(&self.agent.state, *b).1.exists()));
         }
         for build in Proc::recorded(&self.runs()) {
-            match Proc::find(&self.runs(), build) {
+            match Proc::find(&self.runs(), build)? {
                 Some(proc) => {
                     // One that has served is taken for serving; if it is not ordered any more, it drains.
                     let state = if proc.kept.served { State::Serving } else { State::Starting };
@@ -283,10 +296,11 @@
                 }
             }
             Do::Start(build) => {
-                let to = self.to.clone();
-                std::thread::spawn(move || {
-                    let _ = to.send(Found::Sound(build, fetch::sound(&dir, build)));
-                });
+                aside(
+                    self.to.clone(),
+                    move |end| Found::Sound(build, end),
+                    move || fetch::sound(&dir, build),
+                );
             }
             Do::Ask(build) => match self.procs.get_mut(&build) {
                 Some(proc) => {
@@ -303,8 +317,9 @@
             Do::Discard(build) => {
                 let (at, told) = fetch::place(&dir, build);
                 // First the record: an artefact without one is never started.
-                let _ = fs::remove_file(told);
-                let _ = fs::remove_file(at);
+                if let Err(err) = fs::remove_file(told).and_then(|()| fs::remove_file(at)) {
+                    tracing::warn!(event = "not thrown away", build, why = %err);
+                }
             }
         }
     }
@@ -365,11 +380,10 @@
             }
             Next::Whole => {
                 let Some(fetch) = self.fetch.take() else { return };
-                let (build, dir, to) = (fetch.build, self.agent.state.clone(), self.to.clone());
+                let (build, dir) = (fetch.build, self.agent.state.clone());
                 let Some((file, part)) = fetch.whole() else { return };
-                std::thread::spawn(move || {
-                    let _ = to.send(Found::Fetched(build, fetch::finish(&dir, build, &file, &part)));
-                });
+                let work = move || fetch::finish(&dir, build, &file, &part);
+                aside(self.to.clone(), move |end| Found::Fetched(build, end), work);
             }
         }
     }
@@ -407,7 +421,10 @@
             (What::Beat, End::Answer(r)) if r.status == 200 => {
                 self.beating = false;
                 self.heard = Some(now);
-                self.ordered(&serde_json::from_slice(&r.body).unwrap_or(Value::Null));
+                match serde_json::from_slice(&r.body) {
+                    Ok(said) => self.ordered(&said),
+                    Err(err) => tracing::warn!(event = "order not read", why = %err),
+                }
             }
             (What::Beat, end) => {
                 self.beating = false;
@@ -467,3 +484,16 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Finding 34.
+    #[test]
+    fn work_that_panics_is_heard_of() {
+        let (to, from) = channel();
+        aside(to, |end| Found::Fetched(7, end), || panic!("on purpose"));
+        assert!(matches!(from.recv(), Ok(Found::Fetched(7, Err(_)))));
+    }
+}
--- a/agent/src/proc.rs
+++ b/agent/src/proc.rs
@@ -82,24 +82,35 @@
     }
 
     /// What an earlier agent had started, if it still runs.
-    pub fn find(dir: &Path, build: u32) -> Option<Proc> {
-        let kept: Kept = serde_json::from_slice(&fs::read(Proc::file(dir, build, "run")).ok()?).ok()?;
+    ///
+    /// # Errors
+    /// Names the record that can't be read: it must not pass for no process, as the build would be started a
+    /// second time beside the first.
+    pub fn find(dir: &Path, build: u32) -> Result<Option<Proc>, String> {
+        let [run, named] = ["run", "pid"].map(|what| Proc::file(dir, build, what));
+        let text = fs::read(&run).map_err(|err| format!("{}: {err}", run.display()))?;
+        let kept: Kept = serde_json::from_slice(&text).map_err(|err| format!("{}: {err}", run.display()))?;
         // One that was started this moment may not have written its id yet: it is given a second.
-        let read = || fs::read_to_string(Proc::file(dir, build, "pid")).ok()?.trim().parse::<i32>().ok();
-        let mut pid = read();
+        let read = || match fs::read_to_string(&named) {
+            Ok(text) => Ok(text.trim().parse::<i32>().ok()),
+            Err(err) if err.kind() == io::ErrorKind::NotFound => Ok(None),
+            Err(err) => Err(format!("{}: {err}", named.display())),
+        };
+        let mut pid = read()?;
         while pid.is_none() && clock() - kept.started < NAMED_WITHIN {
             std::thread::sleep(std::time::Duration::from_millis(5));
-            pid = read();
+            pid = read()?;
         }
-        let pid = pid?;
-        let (ticks, zombie) = stat(pid)?;
+        let Some((pid, (ticks, zombie))) = pid.and_then(|pid| Some((pid, stat(pid)?))) else {
+            return Ok(None);
+        };
         // Another process with this id would have begun long before or after; ours within this long of its record.
         let per_second = rustix::param::clock_ticks_per_second() as i64;
         let began = ticks as i64 * (1_000_000_000 / per_second.max(1));
         if zombie || (began - kept.started).abs() > 5_000_000_000 {
-            return None;
+            return Ok(None);
         }
-        Some(Proc {
+        Ok(Some(Proc {
             kept,
             dir: dir.into(),
             child: None,
@@ -107,7 +118,7 @@
             ticks: Some(ticks),
             at: None,
             asked: false,
-        })
+        }))
     }
 
     /// How it ended, if it has.
@@ -144,9 +155,10 @@
     pub fn note_served(&mut self) {
         if !self.kept.served {
             self.kept.served = true;
-            if let Ok(text) = serde_json::to_vec(&self.kept) {
-                let _ =
-                    rockpick_control::keep::replace(&Proc::file(&self.dir, self.kept.build, "run"), &text);
+            let at = Proc::file(&self.dir, self.kept.build, "run");
+            let text = serde_json::to_vec(&self.kept).map_err(io::Error::other);
+            if let Err(err) = text.and_then(|text| rockpick_control::keep::replace(&at, &text)) {
+                tracing::error!(event = "record not kept", file = %at.display(), why = %err);
             }
         }
     }
@@ -166,3 +178,19 @@
         builds
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Finding 35: a record that can't be read is no word that nothing runs.
+    #[test]
+    fn a_record_that_can_not_be_read_is_told_of_and_left() {
+        let dir = std::env::temp_dir().join(format!("rockpick-test-record-{}", std::process::id()));
+        fs::create_dir_all(&dir).unwrap();
+        fs::write(dir.join("7.run"), b"{\"build\":7,").unwrap();
+        let why = Proc::find(&dir, 7).err().unwrap();
+        assert!(why.contains("7.run") && dir.join("7.run").exists(), "{why}");
+        let _ = fs::remove_dir_all(dir);
+    }
+}
--- a/cli/src/bench.rs
+++ b/cli/src/bench.rs
@@ -199,8 +199,8 @@
 
 impl Front {
     pub fn run(self) -> Result<ExitCode, Bad2> {
-        if !(self.seconds >= 0.5 && self.open > 0 && (1..=99).contains(&self.rounds)) {
-            return Err(Bad2("--seconds 0.5 or more, --open 1 or more, --rounds 1 to 99".into()));
+        if !((0.5..=3_600.0).contains(&self.seconds) && self.open > 0 && (1..=99).contains(&self.rounds)) {
+            return Err(Bad2("--seconds 0.5 to 3600, --open 1 or more, --rounds 1 to 99".into()));
         }
         let (to, from) = std::sync::mpsc::channel();
         std::thread::spawn(move || {
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -404,6 +404,9 @@
         }
         What::Front { listen, at, name, state, seed, clients, profile, notes_at } => {
             named("--name", &name)?;
+            if clients == 0 {
+                return Err(Bad2("--clients: 1 or more".into()));
+            }
             // Their snapshots would be the controller's, and those of another front's tenants.
             if state.is_some() && (name == "controller" || name.ends_with(".tenants")) {
                 return Err(Bad2(format!("--name {name}: its snapshot would be another's")));
--- a/control/src/desk.rs
+++ b/control/src/desk.rs
@@ -419,20 +419,26 @@
                 _ => return no(400, &format!("rows[{i}]"), "build, method, picks and not ok are wanted"),
             }
         }
+        let mut tenants = Vec::new();
+        let none = Vec::new();
+        for (i, row) in json.get("tenants").and_then(Value::as_array).unwrap_or(&none).iter().enumerate() {
+            let n = |j: usize| row.get(j).and_then(Value::as_u64).filter(|n| *n < 1 << 32);
+            let name = row.get(0).and_then(Value::as_str).filter(|n| n.len() <= 36 && i < MOST_TENANTS);
+            let (Some(name), Some(asked), Some(served), Some(refused)) = (name, n(1), n(2), n(3)) else {
+                return no(400, &format!("tenants[{i}]"), "entryUUID, asked, served and refused are wanted");
+            };
+            tenants.push((name, [asked, served, refused]));
+        }
         for (at, picks, bad) in read {
             if self.counts.len() < MOST_ROWS || self.counts.contains_key(&at) {
                 let count = self.counts.entry(at).or_default();
                 *count = [count[0] + picks, count[1] + bad];
             }
         }
-        let none = Vec::new();
-        let tenants = json.get("tenants").and_then(Value::as_array).unwrap_or(&none);
-        for row in tenants.iter().take(MOST_TENANTS) {
-            let n = |j: usize| row.get(j).and_then(Value::as_u64).unwrap_or(0).min(1 << 32);
-            let Some(name) = row.get(0).and_then(Value::as_str).filter(|n| n.len() <= 36) else { continue };
+        for (name, row) in tenants {
             if self.tenants.len() < MOST_TENANTS || self.tenants.contains_key(name) {
                 let sums = self.tenants.entry(name.to_string()).or_default();
-                (0..3).for_each(|i| sums[i] += n(i + 1));
+                (0..3).for_each(|i| sums[i] += row[i]);
             }
         }
         Answer::Now(200, json!({}))
@@ -743,6 +749,8 @@
             ("POST", "/builds", json!({"build":"x"}), 400),
             ("POST", "/builds/x/back", json!(null), 400),
             ("POST", "/counts", json!({"rows":[[1,99,1,0]]}), 400),
+            ("POST", "/counts", json!({"rows":[],"tenants":[["unknown",1,1]]}), 400),
+            ("POST", "/counts", json!({"rows":[],"tenants":[["unknown",1,1,0]],"later":1}), 200),
             ("POST", "/machines/a b", json!({}), 400),
             ("POST", "/machines/a", json!({"addr":"nowhere"}), 400),
             (
@@ -777,6 +785,24 @@
         assert!(Desk::open(0, Some(&kept[..kept.len() / 2])).is_err());
     }
 
+    /// What the freeze covers: fields of later versions in calls and snapshots are passed over, in settings refused.
+    #[test]
+    fn what_a_later_version_says_is_passed_over_but_for_settings() {
+        let mut desk = seated();
+        say(&mut desk, 0, "POST", "/builds", json!({"build":2,"later":1}));
+        let vote = json!({"front":"f0","build":2,"stage":0,"verdict":"on","later":1});
+        assert_eq!(say(&mut desk, 0, "POST", "/votes", vote).0, 200);
+        let mut charter = serde_json::to_value(Charter::example(2, 4)).unwrap();
+        charter["guard"]["later"] = json!(1);
+        let (status, said) = say(&mut desk, 0, "PUT", "/settings", charter);
+        assert_eq!((status, said["errors"][0]["field"].as_str()), (422, Some("guard.later")));
+        let mut kept: Value = serde_json::from_slice(&desk.save(0).unwrap()).unwrap();
+        kept["later"] = json!(1);
+        assert_eq!(Desk::open(0, Some(kept.to_string().as_bytes())).unwrap().version, 1);
+        kept["charter"]["later"] = json!(1);
+        assert!(Desk::open(0, Some(kept.to_string().as_bytes())).is_err_and(|why| why.contains("later")));
+    }
+
     /// Finding 23.
     #[test]
     fn a_refused_report_of_an_agent_changes_nothing() {
--- a/front/src/hall.rs
+++ b/front/src/hall.rs
@@ -349,6 +349,10 @@
                     End::Answer(r) => {
                         let said: Value = serde_json::from_slice(&r.body).unwrap_or(Value::Null);
                         let counted = r.status == 200;
+                        // Moot or over the rate is ordinary; a vote that is no vote, or nobody's, is not.
+                        if matches!(r.status, 400 | 403 | 404) || r.status >= 500 {
+                            self.passed_over("vote", &String::from_utf8_lossy(&r.body));
+                        }
                         (if counted { Reply::Counted } else { Reply::Refused }, said.get("stage").cloned())
                     }
                     End::Broken(_) => (Reply::TimedOut, None),
@@ -356,16 +360,19 @@
                 };
                 self.told(reply, news.filter(Value::is_object));
             }
-            (What::Watch, _) => {
+            (What::Watch, end) => {
                 self.wire.watch = None;
                 self.line.clear();
-                tracing::warn!(event = "watch lost");
+                tracing::warn!(event = "watch lost", why = why(&end));
                 self.each(|front, wire| front.members(wire, Roll::Failed, &[]));
             }
             (What::Fetch, End::Answer(r)) if r.status == 200 => {
                 match serde_json::from_slice::<Value>(&r.body) {
                     Ok(line) => self.news(&line),
-                    Err(_) => self.each(|front, wire| front.members(wire, Roll::Failed, &[])),
+                    Err(err) => {
+                        self.passed_over("roster", &err.to_string());
+                        self.each(|front, wire| front.members(wire, Roll::Failed, &[]));
+                    }
                 }
             }
             (What::Fetch, _) => self.each(|front, wire| front.members(wire, Roll::Failed, &[])),
@@ -374,6 +381,10 @@
                 self.settings(&r.body);
             }
             (What::Settings, _) => self.asking = false,
+            (What::Else, End::Answer(r)) if r.status >= 400 => {
+                self.passed_over("counts", &String::from_utf8_lossy(&r.body));
+            }
+            // Probes, and counts that did not get there: they are samples, the next ones tell as much.
             (What::Else, _) => {}
         }
     }
@@ -762,6 +773,15 @@
     }
 }
 
+/// How a call ended, for the log.
+fn why(end: &End) -> String {
+    match end {
+        End::Answer(r) => format!("status {} {}", r.status, String::from_utf8_lossy(&r.body).trim_end()),
+        End::Unreachable | End::Unsent => "no connection".into(),
+        End::Broken(why) => (*why).into(),
+    }
+}
+
 /// What a roster's line says of a machine.
 struct Said<'a> {
     name: &'a str,
--- a/trust/src/tests.rs
+++ b/trust/src/tests.rs
@@ -188,6 +188,12 @@
     // Without the key of a role, nothing of it can be signed, and nothing is half done.
     fs::remove_file(set.keydir.join("timestamp-1.key")).unwrap();
     let artefact = set.repo.dir.join("artefact");
+    // Finding 32: builds that no controller can offer.
+    assert!([0, 65_536].iter().all(|b| set
+        .repo
+        .add(&set.keydir, *b, &artefact, false)
+        .unwrap_err()
+        .contains("65535")));
     let before = fs::read_dir(set.repo.dir.join("metadata")).unwrap().count();
     assert!(set.repo.add(&set.keydir, 4, &artefact, false).unwrap_err().contains("timestamp"));
     assert_eq!(fs::read_dir(set.repo.dir.join("metadata")).unwrap().count(), before);
