--- a/src/tests.rs
+++ b/src/tests.rs
@@ -703,3 +703,89 @@
     let many = sample(&vec![Some(50 * MS); 70_000]);
     assert!(z(&many, &many).abs() < 1e-9);
 }
+
+/// Rule 2: a tokened RPC that may have run stays in the group that knows its token, and in its time from the first
+/// pick on.
+#[test]
+fn a_tokened_rpc_stays_in_its_group_and_in_the_time_of_its_first_pick() {
+    let apart = |m: usize| Member { zone: m as u32, cell: m as u32, ..member(m, 1, None) };
+    for (group, picks, aborted) in [(Group::Zone, 1, 1), (Group::Cell, 1, 1), (Group::All, 2, 0)] {
+        let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
+        let mut post = post();
+        post.methods[1].group = group;
+        let mut front = front(post, &[apart(0), apart(1)], &mut desk);
+        front.taken(&mut desk, 0, 1, None, 105 * SEC);
+        desk.now += SEC / 2;
+        front.ended(&mut desk, 0, 0, Outcome::Broken, SEC / 2, false);
+        assert_eq!((desk.picks.len(), desk.aborted.len()), (picks, aborted), "{group:?}");
+        desk.now += 7 * SEC / 10;
+        front.ended(&mut desk, 0, 1, Outcome::Broken, 7 * SEC / 10, false);
+        assert_eq!(desk.picks.len(), picks, "{group:?}: the first pick's token is forgotten by now");
+    }
+}
+
+/// Rule 3: a roster told whole leaves nobody in that it does not name.
+#[test]
+fn a_machine_that_a_whole_roster_leaves_out_gets_nothing() {
+    let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
+    let mut front = front(post(), &[member(0, 1, None), member(1, 1, None)], &mut desk);
+    front.members(&mut desk, Roll::Whole, &[member(0, 1, None)]);
+    for rpc in 0..20 {
+        take(&mut front, &mut desk, rpc, 0);
+        front.ended(&mut desk, rpc, 0, Outcome::Ok, MS, true);
+    }
+    assert!(desk.picks.len() == 20 && desk.picks.iter().all(|p| p.1 == 0));
+}
+
+/// Rule 4, where much is known to be carried: in the time of a fall a machine just started gets no more than the
+/// told multiple of what it can do by then, though all RPCs are for it.
+#[test]
+fn a_cold_machine_alone_gets_the_told_multiple_at_most() {
+    let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
+    let mut front = front(post(), &[member(0, 1, None), member(1, 1, None)], &mut desk);
+    let run = |front: &mut Front, desk: &mut Desk, rpcs: i64, apart: Ns| {
+        desk.picks.clear();
+        for i in 0..rpcs {
+            desk.now += apart;
+            let before = desk.picks.len();
+            take(front, desk, 0, 0);
+            if desk.picks.len() > before {
+                front.ended(desk, 0, 0, Outcome::Ok, MS, true);
+            }
+            if i % 25 == 24 && apart > 5 * MS {
+                front.woke(desk, 0);
+            }
+        }
+        desk.picks.len() as f64
+    };
+    assert!(run(&mut front, &mut desk, 1_000, 20 * MS) > 990.0); // 25 a second and machine
+    let cold = member(2, 1, Some(desk.now));
+    front.members(&mut desk, Roll::Whole, &[cold]);
+    let picks = run(&mut front, &mut desk, 800, 5 * MS / 2);
+    // Two seconds at half to three quarters of 25, twice that, and a pick.
+    assert!((20.0..=2.0 * 2.0 * 25.0 * 0.75 + 1.0).contains(&picks), "{picks}");
+}
+
+/// Rule 5: repeats keep to the cap as first picks do, and where it is by method each has its own.
+#[test]
+fn repeats_at_a_build_on_trial_and_each_method_keep_to_the_cap() {
+    let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
+    let mut alone = front(post(), &[member(0, 2, None), member(1, 2, None)], &mut desk);
+    alone.told(&mut desk, Reply::News, standing(2, 0, Phase::OnTrial, 0.1, 0));
+    take(&mut alone, &mut desk, 0, 0);
+    for pick in 0..3 {
+        alone.ended(&mut desk, 0, pick, Outcome::Error, MS, false);
+    }
+    assert_eq!((desk.picks.len(), desk.pushed_back.len()), (2, 1), "two are free");
+    let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
+    let mut post = post();
+    post.rollout.cap_per_method = true;
+    let mut each = front(post, &[member(0, 1, None), member(1, 2, None)], &mut desk);
+    let mut at_trial = [0; 2];
+    for rpc in 0..60 {
+        take(&mut each, &mut desk, rpc, rpc / 50);
+        each.ended(&mut desk, rpc, 0, Outcome::Ok, MS, true);
+        at_trial[rpc / 50] += desk.picks.last().map_or(0, |p| p.1);
+    }
+    assert_eq!(at_trial, [7, 3]);
+}
