--- a/cli/tests/front.rs
+++ b/cli/tests/front.rs
@@ -55,6 +55,7 @@
         (Does::WrongLength, "lodge", 502, "aborted"),
         (Does::Closes, "lodge", 502, "aborted"),
         (Does::Fails, "lodge", 502, "aborted"),
+        (Does::Busy, "lodge", 502, "aborted"),
         (Does::Full, "lodge", 503, "pushed-back"),
         (Does::Never, "lodge", 504, "aborted"),
         (Does::Fails, "lookup", 503, "pushed-back"),
--- a/cli/tests/hardening.rs
+++ b/cli/tests/hardening.rs
@@ -301,6 +301,59 @@
     in_force(&front, 13);
 }
 
+/// Rule 1: a front that stood still past a client's deadline sends it nothing any more.
+#[test]
+fn an_answer_that_would_come_after_the_deadline_is_not_sent() {
+    let machine = Scripted::begin(Does::Never);
+    let teller = teller(&[("m", machine.at, 1, "up")]);
+    let front = front(teller.at, &[]);
+    listed(&front, 1);
+    let (at, began) = (front.at, Instant::now());
+    let open = std::thread::spawn(move || rpc(at, "lodge", "Rockpick-Time-Left-Ms: 400\r\n"));
+    machine.got.recv_timeout(PATIENCE).unwrap();
+    signal(&front, Signal::STOP);
+    until("the deadline has passed", || began.elapsed() > Duration::from_millis(800));
+    signal(&front, Signal::CONT);
+    assert_eq!(open.join().unwrap(), (0, String::new()));
+    assert_eq!(get(front.at, "/status")["late"], 1);
+}
+
+/// Rule 4: a machine told as just started is spared, with the same few picks that it gets by the module alone.
+#[test]
+fn a_machine_told_as_cold_is_spared() {
+    let (warm, cold) = (Scripted::begin(Does::Answers), Scripted::begin(Does::Answers));
+    let teller = teller(&[("warm", warm.at, 1, "up")]);
+    teller.tell(json!({ "roster": { "kind": "changes", "serial": 2, "members": [{ "name": "cold", "zone": 0, "cell": 0,
+        "addr": cold.at.to_string(), "build": 1, "run": 1, "weight": 1.0, "state": "up", "age_ms": 0.0 }] } }));
+    let front = front(teller.at, &[]);
+    listed(&front, 2);
+    for _ in 0..40 {
+        assert_eq!(rpc(front.at, "lookup", "").0, 200);
+    }
+    let picks = cold.got.try_iter().count();
+    assert!(picks <= 8, "{picks} of 40");
+}
+
+/// Rule 5: the cap as told, over sockets.
+#[test]
+fn picks_over_sockets_keep_to_the_told_cap() {
+    let (old, new) = (Scripted::begin(Does::Answers), Scripted::begin(Does::Answers));
+    let mut charter = charter();
+    (charter.rollout.free, charter.rollout.window_ms) = (0.0, 400);
+    let teller = Teller::begin(charter);
+    teller.stage(2, 0, "on-trial", 0.2);
+    teller.roster("whole", &[("old", old.at, 1, "up"), ("new", new.at, 2, "up")]);
+    let front = front(teller.at, &[]);
+    listed(&front, 2);
+    let (mut taken, mut picks) = (0.0, 0.0);
+    until("picks at the trial", || {
+        taken += f64::from(u8::from(rpc(front.at, "lookup", "").0 == 200));
+        picks += new.got.try_iter().count() as f64;
+        picks >= 20.0
+    });
+    assert!(picks <= 0.2 * taken + 1.0, "{picks} of {taken}");
+}
+
 /// What the freeze covers: a front passes over what later versions tell, and goes on under its settings where it
 /// can't read newer ones; a snapshot of settings that it can't read is left as it is.
 #[test]
--- a/cli/tests/peers/mod.rs
+++ b/cli/tests/peers/mod.rs
@@ -221,6 +221,8 @@
     Closes,
     /// 503 that says it never ran.
     Full,
+    /// 503 that says nothing more.
+    Busy,
     /// With [`LONG`] bytes.
     AtLength,
 }
@@ -247,6 +249,7 @@
                             Does::Full => {
                                 b"HTTP/1.1 503 No\r\nRockpick-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n"
                             }
+                            Does::Busy => b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
                             Does::Half => b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nha",
                             Does::WrongLength => b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ngood",
                             Does::Never => continue,
