--- a/tenant/src/limit.rs
+++ b/tenant/src/limit.rs
@@ -36,6 +36,8 @@
 const LEAST: f64 = 0.02;
 /// A bucket of tokens holds this long of a rate, or one RPC.
 const BURST: f64 = 0.5;
+/// A row is kept so long at the most while its tokens fill: rates are seldom below some an hour.
+const LONGEST: Ns = 3_600 * SEC;
 /// Callers that belong to no tenant are counted as one of this number.
 pub const UNKNOWN: Id = Id::MAX;
 /// When one that was pushed back should return: a new measure is there by then.
@@ -64,6 +66,8 @@
     part: f64,
     tokens: f64,
     filled: Ns,
+    /// When its bucket is full again, and may be forgotten.
+    full: Ns,
     /// What part of its RPCs is taken.
     keep: f64,
     /// By method: RPCs lately asked for, fading; what part of them is taken, and what has gathered of it.
@@ -147,6 +151,7 @@
             part,
             tokens: f64::MAX,
             filled: now,
+            full: now,
             keep: 1.0,
             methods: vec![[0.0, 1.0, 0.0]; methods],
         })
@@ -178,8 +183,11 @@
             let most = (mine * BURST).max(1.0);
             row.tokens = (row.tokens + mine * (now - row.filled) as f64 / SEC as f64).min(most);
             row.filled = now;
-            if row.tokens < 1.0 {
-                let wait = (1.0 - row.tokens) / mine.max(1e-3) * SEC as f64;
+            // As if the RPC that is decided here were taken: kept a little too long at the most.
+            let filling = (most + 1.0 - row.tokens) / mine.max(1e-9) * SEC as f64;
+            row.full = now + (filling as Ns).min(LONGEST);
+            if row.tokens < 1.0 || rate <= 0.0 {
+                let wait = (1.0 - row.tokens).max(0.0) / mine.max(1e-3) * SEC as f64;
                 self.over_rate += 1;
                 return Err((wait as Ns).clamp(MS, 10 * SEC));
             }
@@ -256,8 +264,9 @@
             let at = self.at;
             self.rows.values_mut().for_each(|r| r.ring[at] = [0; 3]);
         }
-        // Tenants that have asked for nothing cost nothing; their part is kept while their tokens fill.
-        self.rows.retain(|_, r| r.ring != [[0; 3]; BUCKETS] || r.tell != [0; 3]);
+        // Tenants that have asked for nothing cost nothing; their part is kept while their tokens fill, else a
+        // slow tenant would find a full bucket each time it comes.
+        self.rows.retain(|_, r| r.ring != [[0; 3]; BUCKETS] || r.tell != [0; 3] || r.full > now);
     }
 
     fn measure(&mut self, now: Ns, tenants: &Tenants) {
@@ -423,6 +432,21 @@
         assert!(taken[1] > 19_000 && taken[0] < 8_000, "{taken:?}");
     }
 
+    /// Finding 37: a tenant that asks slowly finds no full bucket each time; a rate of none is none.
+    #[test]
+    fn a_rate_below_one_in_two_seconds_is_kept_too() {
+        for (rate, low, high) in [(0.1, 24, 32), (0.0, 0, 0)] {
+            let d = tenants(&[Some(rate)]);
+            let mut limits = Limits::new(0, 1, COMMON, vec![1.0]);
+            let ask = |s: &i64| {
+                limits.tell();
+                limits.take(s * 3 * SEC, d.version(), Some(0), 0).is_ok()
+            };
+            let taken = (0..100).filter(ask).count();
+            assert!((low..=high).contains(&taken), "{rate}: {taken}");
+        }
+    }
+
     #[test]
     fn unknown_callers_share_one_row_however_many_they_are() {
         let d = tenants(&[None]);
