--- a/cli/tests/front.rs
+++ b/cli/tests/front.rs
@@ -163,30 +163,29 @@
     let at = full.local_addr().unwrap();
     // One connection fills the queue of none; further ones hang.
     let filler = TcpStream::connect(at).unwrap();
-    let (teller, good) = (Teller::begin(charter()), Scripted::begin(Does::Answers));
+    let mut charter = charter();
+    charter.methods.iter_mut().for_each(|m| m.deadline_ms = 8_000);
+    let (teller, good) = (Teller::begin(charter), Scripted::begin(Does::Answers));
     teller.stage(1, 0, "released", 1.0);
-    teller.roster("whole", &[("hangs", at, 1, "up"), ("good", good.at, 1, "up")]);
+    teller.roster("whole", &[("hangs", at, 1, "up")]);
     let front = front(teller.at, &[]);
-    listed(&front, 2);
+    listed(&front, 1);
     let clients: Vec<_> = (0..6)
         .map(|_| {
             let at = front.at;
             std::thread::spawn(move || rpc(at, "lodge", "").0)
         })
         .collect();
-    teller.roster("changes", &[("hangs", at, 1, "draining")]);
-    for client in clients {
-        let status = client.join().unwrap();
-        assert!(
-            status == 200 || status == 503,
-            "a connection that never was proves that nothing ran: {status}"
-        );
-    }
-    // All that hung was given up within the grace: now the machine takes connections, and finds none with words.
+    // The watch, and a pick that hangs.
+    until("a pick that hangs", || get(front.at, "/status")["calls"].as_u64() >= Some(2));
+    teller.roster("changes", &[("good", good.at, 1, "up"), ("hangs", at, 1, "draining")]);
+    // Past the grace the machine takes connections again: those that hung until now would come through at the
+    // system's next try, three seconds after the first.
+    let told = Instant::now();
+    until("the grace is over", || told.elapsed() > Duration::from_millis(1_100));
     drop(filler);
     full.set_nonblocking(true).unwrap();
-    let deadline = Instant::now() + Duration::from_millis(1_500);
-    while Instant::now() < deadline {
+    while told.elapsed() < Duration::from_millis(3_500) {
         if let Ok((mut io, _)) = full.accept() {
             io.set_read_timeout(Some(Duration::from_millis(100))).unwrap();
             let mut buf = [0; 16];
@@ -194,6 +193,13 @@
         }
         std::thread::sleep(Duration::from_millis(5));
     }
+    for client in clients {
+        let status = client.join().unwrap();
+        assert!(
+            status == 200 || status == 503,
+            "a connection that never was proves that nothing ran: {status}"
+        );
+    }
 }
 
 /// The controller falls silent and comes back with a later stage.
--- a/control/src/release.rs
+++ b/control/src/release.rs
@@ -467,4 +467,25 @@
         assert_eq!(release.earlier, 1);
         assert!(!release.wanted(&charter, &Running::new()).iter().any(|(_, b)| *b == 2));
     }
+
+    /// Rule 5 begins here: what fronts are told is the cap of the very stage, and none once it goes back. And a
+    /// front's second vote, of a later run too, takes the place of its first.
+    #[test]
+    fn each_stage_tells_its_own_cap_and_a_front_has_one_vote() {
+        let charter = Charter::example(4, 4);
+        let mut release = Release::new(&charter);
+        assert_eq!(release.standing(&charter).3, 1.0);
+        release.offer(0, 2).unwrap();
+        for stage in 0..3 {
+            release.newest.as_mut().unwrap().stage = stage;
+            assert_eq!(release.standing(&charter).3, charter.rollout.caps[stage as usize]);
+        }
+        release.newest.as_mut().unwrap().stage = 0;
+        for verdict in [Verdict::On, Verdict::On, Verdict::Back] {
+            release.vote(0, Control::ByCount, "f0", 2, 0, verdict).unwrap();
+        }
+        assert_eq!(release.votes(), [("f0".to_string(), Verdict::Back)]);
+        release.back(0, 2, "a test").unwrap();
+        assert_eq!(release.standing(&charter).3, 0.0);
+    }
 }
