--- a/trust/src/repo.rs
+++ b/trust/src/repo.rs
@@ -138,7 +138,8 @@
             let at = self.dir.join(sub);
             fs::create_dir_all(&at).map_err(io(&at))?;
         }
-        if self.root().is_ok() {
+        // Also one whose root can't be read: it must not be written over for that.
+        if self.newest("root").is_ok() {
             return Err(format!("{}: there is a repository already", self.dir.display()));
         }
         let (mut listed, mut roles, mut held) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
--- a/trust/src/tests.rs
+++ b/trust/src/tests.rs
@@ -198,3 +198,13 @@
     assert!(set.repo.add(&set.keydir, 4, &artefact, false).unwrap_err().contains("timestamp"));
     assert_eq!(fs::read_dir(set.repo.dir.join("metadata")).unwrap().count(), before);
 }
+
+/// Finding 38: a repository whose root can't be read is one all the same.
+#[test]
+fn a_repository_with_a_broken_root_is_not_written_over() {
+    let set = set(1);
+    let at = set.repo.dir.join("metadata/1.root.json");
+    fs::write(&at, b"torn").unwrap();
+    assert!(set.repo.init(&set.keydir, 1).unwrap_err().contains("already"));
+    assert_eq!(fs::read(&at).unwrap(), b"torn");
+}
