--- a/tenant/src/model.rs
+++ b/tenant/src/model.rs
@@ -16,7 +16,7 @@
 
 /// Tenants and principals at most; what comes beyond is left out and counted.
 pub const MOST_ENTRIES: usize = 1_000_000;
-/// Tenants over a process's life: their small numbers are never given anew.
+/// Tenants at a time, with those whose former names are still good. Their small numbers are never given anew.
 const MOST_TENANTS: usize = 200_000;
 /// Identities of a principal, and members of a tenant.
 const MOST_IDENTITIES: usize = 64;
@@ -227,6 +227,7 @@
     /// Of a refresh under way: what was named.
     seen: Option<BTreeSet<[u8; 16]>>,
     ids: BTreeMap<[u8; 16], Id>,
+    next: Id,
     version: Arc<Tenants>,
     /// Entries whose identities in the version are of what they were before.
     changed: BTreeMap<[u8; 16], Option<Known>>,
@@ -308,6 +309,7 @@
             entries: BTreeMap::new(),
             seen: None,
             ids: BTreeMap::new(),
+            next: 0,
             version: Arc::default(),
             changed: BTreeMap::new(),
             ties: Ties::default(),
@@ -501,12 +503,19 @@
         let (mut tenants, mut names) = (OrdMap::new(), OrdMap::new());
         for (uuid, known) in &self.entries {
             let Kind::Tenant { name, share, rate, .. } = &known.kind else { continue };
-            let fresh = self.ids.len() as Id;
             if self.ids.len() >= MOST_TENANTS && !self.ids.contains_key(uuid) {
-                self.left_out += 1;
-                continue;
+                // Tenants come and go for years: those that have gone make room.
+                self.ids.retain(|uuid, _| self.entries.contains_key(uuid));
             }
-            let id = *self.ids.entry(*uuid).or_insert(fresh);
+            if !self.ids.contains_key(uuid) {
+                if self.ids.len() >= MOST_TENANTS || self.next == Id::MAX {
+                    self.left_out += 1;
+                    continue;
+                }
+                self.ids.insert(*uuid, self.next);
+                self.next += 1;
+            }
+            let id = self.ids[uuid];
             let tenant = Tenant { uuid: *uuid, name: name.clone(), share: *share, rate: *rate };
             // An unchanged one keeps its place in memory.
             let kept = next.tenants.get(&id).filter(|t| ***t == tenant).cloned();
@@ -568,8 +577,8 @@
             let kind = match e.tenant {
                 Some((name, share, rate)) => Kind::Tenant {
                     name: name.into(),
-                    share,
-                    rate,
+                    share: Some(share).filter(|s| *s > 0.0 && *s <= 1e9).unwrap_or(1.0),
+                    rate: rate.filter(|r| (0.0..=1e9).contains(r)),
                     members: e.members,
                     merged: e.merged.iter().filter_map(|u| uuid(u)).collect(),
                 },
@@ -581,8 +590,9 @@
             self.put(id, Some(Known { dn: e.dn, kind }));
         }
         self.cookie = kept.cookie;
-        self.fresh =
-            kept.age_ms.map(|age| now - ((age + older_ms).min(i64::MAX as u64 / 2_000_000) as Ns) * MS);
+        self.fresh = kept
+            .age_ms
+            .map(|age| now - (age.saturating_add(older_ms).min(i64::MAX as u64 / 2_000_000) as Ns) * MS);
         self.publish(now, true);
     }
 }
@@ -794,4 +804,21 @@
         assert_eq!((whose(&again, "a").as_deref(), again.fresh), (Some("Acme"), Some(93 * SEC)));
         assert_eq!(again.version().tenant(0).unwrap().rate, Some(9.0));
     }
+
+    /// Finding 39: after more tenants than there may be at a time, in years, new ones are still known.
+    #[test]
+    fn tenants_that_have_gone_make_room_for_new_ones() {
+        let mut d = filled(vec![tenant(1, "one", &[])]);
+        for i in 0..MOST_TENANTS as u128 {
+            d.ids.insert((i << 8 | 0xff).to_be_bytes(), d.next);
+            d.next += 1;
+        }
+        let before = d.version().named(0, "one");
+        assert!(d.take(0, tenant(2, "two", &[])));
+        assert_eq!((d.version().named(0, "one"), d.version().len(), d.left_out), (before, 2, 0));
+        assert!(d.version().named(0, "two") > before, "no number is given anew");
+        // An age out of all bounds in a snapshot.
+        let kept = Kept { age_ms: Some(u64::MAX), ..d.save(0) };
+        Directory::new(Tenancy::default()).restore(0, kept, u64::MAX);
+    }
 }
