--- a/agent/src/hand.rs
+++ b/agent/src/hand.rs
@@ -75,6 +75,20 @@
 
 const FLAG: u64 = 1;
 
+/// An order's generation, the builds wanted, and those to keep.
+type Ordered = (u64, BTreeSet<u32>, BTreeSet<u32>);
+
+/// Reads an order; none: no order for now. A build that is none makes it no order: without it, what it meant would
+/// be drained.
+fn read_order(said: &Value) -> Result<Option<Ordered>, &'static str> {
+    let Some(generation) = said.get("generation") else { return Ok(None) };
+    let list = |name: &'static str| -> Result<BTreeSet<u32>, &'static str> {
+        let builds = said[name].as_array().ok_or(name)?;
+        builds.iter().map(|b| b.as_u64().and_then(|b| b.try_into().ok()).ok_or(name)).collect()
+    };
+    Ok(Some((generation.as_u64().ok_or("generation")?, list("builds")?, list("keep")?)))
+}
+
 /// Works on a thread and says what came of it, also when the work ends in a panic: a build whose check is never
 /// heard of would wait for ever.
 fn aside<T: 'static>(
@@ -150,6 +164,7 @@
         if let Some(text) = rockpick_control::keep::load(&file).map_err(|err| err.to_string())? {
             let kept: Value =
                 serde_json::from_slice(&text).map_err(|err| format!("{}: {err}", file.display()))?;
+            read_order(&kept).map_err(|field| format!("{}: {field}", file.display()))?;
             self.order(&kept);
         }
         let folder = self.agent.state.join("artefacts");
@@ -176,15 +191,16 @@
     }
 
     fn order(&mut self, said: &Value) -> bool {
-        let list = |name: &str| -> Option<BTreeSet<u32>> {
-            said[name].as_array().map(|l| l.iter().filter_map(|b| b.as_u64()?.try_into().ok()).collect())
-        };
-        match (said["generation"].as_u64(), list("builds"), list("keep")) {
-            (Some(generation), Some(builds), Some(keep)) => {
+        match read_order(said) {
+            Ok(Some((generation, builds, keep))) => {
                 let fresh = generation > self.mind.generation;
                 self.mind.ordered(generation, builds, keep) && fresh
             }
-            _ => false,
+            Ok(None) => false,
+            Err(field) => {
+                tracing::warn!(event = "order not read", why = field);
+                false
+            }
         }
     }
 
@@ -489,6 +505,21 @@
 mod tests {
     use super::*;
 
+    /// Finding 40.
+    #[test]
+    fn an_order_with_a_build_that_is_none_is_no_order() {
+        let order = json!({"generation":5,"builds":[1,2],"keep":[1],"later":1});
+        assert_eq!(read_order(&order), Ok(Some((5, BTreeSet::from([1, 2]), BTreeSet::from([1])))));
+        assert_eq!(read_order(&json!({"orders":{}})), Ok(None));
+        for (field, bad) in
+            [("builds", json!([1, "x"])), ("builds", json!([1u64 << 40])), ("keep", json!(null))]
+        {
+            let mut order = order.clone();
+            order[field] = bad;
+            assert_eq!(read_order(&order), Err(field));
+        }
+    }
+
     /// Finding 34.
     #[test]
     fn work_that_panics_is_heard_of() {
