--- a/cli/tests/hardening.rs
+++ b/cli/tests/hardening.rs
@@ -371,7 +371,12 @@
         json!({ "roster": { "kind": "whole", "members": [{ "name": "m", "addr": machine.at.to_string(),
         "build": 1, "run": 1, "state": "up", "later": 1 }] } }),
     );
+    // Finding 41: neither is a list of nobody.
+    teller.tell(json!({ "roster": { "kind": "later", "members": [] } }));
+    teller.tell(json!({ "roster": { "kind": "whole" } }));
+    teller.stage(1, 0, "released", 0.5);
     let mut one = front(teller.at, &["--state", &state]);
+    until("the last line", || get(one.at, "/status")["stage"]["cap"] == 0.5);
     listed(&one, 1);
     assert_eq!(rpc(one.at, "lookup", "Rockpick-Later: 1\r\n").0, 200);
     until("its snapshot", || file.exists());
@@ -390,6 +395,25 @@
     assert_eq!(std::fs::read(&file).unwrap(), kept.to_string().as_bytes());
 }
 
+/// What a kill leaves half written is never read, and written over.
+#[test]
+fn half_written_snapshots_are_passed_over() {
+    let dir = tempfile::tempdir().unwrap();
+    let state = dir.path().to_string_lossy().into_owned();
+    for name in ["controller.new", "f0.new"] {
+        std::fs::write(dir.path().join(name), b"{\"half").unwrap();
+    }
+    let controller = start(&["controller", "--state", &state]);
+    assert_eq!(put(controller.at, &charter()).status, 200);
+    let mut one = front(controller.at, &["--state", &state]);
+    in_force(&one, 1);
+    signal(&one, Signal::TERM);
+    ended_well(&mut one);
+    drop(controller);
+    in_force(&front(nobody(), &["--state", &state]), 1);
+    assert_eq!(get(start(&["controller", "--state", &state]).at, "/status")["settings_version"], 1);
+}
+
 /// 27: a controller's disk that does not answer holds whoever changes something, and nobody else.
 #[test]
 fn a_disk_that_does_not_answer_holds_no_controller() {
--- a/front/src/hall.rs
+++ b/front/src/hall.rs
@@ -439,10 +439,12 @@
             self.told(Reply::News, Some(stage.clone()));
         }
         if let Some(roster) = line.get("roster") {
-            let changes = roster.get("kind").and_then(Value::as_str) == Some("changes");
-            let empty = Vec::new();
-            let members = roster.get("members").and_then(Value::as_array).unwrap_or(&empty);
-            self.members(if changes { Roll::Changes } else { Roll::Whole }, members);
+            // One without a list, or of another kind, must not pass for a list of nobody.
+            match (roster["kind"].as_str(), roster["members"].as_array()) {
+                (Some("changes"), Some(members)) => self.members(Roll::Changes, members),
+                (Some("whole"), Some(members)) => self.members(Roll::Whole, members),
+                (kind, _) => self.passed_over("roster", &format!("kind {kind:?}, or no list of members")),
+            }
         }
         if let Some(rows) = line.get("tally").and_then(Value::as_array) {
             for row in rows {
