--- a/control/src/charter.rs
+++ b/control/src/charter.rs
@@ -13,7 +13,7 @@
 pub const MOST_WEIGHT: f64 = 1e6;
 const MOST_FRONTS: usize = 5_000;
 const MOST_PLACES: usize = 5_000;
-const MOST_STAGES: usize = 32;
+pub const MOST_STAGES: usize = 32;
 /// Longest time that a field takes: a day.
 const MOST_MS: u64 = 86_400_000;
 
--- a/control/src/desk.rs
+++ b/control/src/desk.rs
@@ -1,6 +1,6 @@
 //! The controller without its sockets: each request gets an answer, each pass the lines that watchers are
 //! due. Time is told by the caller; the only file is the snapshot, written by [`Desk::save`]'s caller.
-use crate::charter::{plain, Charter, Wrong};
+use crate::charter::{plain, Charter, Wrong, MOST_STAGES};
 use crate::release::{Moot, Moved, Release, Running, MOST_BUILD};
 use crate::roster::{Beat, Order, Roster, SETTLE};
 use rockpick::{Ns, Phase, State, Verdict};
@@ -190,6 +190,17 @@
             None => None,
             Some(k) => {
                 let phase = phase_of(&k.phase).ok_or("the snapshot: newest.phase: not known")?;
+                let span = |ms: f64| (0.0..=1e12).contains(&ms);
+                for (good, field) in [
+                    ((1..=MOST_BUILD).contains(&k.build), "build"),
+                    ((k.stage as usize) < MOST_STAGES, "stage"),
+                    (span(k.age_ms), "age_ms"),
+                    (span(k.ran_ms), "ran_ms"),
+                ] {
+                    if !good {
+                        return Err(format!("the snapshot: newest.{field}: out of its bounds"));
+                    }
+                }
                 Some((k.build, k.stage, phase, (k.age_ms * MS as f64) as Ns, (k.ran_ms * MS as f64) as Ns))
             }
         };
@@ -799,6 +810,12 @@
         let mut kept: Value = serde_json::from_slice(&desk.save(0).unwrap()).unwrap();
         kept["later"] = json!(1);
         assert_eq!(Desk::open(0, Some(kept.to_string().as_bytes())).unwrap().version, 1);
+        // Finding 42: numbers out of their bounds.
+        for (field, bad) in [("build", json!(70_000)), ("stage", json!(99)), ("age_ms", json!(-1e300))] {
+            let mut kept = kept.clone();
+            kept["newest"][field] = bad;
+            assert!(Desk::open(0, Some(kept.to_string().as_bytes())).is_err_and(|why| why.contains(field)));
+        }
         kept["charter"]["later"] = json!(1);
         assert!(Desk::open(0, Some(kept.to_string().as_bytes())).is_err_and(|why| why.contains("later")));
     }
