--- a/front/src/hall.rs
+++ b/front/src/hall.rs
@@ -249,7 +249,10 @@
             ("GET" | "HEAD", "/status") => (200, self.status()),
             ("POST", "/dispute") => self.dispute(&request.body),
             ("POST", "/directory/confirm") => match &self.shelf {
-                Some(shelf) => (200, json!({ "suspected": shelf.confirm(self.wire.net.now()) })),
+                Some(shelf) => match shelf.confirm(self.wire.net.now()) {
+                    Some(suspected) => (200, json!({ "suspected": suspected })),
+                    None => (503, json!({ "error": "the keeper of tenants is behind; say it again" })),
+                },
                 None => (404, json!({ "error": "the settings name no directory" })),
             },
             (_, "/status" | "/dispute" | "/directory/confirm") => {
--- a/front/src/shelf.rs
+++ b/front/src/shelf.rs
@@ -161,10 +161,10 @@
         self.limits.told(now, span as Ns, &sums);
     }
 
-    pub fn confirm(&self, now: Ns) -> bool {
+    /// Was something suspected? None: the word could not be taken, and must be said again.
+    pub fn confirm(&self, now: Ns) -> Option<bool> {
         let suspected = self.keeper.view().suspicion.is_some();
-        self.keeper.confirm(now);
-        suspected
+        self.keeper.confirm(now).then_some(suspected)
     }
 
     pub fn status(&self, now: Ns) -> Value {
--- a/tenant/src/keeper.rs
+++ b/tenant/src/keeper.rs
@@ -77,11 +77,13 @@
         self.to.try_send(Word::News(now, news)).is_ok()
     }
 
-    pub fn confirm(&self, now: Ns) {
-        let _ = self.to.try_send(Word::Confirm(now));
+    /// An operator's word; false: it could not be taken, and must be said again.
+    pub fn confirm(&self, now: Ns) -> bool {
+        self.to.try_send(Word::Confirm(now)).is_ok()
     }
 
     pub fn tick(&self, now: Ns) {
+        // One that is behind hears of time by what it is behind with.
         let _ = self.to.try_send(Word::Tick(now));
     }
 
@@ -140,3 +142,29 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Finding 43: a keeper whose thread has ended takes no word, and says so.
+    #[test]
+    fn a_confirmation_that_nobody_takes_is_none() {
+        let save: Save = Box::new(|_| panic!("on purpose"));
+        let keeper = Keeper::begin(0, Tenancy::default(), None, Some(save));
+        let kind = |name: &str| rockpick_ldap::message::Attribute {
+            kind: name.as_bytes().to_vec().into(),
+            values: vec![b"organization".to_vec().into()].into(),
+        };
+        let entry = rockpick_ldap::message::Entry {
+            dn: b"o=x".to_vec().into(),
+            attributes: vec![kind("objectClass"), kind("o")],
+        };
+        for news in [News::Begin, News::Entry { uuid: [1; 16], entry }, News::End { whole: true }] {
+            assert!(keeper.tell(0, news));
+        }
+        // The thread ends in the panic of its snapshot; what closes then is waited for.
+        assert!(keeper.over.recv().is_err());
+        assert!(!keeper.confirm(0));
+    }
+}
