--- a/cli/tests/hardening.rs
+++ b/cli/tests/hardening.rs
@@ -395,6 +395,30 @@
     assert_eq!(std::fs::read(&file).unwrap(), kept.to_string().as_bytes());
 }
 
+/// A machine killed outright and started again under its name is another one: its own run, and cold. One told to
+/// leave is drained first, and ends well.
+#[test]
+fn a_machine_is_new_after_a_kill_and_drained_at_a_sigterm() {
+    let controller = start(&["controller"]);
+    assert_eq!(put(controller.at, &Charter::example(1, 1)).status, 200);
+    let at = controller.at.to_string();
+    let machine = || start(&["machine", "--controller", &at, "--name", "m", "--place", "p0", "--build", "1"]);
+    let listed = || get(controller.at, "/roster")["roster"]["members"][0].clone();
+    let one = machine();
+    until("the machine", || listed()["state"] == "up");
+    let former = listed();
+    drop(one);
+    let began = Instant::now();
+    let mut two = machine();
+    until("the machine anew", || listed()["state"] == "up" && listed()["run"] != former["run"]);
+    assert_ne!(listed()["addr"], former["addr"]);
+    assert!(listed()["age_ms"].as_f64().unwrap() <= began.elapsed().as_secs_f64() * 1e3 + 50.0);
+    signal(&two, Signal::TERM);
+    until("its drain", || listed()["state"] == "draining");
+    ended_well(&mut two);
+    until("its end", || listed().is_null());
+}
+
 /// What a kill leaves half written is never read, and written over.
 #[test]
 fn half_written_snapshots_are_passed_over() {
--- a/trust/src/tests.rs
+++ b/trust/src/tests.rs
@@ -1,6 +1,6 @@
 //! Attacks that the specification names, against a real repository in a folder.
 use crate::client::{Refresh, Trusted, Want};
-use crate::meta::{Refused, Signed};
+use crate::meta::{Refused, Root, Signed};
 use crate::repo::{keys, sign, unpack, Repo};
 use std::fs;
 use std::path::PathBuf;
@@ -208,3 +208,16 @@
     assert!(set.repo.init(&set.keydir, 1).unwrap_err().contains("already"));
     assert_eq!(fs::read(&at).unwrap(), b"torn");
 }
+
+/// What the freeze covers: another major version of the specification is refused, unknown fields are signed over.
+#[test]
+fn another_major_version_is_refused_and_unknown_fields_are_kept() {
+    let set = set(1);
+    let mut root: serde_json::Value = serde_json::from_slice(&set.trusted().root).unwrap();
+    root["signed"]["later"] = 1.into();
+    let read = |root: &serde_json::Value| Signed::read(root.to_string().as_bytes());
+    let signed = read(&root).unwrap();
+    assert!(signed.part::<Root>("root").is_ok() && signed.signed["later"] == 1);
+    root["signed"]["spec_version"] = "2.0.0".into();
+    assert!(matches!(read(&root), Err(Refused::Malformed(_))));
+}
