--- a/front/src/hall.rs
+++ b/front/src/hall.rs
@@ -530,12 +530,13 @@
     fn members(&mut self, roll: Roll, lines: &[Value]) {
         let now = self.wire.net.now();
         let mut entries = Vec::with_capacity(lines.len());
-        if roll != Roll::Changes {
-            self.wire.places.iter_mut().for_each(|p| p.gone = p.gone.or(Some(now)));
-        }
+        // Before the list below marks all as gone that it is about to name.
         if self.wire.door.machines() + lines.len() > MOST_MACHINES {
             self.wire.forget(0);
         }
+        if roll != Roll::Changes {
+            self.wire.places.iter_mut().for_each(|p| p.gone = p.gone.or(Some(now)));
+        }
         for line in lines {
             let said = match read_member(line) {
                 Ok(said) => said,
@@ -596,7 +597,10 @@
     /// New settings begin a new life of the module; the former one finishes its RPCs. What can't be taken now is
     /// asked for again.
     fn settings(&mut self, body: &[u8]) {
-        let said = serde_json::from_slice::<Value>(body).unwrap_or(Value::Null);
+        let said = match serde_json::from_slice::<Value>(body) {
+            Ok(said) => said,
+            Err(err) => return self.passed_over("settings", &err.to_string()),
+        };
         let (Some(version), Some(settings)) = (said["version"].as_u64(), said.get("settings")) else {
             return self.passed_over("settings", "version and settings are wanted");
         };
