--- a/cli/tests/hardening.rs
+++ b/cli/tests/hardening.rs
@@ -301,6 +301,29 @@
     in_force(&front, 13);
 }
 
+/// 30, 31: outcomes are told by the method numbers of the settings in force, those of former ones not at all.
+#[test]
+fn outcomes_of_former_settings_are_not_told_under_new_ones() {
+    let machine = Scripted::begin(Does::Never);
+    let mut charter = charter();
+    (charter.rollout.tally_every_ms, charter.rollout.tally_sample) = (100, 1.0);
+    let teller = Teller::begin(charter.clone());
+    teller.stage(1, 0, "released", 1.0);
+    teller.roster("whole", &[("m", machine.at, 1, "up")]);
+    let front = front(teller.at, &[]);
+    listed(&front, 1);
+    let at = front.at;
+    let former = std::thread::spawn(move || rpc(at, "lodge", "Rockpick-Time-Left-Ms: 900\r\n").0);
+    machine.got.recv_timeout(PATIENCE).unwrap();
+    charter.methods.truncate(1);
+    let version = teller.gives(charter, 0);
+    in_force(&front, version);
+    assert_eq!(former.join().unwrap(), 504);
+    assert_eq!(rpc(front.at, "lookup", "Rockpick-Time-Left-Ms: 100\r\n").0, 503);
+    until("a count", || !teller.counts.lock().unwrap().is_empty());
+    assert_eq!(teller.counts.lock().unwrap()[0]["rows"], json!([[1, 0, 1, 1]]));
+}
+
 /// Rule 1: a front that stood still past a client's deadline sends it nothing any more.
 #[test]
 fn an_answer_that_would_come_after_the_deadline_is_not_sent() {
--- a/cli/tests/peers/mod.rs
+++ b/cli/tests/peers/mod.rs
@@ -94,7 +94,9 @@
 /// A controller that tells what the test says.
 pub struct Teller {
     pub at: SocketAddr,
+    /// Bodies of votes, and of counts.
     pub votes: Arc<Mutex<Vec<Value>>>,
+    pub counts: Arc<Mutex<Vec<Value>>>,
     /// Connections that asked to watch.
     pub watches: Arc<AtomicU64>,
     /// The settings and their version; how many answers to who asks for them are nonsense first.
@@ -108,17 +110,18 @@
         let teller = Teller {
             at: listener.local_addr().unwrap(),
             votes: Arc::default(),
+            counts: Arc::default(),
             watches: Arc::default(),
             settings: Arc::new(Mutex::new((1, charter, 0))),
             lines: Arc::default(),
         };
         let (votes, watches, lines) = (teller.votes.clone(), teller.watches.clone(), teller.lines.clone());
-        let settings = teller.settings.clone();
+        let (settings, counts) = (teller.settings.clone(), teller.counts.clone());
         std::thread::spawn(move || {
             for io in listener.incoming().flatten() {
                 let (votes, watches, lines) = (votes.clone(), watches.clone(), lines.clone());
-                let settings = settings.clone();
-                std::thread::spawn(move || serve(io, &settings, &votes, &watches, &lines));
+                let (settings, counts) = (settings.clone(), counts.clone());
+                std::thread::spawn(move || serve(io, &settings, [&votes, &counts], &watches, &lines));
             }
         });
         teller
@@ -160,8 +163,8 @@
 }
 
 fn serve(
-    io: TcpStream, settings: &Mutex<(u64, Charter, u32)>, votes: &Mutex<Vec<Value>>, watches: &AtomicU64,
-    lines: &Mutex<Vec<String>>,
+    io: TcpStream, settings: &Mutex<(u64, Charter, u32)>, posted: [&Mutex<Vec<Value>>; 2],
+    watches: &AtomicU64, lines: &Mutex<Vec<String>>,
 ) {
     let mut out = io.try_clone().unwrap();
     let mut io = BufReader::new(io);
@@ -189,8 +192,10 @@
                 json!({ "version": settings.0, "settings": settings.1 })
             }
         } else {
-            if head.starts_with("POST /votes") {
-                votes.lock().unwrap().push(serde_json::from_slice(&body).unwrap());
+            for (start, kept) in ["POST /votes", "POST /counts"].iter().zip(posted) {
+                if head.starts_with(start) {
+                    kept.lock().unwrap().push(serde_json::from_slice(&body).unwrap());
+                }
             }
             json!({ "counted": true })
         };
--- a/control/src/keep.rs
+++ b/control/src/keep.rs
@@ -138,3 +138,19 @@
         self.done().1.map_or(Ok(()), |why| Err(format!("{}: {why}", self.file.display())))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Finding 16: a snapshot given to nobody is not kept.
+    #[test]
+    fn a_writer_whose_thread_has_ended_says_so() {
+        let writer = Writer::new(PathBuf::from("/nonexistent"), |_: &u8| panic!("on purpose"));
+        writer.keep(1);
+        assert!(writer.over.recv().is_err(), "the thread's end");
+        let number = writer.keep(2);
+        assert!(matches!(writer.done(), (n, Some(why)) if n == number && why.contains("ended")));
+        assert!(writer.close(None).is_err());
+    }
+}
