--- a/tenant/src/model.rs
+++ b/tenant/src/model.rs
@@ -500,12 +500,13 @@
     fn link(&mut self, now: Ns, next: &mut Tenants) {
         let ties = Ties::of(&self.entries);
         let former = std::mem::take(&mut next.names);
-        let (mut tenants, mut names) = (OrdMap::new(), OrdMap::new());
+        let (mut tenants, mut names, mut pruned) = (OrdMap::new(), OrdMap::new(), false);
         for (uuid, known) in &self.entries {
             let Kind::Tenant { name, share, rate, .. } = &known.kind else { continue };
-            if self.ids.len() >= MOST_TENANTS && !self.ids.contains_key(uuid) {
-                // Tenants come and go for years: those that have gone make room.
+            if self.ids.len() >= MOST_TENANTS && !pruned && !self.ids.contains_key(uuid) {
+                // Tenants come and go for years: those that have gone make room. Once is enough, as it walks all.
                 self.ids.retain(|uuid, _| self.entries.contains_key(uuid));
+                pruned = true;
             }
             if !self.ids.contains_key(uuid) {
                 if self.ids.len() >= MOST_TENANTS || self.next == Id::MAX {
