--- a/agent/src/proc.rs
+++ b/agent/src/proc.rs
@@ -91,9 +91,8 @@
         let text = fs::read(&run).map_err(|err| format!("{}: {err}", run.display()))?;
         let kept: Kept = serde_json::from_slice(&text).map_err(|err| format!("{}: {err}", run.display()))?;
         // One that was started this moment may not have written its id yet: it is given a second.
-        let read = || match fs::read_to_string(&named) {
-            Ok(text) => Ok(text.trim().parse::<i32>().ok()),
-            Err(err) if err.kind() == io::ErrorKind::NotFound => Ok(None),
+        let read = || match rockpick_control::keep::load(&named) {
+            Ok(text) => Ok(text.and_then(|t| std::str::from_utf8(&t).ok()?.trim().parse::<i32>().ok())),
             Err(err) => Err(format!("{}: {err}", named.display())),
         };
         let mut pid = read()?;
--- a/cli/tests/front.rs
+++ b/cli/tests/front.rs
@@ -3,7 +3,7 @@
 
 use peers::*;
 use rockpick_control::Charter;
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::Signal;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
@@ -16,10 +16,6 @@
     charter
 }
 
-fn listed(front: &Proc, machines: u64) {
-    until("the roster at the front", || get(front.at, "/status")["machines"] == machines);
-}
-
 #[test]
 fn an_rpc_is_passed_on_whole_and_its_answer_says_who_gave_it() {
     let (teller, machine) = (Teller::begin(charter()), Scripted::begin(Does::Answers));
@@ -231,7 +227,7 @@
     let at = front.at;
     let open = std::thread::spawn(move || rpc(at, "lodge", "Rockpick-Time-Left-Ms: 800\r\n"));
     machine.got.recv_timeout(PATIENCE).unwrap();
-    kill_process(Pid::from_raw(front.child.id() as i32).unwrap(), Signal::TERM).unwrap();
+    signal(&front, Signal::TERM);
     until("the door is closed", || TcpStream::connect(at).is_err());
     let (status, said) = open.join().unwrap();
     assert!(status == 504 && said.contains("aborted"), "{said}");
--- a/cli/tests/hardening.rs
+++ b/cli/tests/hardening.rs
@@ -25,10 +25,6 @@
     teller
 }
 
-fn listed(front: &Proc, machines: u64) {
-    until("the roster at the front", || get(front.at, "/status")["machines"] == machines);
-}
-
 fn in_force(front: &Proc, version: u64) {
     until("the settings at the front", || get(front.at, "/status")["settings_version"] == version);
 }
--- a/cli/tests/peers/mod.rs
+++ b/cli/tests/peers/mod.rs
@@ -301,3 +301,8 @@
 pub fn put(at: SocketAddr, charter: &Charter) -> rockpick_net::http::Response {
     rockpick_rehearse::call(at, "PUT", "/settings", &serde_json::to_string(charter).unwrap()).unwrap()
 }
+
+/// Waits until a front lists so many machines.
+pub fn listed(front: &Proc, machines: u64) {
+    until("the roster at the front", || get(front.at, "/status")["machines"] == machines);
+}
--- a/front/src/hall.rs
+++ b/front/src/hall.rs
@@ -614,7 +614,7 @@
                     self.dirty = true;
                 }
                 Err(wrong) => {
-                    for Wrong { field, why } in &wrong[..1] {
+                    if let Some(Wrong { field, why }) = wrong.first() {
                         tracing::warn!(event = "settings refused", field, why, version);
                     }
                 }
--- a/net/src/net.rs
+++ b/net/src/net.rs
@@ -148,6 +148,11 @@
 }
 
 impl Client {
+    /// Is something of an answer still on its way out?
+    fn owes(&self) -> bool {
+        self.sent < self.out.len() || self.file.is_some()
+    }
+
     /// Once all is sent, takes the next piece of the file; false when it can't be had.
     fn refill(&mut self) -> bool {
         let Some((file, left)) = &mut self.file else { return true };
@@ -337,8 +342,7 @@
 
     /// Connections on which an answer is still on its way out.
     pub fn unsent(&self) -> usize {
-        let owes = |c: &Client| c.sent < c.out.len() || c.file.is_some();
-        self.socks.iter().filter(|(_, s)| matches!(&s.sock, Sock::Client(c) if owes(c))).count()
+        self.socks.iter().filter(|(_, s)| matches!(&s.sock, Sock::Client(c) if c.owes())).count()
     }
 
     /// Client connections now open, and calls now open.
@@ -537,7 +541,7 @@
     fn flush_client(&mut self, id: Id) {
         let by = self.now + self.write_time;
         let Some(client) = self.client(id) else { return };
-        let owed = client.sent < client.out.len() || client.file.is_some();
+        let owed = client.owes();
         loop {
             if client.sent == client.out.len() && !client.refill() {
                 return self.drop_sock(id); // the file ended before its told length
@@ -840,8 +844,7 @@
         let Some(client) = self.client(id) else { return };
         let step: Result<(), Refusal> = (|| {
             if let Serve::Head = client.serve {
-                let owes = client.sent < client.out.len() || client.file.is_some();
-                if client.close || client.buf.is_empty() || owes {
+                if client.close || client.buf.is_empty() || client.owes() {
                     return Ok(());
                 }
                 let Some(head) = http::request_head(&client.buf)? else { return Ok(()) };
@@ -905,8 +908,7 @@
         let (now, head) = (self.now, self.head_time);
         // Not before the last byte of the answer is out: a client that sends and never reads would fill the
         // memory with answers, and be let stay as an idle one.
-        let out = |c: &&mut Client| c.sent == c.out.len() && c.file.is_none();
-        if let Some(client) = self.client(conn).filter(|c| matches!(c.serve, Serve::Head)).filter(out) {
+        if let Some(client) = self.client(conn).filter(|c| matches!(c.serve, Serve::Head) && !c.owes()) {
             client.until = now + if client.buf.is_empty() { CLIENT_IDLE } else { head };
             if !client.buf.is_empty() {
                 self.parse(events, conn);
