--- a/adapter/src/read.rs
+++ b/adapter/src/read.rs
@@ -1,5 +1,5 @@
 //! Reading one line: fields in order, plain words for what is malformed.
-use std::collections::BTreeMap;
+use rockpick_terms::{nanos, Wrong};
 use std::fmt;
 use std::str::FromStr;
 
@@ -17,6 +17,12 @@
     }
 }
 
+impl From<Wrong> for Bad {
+    fn from(wrong: Wrong) -> Bad {
+        Bad { message: "POWER_ON".into(), field: wrong.field, why: wrong.why }
+    }
+}
+
 pub struct Line<'a> {
     name: &'a str,
     rest: Option<&'a str>,
@@ -88,70 +94,6 @@
     }
 }
 
-pub fn number(word: &str) -> Option<f64> {
-    word.parse::<f64>().ok().filter(|x| x.is_finite())
-}
-
-/// Milliseconds on the wire, whole nanoseconds inside; the simulator counts in microseconds.
-pub fn nanos(word: &str) -> Option<i64> {
-    number(word).filter(|ms| ms.abs() < 9e12).map(|ms| (ms * 1e3).round() as i64 * 1000)
-}
-
-/// The settings of a start: path=value pairs; what is not asked for is skipped.
-pub struct Pairs<'a>(BTreeMap<&'a str, &'a str>);
-
-impl<'a> Pairs<'a> {
-    pub fn new(line: &mut Line<'a>) -> Result<Self, Bad> {
-        let mut pairs = BTreeMap::new();
-        for pair in line.rest().split(' ').filter(|pair| !pair.is_empty() && *pair != "-") {
-            let (path, value) =
-                pair.split_once('=').ok_or_else(|| line.bad("conf", format!("no '=' in '{pair}'")))?;
-            pairs.insert(path, value);
-        }
-        Ok(Pairs(pairs))
-    }
-
-    pub fn word(&self, path: &str) -> &'a str {
-        self.0.get(path).copied().unwrap_or("")
-    }
-
-    pub fn get<T>(&self, path: &str, none: T, read: impl Fn(&str) -> Option<T>) -> Result<T, Bad> {
-        match self.0.get(path) {
-            None => Ok(none),
-            Some(&"" | &"-") => Ok(none),
-            Some(word) => read(word).ok_or_else(|| Bad {
-                message: "POWER_ON".into(),
-                field: path.into(),
-                why: format!("cannot read '{word}'"),
-            }),
-        }
-    }
-
-    pub fn num(&self, path: &str) -> Result<f64, Bad> {
-        self.get(path, 0.0, number)
-    }
-
-    pub fn int(&self, path: &str) -> Result<u32, Bad> {
-        self.get(path, 0, |word| number(word).filter(|x| *x >= 0.0).map(|x| x as u32))
-    }
-
-    pub fn time(&self, path: &str) -> Result<i64, Bad> {
-        self.get(path, 0, nanos)
-    }
-
-    pub fn flag(&self, path: &str) -> Result<bool, Bad> {
-        self.get(path, false, |word| match word {
-            "true" | "1" | "1.0" => Some(true),
-            "false" | "0" | "0.0" => Some(false),
-            _ => None,
-        })
-    }
-
-    pub fn list(&self, path: &str) -> Result<Vec<f64>, Bad> {
-        self.get(path, Vec::new(), |word| word.split(',').map(number).collect())
-    }
-}
-
 const LETTERS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 
 /// Base64 with padding; `-` for no bytes.
@@ -200,10 +142,4 @@
         assert_eq!(bytes("aGkgNw=="), Some(b"hi 7".to_vec()));
         assert_eq!(bytes("a*gk"), None);
     }
-
-    #[test]
-    fn times_become_whole_nanoseconds() {
-        assert_eq!(nanos("8412.25"), Some(8_412_250_000));
-        assert_eq!(nanos("x"), None);
-    }
 }
--- a/adapter/src/seat.rs
+++ b/adapter/src/seat.rs
@@ -1,10 +1,8 @@
 //! One front's seat: ids become small indices at its door, calls go in, actions go out.
-use crate::read::{armour, bytes, nanos, number, Bad, Line, Pairs};
-use rockpick::{
-    Control, Ctl, Front, Group, Guard, Member, Method, Ns, Outcome, Phase, Post, Repeat, Reply, Rights, Roll,
-    Rollout, Standing, State, Verdict,
-};
+use crate::read::{armour, bytes, Bad, Line};
+use rockpick::{Ctl, Front, Member, Ns, Outcome, Phase, Post, Reply, Roll, Standing, State, Verdict};
 use rockpick_door::{tag, Door};
+use rockpick_terms::{nanos, number, Terms};
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -159,72 +157,7 @@
 fn post(line: &mut Line) -> Result<Post, Bad> {
     let seed =
         line.must("rngSeed", |w| w.parse::<u64>().ok().or_else(|| w.parse::<i64>().ok().map(|x| x as u64)))?;
-    let conf = Pairs::new(line)?;
-    let methods = (0..conf.int("lanes.count")?).map(|row| {
-        let at = |name: &str| format!("lanes.{row}.{name}");
-        Ok(Method {
-            soft_deadline: conf.time(&at("aimMs"))?,
-            utility: conf.num(&at("importance"))?,
-            repeat: conf.get(&at("idempotency"), Repeat::NonIdempotent, |word| match word {
-                "free" => Some(Repeat::Idempotent),
-                "guarded" => Some(Repeat::Tokened),
-                "single_shot" => Some(Repeat::NonIdempotent),
-                _ => None,
-            })?,
-            group: conf.get(&at("keyScope"), Group::Cell, |word| match word {
-                "all" => Some(Group::All),
-                "zone" => Some(Group::Zone),
-                "cell" => Some(Group::Cell),
-                _ => None,
-            })?,
-            remembered: conf.time(&at("windowMs"))?,
-        })
-    });
-    Ok(Post {
-        fronts: conf.int("balancers")?,
-        rank: conf.int("rank")?,
-        zone: conf.int("locality")?,
-        seed,
-        ask_roster: conf.word("discovery") == "subscribe",
-        step: conf.time("stepMs")?,
-        cross_zone_price: conf.num("charges.crossZone")?,
-        methods: methods.collect::<Result<_, Bad>>()?,
-        rollout: Rollout {
-            control: conf.get("extra.control", Control::FirstVoice, |word| match word {
-                "first_voice" => Some(Control::FirstVoice),
-                "by_count" => Some(Control::ByCount),
-                "automatic" => Some(Control::Automatic),
-                _ => None,
-            })?,
-            parallel: conf.word("extra.layout") != "replace",
-            caps: conf.list("extra.exposureCaps")?,
-            free: conf.num("extra.free")?,
-            window: conf.time("extra.windowMs")?,
-            cap_per_method: conf.word("extra.capScope") == "each_class",
-            guarded_stages: conf.int("extra.safeOnlyStages")? as usize,
-            one_way: conf.flag("extra.oneWay")?,
-            dwell: conf.time("extra.minDwellMs")?,
-            vote_life: conf.time("extra.ballotTtlMs")?,
-            call_timeout: conf.time("extra.apiTimeoutMs")?,
-            back_votes: conf.int("extra.toAbort")?,
-        },
-        guard: Guard {
-            ask_within: conf.time("invariants.askWithinMs")?,
-            cold_from: conf.get("invariants.coldFrom", 1.0, number)?,
-            cold_time: conf.time("invariants.coldMs")?,
-            overload_factor: conf.get("invariants.overloadFactor", 1.0, number)?,
-            fall_time: conf.time("invariants.fallMs")?,
-        },
-        rights: Rights {
-            most_picks: conf.get("permissions.attemptsCap", 1, |w| number(w).map(|x| x as u32))?,
-            notes: conf.flag("permissions.peers")?,
-            longest_wait: if conf.flag("permissions.retryAfter")? {
-                conf.time("permissions.maxRetryAfterMs")?
-            } else {
-                0
-            },
-        },
-    })
+    Ok(rockpick_terms::post(seed, &Terms::of_pairs(line.rest())?)?)
 }
 
 impl Seat {
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -100,6 +100,8 @@
         #[command(subcommand)]
         what: RepoDo,
     },
+    /// Runs a live front node on the platform's own protocol, as the PROXY_ variables tell.
+    Node,
     /// Runs a front.
     Front {
         #[command(flatten)]
@@ -402,6 +404,11 @@
             rockpick_control::Controller { listen: listen.listen, state, repo }.run(ready).map_err(Bad2)?;
             good
         }
+        What::Node => {
+            let opening = rockpick_node::Opening::read(|name| std::env::var(name).ok()).map_err(Bad2)?;
+            rockpick_node::run(opening, |_| ()).map_err(Bad2)?;
+            good
+        }
         What::Front { listen, at, name, state, seed, clients, profile, notes_at } => {
             named("--name", &name)?;
             if clients == 0 {
--- a/front/src/hall.rs
+++ b/front/src/hall.rs
@@ -219,6 +219,7 @@
                     self.each(|front, wire| front.heard(wire, rank as usize, note));
                 }
             }
+            Event::Flushed { .. } => {}
             Event::Came { .. } | Event::Bytes { .. } | Event::Gone { .. } => {
                 if let Some(shelf) = &mut self.shelf {
                     shelf.event(&mut self.wire.net, &event);
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -2,6 +2,7 @@
 //! happened as [`Event`]s and does as it is told; what to do is the caller's.
 //!
 //! Bounds, and the answer when one is met, stand beside their constants here and in [`http`].
+mod dues;
 pub mod http;
 mod net;
 mod often;
@@ -9,6 +10,7 @@
 mod streams;
 mod timers;
 
+pub use dues::Dues;
 pub use net::{Call, End, Event, Id, Net, LINGER, MAX_BACKLOG, MAX_CALLS, MAX_IDLE};
 pub use often::Often;
 pub use streams::MAX_STREAMS;
--- a/net/src/net.rs
+++ b/net/src/net.rs
@@ -37,9 +37,9 @@
 /// An answer's reader that takes nothing for this long is gone.
 const WRITE_TIME: Ns = 30 * SEC;
 /// Bytes read at once.
-pub(crate) const READ: usize = 64 * 1024;
+const READ: usize = 64 * 1024;
 /// Sockets accepted, and events handled, in one turn, so that no side starves the other.
-const ACCEPTS: usize = 64;
+pub(crate) const ACCEPTS: usize = 64;
 const EVENTS: usize = 256;
 /// Connections that the system holds until they are taken: a standstill of a second at some thousand new
 /// ones. Past it their senders try again only a second later (std asks for 128). The system may grant less.
@@ -90,9 +90,15 @@
         conn: Id,
         bytes: Vec<u8>,
     },
-    /// A stream was closed by its peer, or could not be made; not told of those closed here.
+    /// A stream was closed by its peer, or could not be made; not told of those closed here. `unsent`: not all
+    /// that was to be sent had been written.
     Gone {
         conn: Id,
+        unsent: bool,
+    },
+    /// What waited to be sent on a stream is written now.
+    Flushed {
+        conn: Id,
     },
 }
 
@@ -196,8 +202,13 @@
     pub(crate) out: Vec<u8>,
     pub(crate) sent: usize,
     pub(crate) up: bool,
-    /// When a dialled one must be there.
+    /// When a dialled one must be there, or a closing one is closed.
     pub(crate) until: Ns,
+    /// Not read for now: its caller has enough.
+    pub(crate) paused: bool,
+    /// Closing: all is sent, or about to be; what still comes is dropped, up to a bound.
+    pub(crate) closing: bool,
+    pub(crate) dropped: usize,
 }
 
 pub(crate) enum Sock {
@@ -244,6 +255,8 @@
     calls: usize,
     lingering: usize,
     pub(crate) streams: usize,
+    /// Most streams; one more is not dialled, or closed as it comes.
+    pub most_streams: usize,
     /// Connections whose answer is out, and whose next request may be waiting.
     answered: Vec<Id>,
     /// Most client connections; one more is answered 503 at once.
@@ -254,8 +267,8 @@
     /// A reader that takes nothing of its answer for this long is gone.
     pub write_time: Ns,
     /// Held back so that a connection can be refused in words when descriptors have run out.
-    spare: Option<OwnedFd>,
-    scratch: Vec<u8>,
+    pub(crate) spare: Option<OwnedFd>,
+    pub(crate) scratch: Vec<u8>,
     pub refused: u64,
     /// Words that came after an answer, or with no call on the connection.
     pub stray: u64,
@@ -290,7 +303,7 @@
     Ok(io)
 }
 
-fn spare() -> Option<OwnedFd> {
+pub(crate) fn spare() -> Option<OwnedFd> {
     std::fs::File::open("/dev/null").ok().map(OwnedFd::from)
 }
 
@@ -313,6 +326,7 @@
             calls: 0,
             lingering: 0,
             streams: 0,
+            most_streams: crate::MAX_STREAMS,
             answered: Vec::new(),
             most_clients,
             head_time: HEAD_TIME,
--- a/net/src/streams.rs
+++ b/net/src/streams.rs
@@ -1,13 +1,20 @@
 //! Streams of bytes in both directions, for protocols other than HTTP: dialled, or taken by a listener of
-//! their own. What crosses them is the caller's; bounds and closing are here.
-use crate::net::{bind, connecting, would_block, Event, Id, Net, Sock, Stream, MAX_BACKLOG, READ};
+//! their own. What crosses them is the caller's; bounds, back-pressure and closing are here.
+use crate::net::{bind, connecting, spare, would_block, Event, Id, Net, Sock, Stream};
+use crate::net::{ACCEPTS, LINGER, MAX_BACKLOG};
 use crate::Ns;
 use rustix::event::epoll::EventFlags;
+use rustix::io::Errno;
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr, TcpStream};
 
-/// Streams open at once; one more is not dialled, or closed as it comes.
+/// Streams open at once unless told otherwise; one more is not dialled, or closed as it comes.
 pub const MAX_STREAMS: usize = 1_024;
+/// Room that an empty buffer keeps.
+const KEPT: usize = 1_024;
+/// What a closing stream's peer may still send before it is closed for good: reading on for longer would let it
+/// hold the loop, and closing at once would reset the connection and lose the last words on it.
+const MOST_DROPPED: usize = 512 * 1_024;
 
 impl Net {
     /// Listens for streams; each that comes is told as [`Event::Came`].
@@ -24,12 +31,12 @@
     /// # Errors
     /// Too many streams, no descriptor, an address that can't be reached at all.
     pub fn dial(&mut self, to: SocketAddr, within: Ns) -> io::Result<Id> {
-        if self.streams >= MAX_STREAMS {
+        if self.streams >= self.most_streams {
             return Err(ErrorKind::OutOfMemory.into());
         }
         let io = connecting(&to)?;
         let until = self.now() + within;
-        let stream = Stream { io, out: Vec::new(), sent: 0, up: false, until };
+        let stream = Stream::new(io, false, until);
         let id = self.add(Sock::Stream(stream), EventFlags::OUT | EventFlags::RDHUP)?;
         self.streams += 1;
         self.wake_inner(until);
@@ -56,6 +63,38 @@
         self.stream_of(conn).map(|s| s.out.len() - s.sent)
     }
 
+    /// Streams open now.
+    pub fn streams(&self) -> usize {
+        self.streams
+    }
+
+    /// Reads no more of a stream, or reads on: its caller has as much as it keeps.
+    pub fn pause(&mut self, conn: Id, paused: bool) {
+        if let Some(stream) = self.stream_of(conn) {
+            stream.paused = paused;
+            self.want_stream(conn);
+        }
+    }
+
+    /// Closes a stream once all is sent and its peer has closed too, or after a bound of time and bytes; no
+    /// event follows.
+    pub fn finish(&mut self, conn: Id) {
+        let until = self.now() + LINGER;
+        let Some(stream) = self.stream_of(conn) else { return };
+        (stream.closing, stream.paused, stream.until) = (true, false, until);
+        if stream.sent == stream.out.len() && stream.io.shutdown(Shutdown::Write).is_err() {
+            return self.drop_sock(conn);
+        }
+        self.wake_inner(until);
+        self.want_stream(conn);
+    }
+
+    /// Is a stream open, with nothing come that was not read?
+    pub fn quiet(&mut self, conn: Id) -> bool {
+        let Some(stream) = self.stream_of(conn) else { return false };
+        stream.up && matches!(stream.io.peek(&mut [0]), Err(err) if would_block(&err))
+    }
+
     pub(crate) fn stream_of(&mut self, id: Id) -> Option<&mut Stream> {
         match &mut self.get(id)?.sock {
             Sock::Stream(s) => Some(s),
@@ -73,27 +112,52 @@
                 Err(err) => return Err(err),
             }
         }
-        let mut flags = EventFlags::IN | EventFlags::RDHUP;
         if stream.sent == stream.out.len() {
             stream.out.clear();
-            stream.out.shrink_to(READ);
+            stream.out.shrink_to(KEPT);
             stream.sent = 0;
-        } else {
+        }
+        self.want_stream(id);
+        Ok(())
+    }
+
+    fn want_stream(&mut self, id: Id) {
+        let Some(stream) = self.stream_of(id).filter(|s| s.up) else { return };
+        let mut flags = EventFlags::empty();
+        if !stream.paused {
+            flags |= EventFlags::IN | EventFlags::RDHUP;
+        }
+        if stream.sent < stream.out.len() {
             flags |= EventFlags::OUT;
         }
         self.want(id, flags);
-        Ok(())
     }
 
-    pub(crate) fn accept_streams(&mut self, events: &mut Vec<Event>, listener: Id) {
-        loop {
+    /// Takes what waits at a listener of streams now, as many as one turn takes.
+    pub fn accept_streams(&mut self, events: &mut Vec<Event>, listener: Id) {
+        for _ in 0..ACCEPTS {
             let Some(Sock::Streams(l)) = self.get(listener).map(|s| &s.sock) else { return };
-            let Ok((io, _)) = l.accept() else { return };
-            if self.streams >= MAX_STREAMS || io.set_nonblocking(true).is_err() {
+            let io = match l.accept() {
+                Ok((io, _)) => io,
+                Err(err) if matches!(Errno::from_io_error(&err), Some(Errno::MFILE | Errno::NFILE)) => {
+                    // Out of descriptors: one is closed in the spare's room, else the listener would wake the loop
+                    // for ever.
+                    self.spare = None;
+                    if let Some(Sock::Streams(l)) = self.get(listener).map(|s| &s.sock) {
+                        drop(l.accept());
+                    }
+                    self.refused += 1;
+                    self.spare = spare();
+                    return;
+                }
+                Err(_) => return,
+            };
+            if self.streams >= self.most_streams || io.set_nonblocking(true).is_err() {
+                self.refused += 1;
                 continue;
             }
             let _ = io.set_nodelay(true);
-            let stream = Stream { io, out: Vec::new(), sent: 0, up: true, until: Ns::MAX };
+            let stream = Stream::new(io, true, Ns::MAX);
             if let Ok(conn) = self.add(Sock::Stream(stream), EventFlags::IN | EventFlags::RDHUP) {
                 self.streams += 1;
                 events.push(Event::Came { conn });
@@ -112,34 +176,61 @@
             stream.up = true;
             events.push(Event::Came { conn: id });
         }
+        let waited = stream.sent < stream.out.len();
         if self.flush_stream(id).is_err() {
             return self.stream_gone(events, id);
         }
         let Some(stream) = self.stream_of(id) else { return };
-        if !flags.intersects(EventFlags::IN | EventFlags::RDHUP | EventFlags::HUP | EventFlags::ERR) {
+        if waited && stream.out.is_empty() {
+            if stream.closing {
+                return self.finish(id);
+            }
+            events.push(Event::Flushed { conn: id });
+        }
+        let broken = flags.intersects(EventFlags::HUP | EventFlags::ERR);
+        let Some(stream) = self.stream_of(id) else { return };
+        if !broken && (stream.paused || !flags.intersects(EventFlags::IN | EventFlags::RDHUP)) {
             return;
         }
-        let mut bytes = vec![0; READ];
-        match stream.io.read(&mut bytes) {
-            Ok(0) => self.stream_gone(events, id),
-            Ok(n) => {
-                bytes.truncate(n);
-                events.push(Event::Bytes { conn: id, bytes });
+        if stream.paused {
+            // Broken off: it would wake the loop for ever.
+            return self.stream_gone(events, id);
+        }
+        let mut scratch = std::mem::take(&mut self.scratch);
+        if let Some(stream) = self.stream_of(id) {
+            match stream.io.read(&mut scratch) {
+                Ok(0) => self.stream_gone(events, id),
+                Ok(n) if stream.closing => {
+                    stream.dropped += n;
+                    if stream.dropped > MOST_DROPPED {
+                        self.drop_sock(id);
+                    }
+                }
+                Ok(n) => events.push(Event::Bytes { conn: id, bytes: scratch[..n].to_vec() }),
+                Err(err) if would_block(&err) => {}
+                Err(_) => self.stream_gone(events, id),
             }
-            Err(err) if would_block(&err) => {}
-            Err(_) => self.stream_gone(events, id),
         }
+        self.scratch = scratch;
     }
 
     pub(crate) fn stream_gone(&mut self, events: &mut Vec<Event>, id: Id) {
+        let Some(stream) = self.stream_of(id) else { return };
+        let (unsent, closing) = (!stream.up || stream.sent < stream.out.len(), stream.closing);
         self.drop_sock(id);
-        events.push(Event::Gone { conn: id });
+        if !closing {
+            events.push(Event::Gone { conn: id, unsent });
+        }
     }
 }
 
 impl Stream {
-    /// Dialled and not there in time.
+    fn new(io: TcpStream, up: bool, until: Ns) -> Stream {
+        Stream { io, out: Vec::new(), sent: 0, up, until, paused: false, closing: false, dropped: 0 }
+    }
+
+    /// Dialled and not there in time, or closing for long enough.
     pub(crate) fn late(&self, now: Ns) -> bool {
-        !self.up && self.until <= now
+        (!self.up || self.closing) && self.until <= now
     }
 }
--- /dev/null
+++ b/node/src/node.rs
@@ -0,0 +1,337 @@
+//! The loop: events in, calls to the module out.
+use crate::clients::{Asked, MARGIN};
+use crate::links::{standing, Tell, ENDS};
+use crate::wire::{Open, Wire, DESK, DUE, MODULE, STOP, TICK};
+use crate::Opening;
+use rockpick::{Front, Ns, Outcome, Reply, Roll};
+use rockpick_net::{Event, Id, Net, MS, SEC};
+use rockpick_pg as pg;
+use rockpick_platform::{roster, statement};
+use std::net::SocketAddr;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+const SIGHUP: i32 = 1;
+const SIGINT: i32 = 2;
+const SIGTERM: i32 = 15;
+/// The platform goes on sending new connections for up to 0.4 s after SIGTERM: they are served.
+const GOES_ON: Ns = 450 * MS;
+/// After the last answer, so that it is read before the process ends.
+const LAST: Ns = 100 * MS;
+/// Counts in the log, and forgetting.
+const TICK_EVERY: Ns = SEC;
+
+struct Node {
+    wire: Wire,
+    front: Front,
+    listener: Id,
+    stopping: Option<Ns>,
+    /// Since when nothing is owed, in a stop.
+    rested: Option<Ns>,
+}
+
+/// Runs a node until SIGTERM ends it; `ready` hears the address taken.
+///
+/// # Errors
+/// An address that can't be listened on, no signals, a loop that fails.
+pub fn run(opening: Opening, ready: impl FnOnce(SocketAddr)) -> Result<(), String> {
+    let say = |err: std::io::Error| err.to_string();
+    let mut net = Net::new(0).map_err(say)?;
+    net.most_streams = opening.sockets - crate::pool::RESERVE / 2;
+    for signal in [SIGHUP, SIGTERM, SIGINT] {
+        net.on_signal(signal).map_err(say)?;
+    }
+    let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos() as i128);
+    let wall = since_1970 - i128::from(net.clock());
+    let (listener, at) =
+        net.listen_streams(opening.listen).map_err(|err| format!("{}: {err}", opening.listen))?;
+    let (post, known, stood) = (opening.post.clone(), opening.known.clone(), opening.stood);
+    let mut wire = Wire::new(net, opening, wall);
+    let mut events = Vec::new();
+    wire.net.turn(&mut events, 0).map_err(say)?;
+    let front = Front::start(post, &mut wire);
+    let mut node = Node { wire, front, listener, stopping: None, rested: None };
+    if let Some(telling) = roster::read(&known, &node.wire.opening.zones) {
+        let told = node.wire.listed(Roll::Saved, telling);
+        node.tell(told);
+    }
+    if let Some(stood) = stood {
+        let news = standing(node.wire.net.now(), stood);
+        node.tell(Tell::Told(Reply::News, Some(news)));
+    }
+    node.wire.follow_desk();
+    node.wire.net.wake_at(node.wire.net.now() + TICK_EVERY, TICK);
+    ready(at);
+    tracing::info!(event = "node up", at = %at, sockets = node.wire.opening.sockets, machines = node.wire.door.machines());
+    node.work(events)
+}
+
+impl Node {
+    fn work(mut self, mut events: Vec<Event>) -> Result<(), String> {
+        loop {
+            events.append(&mut self.wire.made);
+            self.wire.net.turn(&mut events, SEC).map_err(|err| err.to_string())?;
+            // What the platform tells counts from when it wrote it: before any pick of this turn.
+            let (news, rest): (Vec<Event>, Vec<Event>) = events.drain(..).partition(|e| self.is_news(e));
+            for event in news.into_iter().chain(rest) {
+                self.event(event);
+                self.settle();
+            }
+            if self.ended() {
+                tracing::info!(event = "node down");
+                return Ok(());
+            }
+        }
+    }
+
+    fn is_news(&self, event: &Event) -> bool {
+        match event {
+            Event::Piece { call, .. } | Event::Ended { call, .. } => self.wire.discovery.owns(*call),
+            Event::Bytes { conn, .. } => self.wire.desk.owns(*conn),
+            _ => false,
+        }
+    }
+
+    /// Tells the module of ends that came while it was at work.
+    fn settle(&mut self) {
+        while let Some((rpc, pick, how)) = self.wire.owed.pop_front() {
+            self.pick_over(rpc, pick, how, None);
+        }
+    }
+
+    fn pick_over(&mut self, rpc: usize, pick: usize, how: Outcome, row: Option<&[u8]>) {
+        if let Some((took, last)) = self.wire.pick_ended(rpc, pick, how, row) {
+            self.front.ended(&mut self.wire, rpc, pick, how, took, last);
+            self.wire.sweep(rpc);
+        }
+    }
+
+    fn tell(&mut self, told: Tell) {
+        let (front, wire) = (&mut self.front, &mut self.wire);
+        match told {
+            Tell::Members(roll, members) => front.members(wire, roll, &members),
+            Tell::Told(reply, news) => {
+                if let Some(s) = news {
+                    tracing::info!(event = "standing", build = s.build, stage = s.stage, phase = ?s.phase, cap = s.cap, reply = ?reply);
+                }
+                front.told(wire, reply, news);
+            }
+            Tell::Tallied { build, method, picks, not_ok } => {
+                front.tallied(wire, build, method, picks, not_ok)
+            }
+            Tell::Disputed { machine, sent } => front.disputed(wire, machine, sent),
+        }
+    }
+
+    fn event(&mut self, event: Event) {
+        match event {
+            Event::Came { conn } => {
+                if self.wire.desk.owns(conn) {
+                    self.wire.desk_came(conn);
+                } else if !self.wire.pool.owns(conn) {
+                    self.wire.client_came(conn);
+                }
+            }
+            Event::Bytes { conn, bytes } => {
+                if self.wire.clients.owns(conn) {
+                    self.wire.client_bytes(conn, &bytes);
+                    self.read_client(conn);
+                } else if self.wire.pool.owns(conn) {
+                    for (rpc, pick, how, row) in self.wire.machine_bytes(conn, &bytes) {
+                        self.pick_over(rpc, pick, how, row.as_deref());
+                    }
+                } else {
+                    self.wire.desk_bytes(conn, &bytes).into_iter().for_each(|told| self.tell(told));
+                }
+            }
+            Event::Flushed { conn } => self.read_client(conn),
+            Event::Gone { conn, unsent } => {
+                if self.wire.clients.owns(conn) {
+                    self.client_left(conn);
+                } else if let Some((rpc, pick, how)) = self.wire.machine_gone(conn, unsent) {
+                    self.pick_over(rpc, pick, how, None);
+                } else if self.wire.desk.owns(conn) {
+                    self.wire.desk_over(conn, unsent).into_iter().for_each(|told| self.tell(told));
+                }
+            }
+            Event::Piece { call, status, bytes } => {
+                self.wire.watch_piece(call, status, &bytes).into_iter().for_each(|told| self.tell(told));
+            }
+            Event::Ended { call, end } => {
+                self.wire.discovery_over(call, Some(end)).into_iter().for_each(|told| self.tell(told));
+            }
+            Event::Woke { tag } if tag & MODULE != 0 => self.front.woke(&mut self.wire, tag & !MODULE),
+            Event::Woke { tag: DUE } => self.dues(),
+            Event::Woke { tag: TICK } => self.tick(),
+            Event::Woke { tag: DESK } => self.wire.follow_desk(),
+            Event::Woke { tag: STOP } => self.close_door(),
+            Event::Signal { number: SIGHUP } => self.reload(),
+            Event::Signal { number } => self.stop(number),
+            _ => {}
+        }
+    }
+
+    fn dues(&mut self) {
+        let now = self.wire.net.now();
+        while let Some(id) = self.wire.dues.over(now) {
+            if self.wire.clients.owns(id) {
+                self.wire.client_due(id);
+            } else if self.wire.pool.owns(id) {
+                if let Some((rpc, pick, how)) = self.wire.machine_due(id) {
+                    self.pick_over(rpc, pick, how, None);
+                }
+            } else if self.wire.desk.owns(id) {
+                self.wire.desk_over(id, false).into_iter().for_each(|told| self.tell(told));
+            } else {
+                self.wire.discovery_over(id, None).into_iter().for_each(|told| self.tell(told));
+            }
+            self.settle();
+        }
+        if let Some(at) = self.wire.dues.woke(now) {
+            self.wire.net.wake_at(at, DUE);
+        }
+    }
+
+    fn read_client(&mut self, conn: Id) {
+        while let Asked::Statement(text) = self.wire.client_reads(conn) {
+            self.take(conn, text);
+            self.settle();
+        }
+    }
+
+    /// A client's statement: an RPC, if it is one.
+    fn take(&mut self, conn: Id, text: String) {
+        let read = statement::read(&text).map_err(str::to_string).and_then(|s| {
+            let method = self.wire.opening.methods.iter().position(|(name, _)| name == s.method);
+            let method = method.ok_or_else(|| "no such method".to_string())?;
+            if self.wire.door.rpc(s.id).is_some() {
+                return Err("an RPC of this id is open".to_string());
+            }
+            Ok((s.id, method, s.key_number(), s.wait_ms, s.wait.clone()))
+        });
+        let (id, method, key, wait_ms, wait) = match read {
+            Ok(read) => read,
+            Err(why) => return self.wire.odd_command(conn, &format!("not taken: {why}")),
+        };
+        let now = self.wire.net.now();
+        let left = ((wait_ms * MS as f64) as Ns).min(self.wire.opening.methods[method].1);
+        let rpc = self.wire.door.open(id);
+        if self.wire.open.len() <= rpc {
+            self.wire.open.resize_with(rpc + 1, || None);
+        }
+        self.wire.open[rpc] = Some(Open { conn, text, wait, gives_up: now + left, picks: Vec::new() });
+        self.wire.tolls.taken += 1;
+        self.wire.client_opens(conn, rpc);
+        if left <= MARGIN {
+            // No time for a pick and the way back: nothing was sent, so it may come again at will.
+            rockpick::Ctl::push_back(&mut self.wire, rpc, 0);
+        } else {
+            self.front.taken(&mut self.wire, rpc, method, Some(key), now + left - MARGIN);
+            self.settle();
+        }
+        self.wire.sweep(rpc);
+    }
+
+    fn client_left(&mut self, conn: Id) {
+        let Some(rpc) = self.wire.client_gone(conn) else { return };
+        if !self.wire.door.finished(rpc) {
+            self.wire.tolls.left += 1;
+            self.wire.door.finish(rpc);
+            self.front.left(rpc);
+        }
+        self.wire.sweep(rpc);
+    }
+
+    fn tick(&mut self) {
+        let now = self.wire.net.now();
+        self.wire.net.wake_at(now + TICK_EVERY, TICK);
+        self.wire.forget_machines();
+        let t = &self.wire.tolls;
+        let ends = ENDS.map(|(name, how)| format!("{name} {}", t.ends[how as usize])).join(", ");
+        let (conns, idle) = self.wire.pool.count();
+        tracing::info!(
+            event = "counts",
+            taken = t.taken,
+            ok = t.ok,
+            pushed_back = t.pushed_back,
+            aborted = t.aborted,
+            left = t.left,
+            late = t.late,
+            odd = t.odd,
+            picks = t.picks,
+            ends,
+            open = self.wire.door.in_use(),
+            clients = self.wire.clients.count(),
+            turned_away = self.wire.clients.turned_away,
+            conns,
+            idle,
+            dialled = self.wire.pool.dialled,
+            scarce = self.wire.pool.scarce,
+            spoilt = self.wire.pool.spoilt,
+            streams = self.wire.net.streams(),
+            watching = self.wire.discovery.watching(),
+            tellings = self.wire.discovery.tellings,
+            desk = self.wire.desk.served(),
+            heard = self.wire.desk.heard
+        );
+    }
+
+    /// Reads the file anew; one that can't be read changes nothing.
+    fn reload(&mut self) {
+        let file = self.wire.opening.file.clone();
+        let var = |name: &str| match name {
+            "PROXY_CONFIG" => file.as_ref().map(|f| f.display().to_string()),
+            _ => std::env::var(name).ok(),
+        };
+        match Opening::read(var) {
+            Ok(fresh) => {
+                tracing::info!(event = "reload", discovery = %fresh.discovery, desk = ?fresh.desk);
+                self.wire.moved(fresh.discovery, fresh.desk);
+            }
+            Err(why) => tracing::error!(event = "reload", why),
+        }
+    }
+
+    fn stop(&mut self, number: i32) {
+        if self.stopping.is_none() {
+            let now = self.wire.net.now();
+            tracing::info!(event = "stopping", number);
+            self.stopping = Some(now);
+            self.wire.net.wake_at(now + GOES_ON, STOP);
+        }
+    }
+
+    /// Takes what has come to the listener, closes it, and then each connection between two RPCs.
+    fn close_door(&mut self) {
+        let mut events = Vec::new();
+        loop {
+            let before = events.len();
+            self.wire.net.accept_streams(&mut events, self.listener);
+            if events.len() == before {
+                break;
+            }
+        }
+        self.wire.net.close(self.listener);
+        self.wire.made.append(&mut events);
+        self.wire.close_clients();
+        self.rested = Some(Ns::MAX);
+        self.wire.net.wake_at(self.wire.net.now() + LAST, STOP + 1);
+    }
+
+    /// In a stop: is everything answered, and read? Connections that say nothing are waited for no longer.
+    fn ended(&mut self) -> bool {
+        let now = self.wire.net.now();
+        let Some(rested) = self.rested else { return false };
+        if self.wire.clients.owed() {
+            self.rested = Some(Ns::MAX);
+            return false;
+        }
+        if rested == Ns::MAX {
+            self.rested = Some(now);
+            self.wire.net.wake_at(now + LAST, STOP + 1);
+            return false;
+        }
+        now - rested >= LAST
+    }
+}
+
+const _: () = assert!(pg::MOST_QUERY > 2 * pg::MOST_VALUE);
--- /dev/null
+++ b/node/src/wire.rs
@@ -0,0 +1,212 @@
+//! What the module's actions do, and the tables that they need.
+use crate::clients::Clients;
+use crate::links::{Desk, Discovery};
+use crate::pool::Pool;
+use crate::Opening;
+use rand::rngs::StdRng;
+use rand::SeedableRng;
+use rockpick::{Ctl, Ns, Outcome, Verdict};
+use rockpick_door::Door;
+use rockpick_net::{Dues, Event, Id, Net, Often, MS};
+use rockpick_pg as pg;
+use std::collections::VecDeque;
+use std::ops::Range;
+
+/// Tags of the loop's timers; the module's own carry a bit of their own.
+pub const MODULE: u64 = 1 << 62;
+pub const DUE: u64 = 1;
+pub const TICK: u64 = 2;
+pub const DESK: u64 = 3;
+pub const STOP: u64 = 4;
+
+/// Lines of one kind in the log, a second.
+const LOG_LINES: u32 = 10;
+
+/// An RPC whose slot is in use.
+pub struct Open {
+    /// Its client's connection.
+    pub conn: Id,
+    pub text: String,
+    pub wait: Range<usize>,
+    /// When the client gives up.
+    pub gives_up: Ns,
+    pub picks: Vec<Pick>,
+}
+
+pub struct Pick {
+    pub machine: usize,
+    pub sent: Ns,
+    /// The machine is waited for until then.
+    pub until: Ns,
+    pub out: bool,
+    pub conn: Option<Id>,
+}
+
+#[derive(Default)]
+pub struct Tolls {
+    pub taken: u64,
+    pub ok: u64,
+    pub pushed_back: u64,
+    pub aborted: u64,
+    pub left: u64,
+    pub late: u64,
+    pub odd: u64,
+    pub picks: u64,
+    /// Ends of picks, by outcome.
+    pub ends: [u64; 8],
+}
+
+pub struct Wire {
+    pub net: Net,
+    pub door: Door,
+    pub opening: Opening,
+    pub open: Vec<Option<Open>>,
+    pub clients: Clients,
+    pub pool: Pool,
+    pub discovery: Discovery,
+    pub desk: Desk,
+    pub dues: Dues,
+    /// Ends that came while the module was at work: told to it next.
+    pub owed: VecDeque<(usize, usize, Outcome)>,
+    /// Events for the next turn.
+    pub made: Vec<Event>,
+    pub chance: StdRng,
+    pub tolls: Tolls,
+    pub often: Often,
+    /// Nanoseconds from 1970 to the loop's beginning.
+    pub wall: i128,
+}
+
+impl Wire {
+    pub fn new(net: Net, opening: Opening, wall: i128) -> Wire {
+        Wire {
+            clients: Clients::new(opening.sockets),
+            pool: Pool::new(opening.sockets),
+            discovery: Discovery::new(opening.discovery),
+            desk: Desk::new(opening.desk),
+            chance: StdRng::seed_from_u64(opening.post.seed),
+            net,
+            door: Door::default(),
+            opening,
+            open: Vec::new(),
+            dues: Dues::default(),
+            owed: VecDeque::new(),
+            made: Vec::new(),
+            tolls: Tolls::default(),
+            often: Often::new(LOG_LINES),
+            wall,
+        }
+    }
+
+    /// Something is to become of a connection at a time, unless it is moved or cleared before.
+    pub fn due(&mut self, id: Id, at: Ns) {
+        if let Some(at) = self.dues.set(id, at) {
+            self.net.wake_at(at, DUE);
+        }
+    }
+
+    /// A pick has ended. Hands the first ok answer to the client; returns the time that it took, and whether
+    /// the RPC has its final answer.
+    pub fn pick_ended(
+        &mut self, rpc: usize, pick: usize, how: Outcome, row: Option<&[u8]>,
+    ) -> Option<(Ns, bool)> {
+        let now = self.net.now();
+        let open = self.open.get_mut(rpc)?.as_mut()?;
+        let p = open.picks.get_mut(pick).filter(|p| p.out)?;
+        p.out = false;
+        p.conn = None;
+        let took = now - p.sent;
+        self.pool.came_back(p.machine);
+        self.door.came_back(rpc);
+        self.tolls.ends[how as usize] += 1;
+        if let Some(row) = row.filter(|_| how == Outcome::Ok && !self.door.finished(rpc)) {
+            let mut out = Vec::with_capacity(row.len() + 6);
+            out.extend_from_slice(row);
+            pg::put_ready(&mut out);
+            if self.answer(rpc, &out) {
+                self.tolls.ok += 1;
+            }
+        }
+        Some((took, self.door.finished(rpc)))
+    }
+
+    /// The final answer of an RPC, unless it has one; false where it came too late.
+    fn answer(&mut self, rpc: usize, bytes: &[u8]) -> bool {
+        let Some(open) = self.open[rpc].as_ref().filter(|_| !self.door.finished(rpc)) else { return false };
+        let (conn, late) = (open.conn, self.net.clock() >= open.gives_up);
+        self.door.finish(rpc);
+        // The client has given up: a word now would be taken for the answer to its next one.
+        self.tolls.late += u64::from(late);
+        self.answered(conn, if late { None } else { Some(bytes) });
+        !late
+    }
+
+    /// Frees an RPC's slot once nothing more can come of it.
+    pub fn sweep(&mut self, rpc: usize) {
+        if self.door.sweep(rpc) {
+            self.open[rpc] = None;
+        }
+    }
+}
+
+impl Ctl for Wire {
+    fn now(&self) -> Ns {
+        self.net.now()
+    }
+
+    fn pick(&mut self, rpc: usize, machine: usize, time_out: Ns) {
+        self.send_pick(rpc, machine, time_out);
+    }
+
+    fn cancel(&mut self, rpc: usize, pick: u32) {
+        let open = self.open.get(rpc).and_then(Option::as_ref);
+        let Some(p) = open.and_then(|o| o.picks.get(pick as usize)).filter(|p| p.out) else { return };
+        if let Some(conn) = p.conn {
+            self.drop_machine_conn(conn);
+        }
+        self.owed.push_back((rpc, pick as usize, Outcome::Cancelled));
+    }
+
+    fn push_back(&mut self, rpc: usize, wait: Ns) {
+        let mut out = Vec::new();
+        let ms = ((wait + MS - 1) / MS).to_string();
+        pg::put_error(&mut out, false, pg::TOO_MANY, "pushed back", (wait > 0).then_some(ms.as_str()));
+        if self.answer(rpc, &out) {
+            self.tolls.pushed_back += 1;
+        }
+    }
+
+    fn abort(&mut self, rpc: usize) {
+        let mut out = Vec::new();
+        pg::put_error(&mut out, false, pg::INTERNAL, "aborted", None);
+        if self.answer(rpc, &out) {
+            self.tolls.aborted += 1;
+        }
+    }
+
+    fn wake_at(&mut self, at: Ns, tag: u64) {
+        self.net.wake_at(at, MODULE | tag);
+    }
+
+    /// The module asks for none, and has no ear for their ends.
+    fn probe(&mut self, _machine: usize) {}
+
+    /// The platform lets no notes pass between fronts.
+    fn tell(&mut self, _peer: Option<u32>, _note: &[u8]) {}
+
+    fn watch(&mut self, on: bool) {
+        self.watch_roster(on);
+    }
+
+    fn fetch(&mut self) {
+        self.fetch_roster();
+    }
+
+    fn vote(&mut self, build: u32, stage: u32, verdict: Verdict) {
+        self.cast_vote(build, stage, verdict);
+    }
+
+    fn note(&mut self, text: &str) {
+        tracing::info!(event = "verdict", text);
+    }
+}
--- a/standin/src/directory.rs
+++ b/standin/src/directory.rs
@@ -252,7 +252,7 @@
                 match event {
                     Event::Came { conn } => self.came(conn),
                     Event::Bytes { conn, bytes } => self.bytes(conn, &bytes),
-                    Event::Gone { conn } => drop(self.peers.remove(&conn)),
+                    Event::Gone { conn, .. } => drop(self.peers.remove(&conn)),
                     Event::Request { conn, request } => self.control(conn, &request),
                     Event::Signal { .. } => return Ok(()),
                     _ => {}
--- a/tenant/src/link.rs
+++ b/tenant/src/link.rs
@@ -116,7 +116,7 @@
         match event {
             Event::Came { conn } if ours(conn) => self.came(net, keeper),
             Event::Bytes { conn, bytes } if ours(conn) => self.bytes(net, keeper, bytes),
-            Event::Gone { conn } if ours(conn) => {
+            Event::Gone { conn, .. } if ours(conn) => {
                 self.conn = None;
                 self.failed(net, "the connection is gone");
             }
