An earlier build that fails oftener than the new one speaks not against it by its times

To blame: logic.rs, harm(): worse() ranks the earlier build's times against those before the trial, and takes a sick earlier build for a new one that slows all machines.

Now left out while the earlier build's failures deviate from the new one's. The new test fails without the line.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -764,7 +764,9 @@
             }
         }
         let slow = self.slow(counts[1], times[0]).filter(|_| trial); // later, failures alone judge
-        let worse = self.worse(times[1], times[2]).filter(|_| trial && self.post.rollout.parallel);
+                                                                     // An earlier build that fails oftener than the new one is sick itself: its times tell nothing of the new.
+        let sick = deviates(counts[1][1][ALL], counts[1][0][ALL], odds);
+        let worse = self.worse(times[1], times[2]).filter(|_| trial && !sick && self.post.rollout.parallel);
         // A queue passes within four intervals, most shared slowness within twenty; on votes wait as long.
         self.lasts = [(&slow, 0), (&worse, 1)].map(|(why, i)| why.as_ref().map_or(0, |_| self.lasts[i] + 1));
         slow.filter(|_| self.lasts[0] > 3).or(worse.filter(|_| self.lasts[1] > 19))
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -624,9 +624,8 @@
     assert!(desk.votes.iter().all(|v| v.2 != Verdict::Back));
 }
 
-/// Guards against a build that slows every machine: old against old, before the trial and now.
-#[test]
-fn earlier_machines_that_slow_down_with_the_trial_send_it_back() {
+/// The last vote, after earlier machines slowed down with the trial; `fails`: one in so many of their picks errs too.
+fn vote_after_earlier_slowed(fails: usize) -> Option<Verdict> {
     let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
     let mut front = front(post(), &[member(0, 1, None)], &mut desk);
     for rpc in 0..1200 {
@@ -638,13 +637,22 @@
         }
         desk.now += 20 * MS;
         take(&mut front, &mut desk, rpc, 2);
-        let took = if rpc < 510 || desk.picks[rpc].1 == 1 { 30 * MS } else { 900 * MS };
-        front.ended(&mut desk, rpc, 0, Outcome::Ok, took, true);
+        let slowed = rpc >= 510 && desk.picks.iter().any(|p| p.0 == rpc && p.1 == 0);
+        let how = if slowed && rpc % fails == 0 { Outcome::Error } else { Outcome::Ok };
+        front.ended(&mut desk, rpc, 0, how, if slowed { 900 * MS } else { 30 * MS }, true);
         if rpc % 25 == 24 {
             front.woke(&mut desk, 0);
         }
     }
-    assert_eq!(desk.votes.last().map(|v| v.2), Some(Verdict::Back));
+    desk.votes.last().map(|v| v.2)
+}
+
+/// Guards against a build that slows every machine: old against old, before the trial and now. An earlier build
+/// that fails oftener than the new one is sick itself: that must not send the new one back.
+#[test]
+fn earlier_machines_that_slow_down_with_the_trial_send_it_back_unless_they_fail_more() {
+    assert_eq!(vote_after_earlier_slowed(usize::MAX), Some(Verdict::Back));
+    assert_ne!(vote_after_earlier_slowed(5), Some(Verdict::Back));
 }
 
 /// Finding 9: what a machine's former process still owes is not held against the new one of its build.
