Rows of up to 512 KiB are taken from machines, within 8 MiB in all

To blame: pg/src/answer.rs held rows to the promised 64 KiB.

The log names the tag and length of what is taken for odd.

--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -13,6 +13,9 @@
 pub const OURS: usize = 28;
 /// An answer's connection must be ready again within this: machines say so with the answer.
 const TAIL: Ns = SEC;
+/// Bytes of answers that are not whole yet, of all machines together: at it the connection that brings more is given
+/// up, so that large values, a hundred at once, do not fill the memory.
+const MOST_HELD: usize = 8 * 1024 * 1024;
 /// Fleets know no more machines than this.
 const MOST_MACHINES: usize = 10_000;
 /// A machine that has gone is forgotten after this: disputes may still name it.
@@ -48,6 +51,8 @@
     answer: Answer,
     /// The pick that it carries.
     job: Option<(usize, usize)>,
+    /// Its part of what the pool holds.
+    held: usize,
 }
 
 pub struct Pool {
@@ -56,6 +61,8 @@
     /// Idle ones, longest idle first.
     idle: BTreeSet<(Ns, Id)>,
     most: usize,
+    /// Bytes of answers that are not whole.
+    held: usize,
     /// Picks for which no connection was left.
     pub scarce: u64,
     pub dialled: u64,
@@ -69,6 +76,7 @@
             conns: HashMap::new(),
             idle: BTreeSet::new(),
             most: (sockets - RESERVE) / 2,
+            held: 0,
             scarce: 0,
             dialled: 0,
             spoilt: 0,
@@ -176,8 +184,8 @@
         };
         self.pool.dialled += 1;
         let life = self.pool.places[machine].life;
-        let conn =
-            Conn { machine, life, step: Step::Opening, answer: Answer::default(), job: Some((rpc, number)) };
+        let job = Some((rpc, number));
+        let conn = Conn { machine, life, step: Step::Opening, answer: Answer::default(), job, held: 0 };
         self.pool.conns.insert(id, conn);
         let mut hello = Vec::new();
         pg::put_startup(&mut hello, "api", "ledger");
@@ -215,6 +223,7 @@
     /// Closes a connection to a machine; what becomes of its pick is the caller's.
     pub fn drop_machine_conn(&mut self, id: Id) {
         let Some(conn) = self.pool.conns.remove(&id) else { return };
+        self.pool.held -= conn.held;
         if conn.step == Step::Idle {
             self.unidle(id);
             self.pool.places[conn.machine].idle.retain(|i| *i != id);
@@ -232,7 +241,16 @@
         }
         while let Some(conn) = self.pool.conns.get_mut(&id) {
             let step = conn.step;
-            match conn.answer.heard() {
+            let heard = conn.answer.heard();
+            self.pool.held = self.pool.held - conn.held + conn.answer.holds();
+            conn.held = conn.answer.holds();
+            let heard = match heard {
+                Ok(Heard::More) if self.pool.held > MOST_HELD => {
+                    Err(pg::Odd("no room for more of an answer"))
+                }
+                heard => heard,
+            };
+            match heard {
                 Ok(Heard::More) => {
                     // Words behind an answer, not whole: of no further use, and the answer stands.
                     if step == Step::Idle && !conn.answer.clean() {
@@ -284,9 +302,10 @@
                     // What was asked may have run; what was not cannot have.
                     let how = if step == Step::Opening { Outcome::Unreachable } else { Outcome::Broken };
                     let job = conn.job.take();
+                    let (tag, long) = conn.answer.header().unwrap_or_default();
                     self.pool.spoilt += 1;
                     if let Some(left_out) = self.often.may(now) {
-                        tracing::warn!(event = "odd machine", why = odd.0, asked = job.is_some(), left_out);
+                        tracing::warn!(event = "odd machine", why = odd.0, tag = %char::from(tag), long, step = ?step, asked = job.is_some(), left_out);
                     }
                     ends.extend(job.map(|(rpc, n)| (rpc, n, how, None)));
                     self.drop_machine_conn(id);
--- a/pg/src/answer.rs
+++ b/pg/src/answer.rs
@@ -1,9 +1,9 @@
 //! A machine's side of a connection, read message by message: its welcome, then answers to queries. An answer
 //! is believed only if it is whole and well formed; nothing of it is handed on before that.
-use crate::{error_field, frame, text, Cut, Odd, MOST_VALUE};
+use crate::{error_field, frame, text, Cut, Odd, MOST_ROW};
 
 /// Most bytes of an answer that are gathered: a value, its row's description and its end.
-pub const MOST_ANSWER: usize = MOST_VALUE + 4_096;
+pub const MOST_ANSWER: usize = MOST_ROW + 4_096;
 /// Longest message besides the row.
 const MOST_OTHER: usize = 2_048;
 /// Notices and parameters let pass between two answers; more is noise.
@@ -72,6 +72,12 @@
         self.came.len()
     }
 
+    /// The header of the message that is read next, for the log: its tag and declared length.
+    pub fn header(&self) -> Option<(u8, u32)> {
+        let next = &self.came[self.kept..];
+        Some((*next.first()?, crate::word(&next[1..])?))
+    }
+
     /// The next thing that has come whole.
     ///
     /// # Errors
@@ -79,7 +85,7 @@
     pub fn heard(&mut self) -> Result<Heard, Odd> {
         loop {
             // While nothing is owed, whatever comes is noise: the step decides below.
-            let most = if self.step == Step::Described { MOST_VALUE + 6 } else { MOST_OTHER };
+            let most = if self.step == Step::Described { MOST_ROW + 6 } else { MOST_OTHER };
             let (tag, used, said) = match frame(&self.came[self.kept..], most)? {
                 Cut::More if self.came.len() > MOST_ANSWER => return Err(Odd("too long an answer")),
                 Cut::More => return Ok(Heard::More),
--- a/pg/src/lib.rs
+++ b/pg/src/lib.rs
@@ -14,8 +14,10 @@
 
 /// Longest startup message; servers in use take as much.
 pub const MOST_STARTUP: usize = 10_000;
-/// Largest value that crosses, in bytes.
+/// Largest value that a client may send, in bytes: what the platform promises.
 pub const MOST_VALUE: usize = 64 * 1024;
+/// Largest value that is taken from a machine: eight times the promise, as answers of 400 KB were met.
+pub const MOST_ROW: usize = 8 * MOST_VALUE;
 /// Longest query: the largest value in hex, and room for the statement around it.
 pub const MOST_QUERY: usize = 2 * MOST_VALUE + 4_096;
 
--- a/pg/tests/peer.rs
+++ b/pg/tests/peer.rs
@@ -145,6 +145,12 @@
     let mut answer = asked();
     answer.take(&huge[..at + 5]);
     assert!(answer.heard().is_err(), "3 GB are not waited for");
+    // At the bound of a row it is taken, past it not.
+    for (long, taken) in [(MOST_ROW, true), (MOST_ROW + 1, false)] {
+        let mut answer = asked();
+        answer.take(&said(&vec![7; long]).1);
+        assert_eq!(matches!(answer.heard(), Ok(Heard::Row(_))), taken, "{long}");
+    }
     // A second copy directly behind: the answer stands, and the connection is of no further use.
     let mut answer = asked();
     answer.take(&[&row[..], &ready, &row, &ready].concat());
