Early time-outs only while under a tenth of picks are late

To blame: logic.rs pick(): fullness falls under a half for moments of a jam, after pushbacks.

Now also under a tenth of the picks of one to three seconds ago may be late, as the beat counts them.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -475,12 +475,13 @@
             }
         })));
         // Work goes on behind an early time-out, and in a jam its repeat doubles it: so only the first pick
-        // of an idempotent RPC, far beyond the usual, where there is room: it is lost or heavy.
+        // of an idempotent RPC, far beyond the usual, while under a tenth are late: it is lost or heavy.
         let soft = self.post.methods[row].soft_deadline;
         let early = (6.0 * self.means[row]).max(soft as f64 / 2.0) as Ns;
         let first = self.rpcs[rpc].then.len() == 1 && self.post.methods[row].repeat == Repeat::Idempotent;
         let known = self.means[row] > 0.0 && early < soft;
-        let room = first && known && !self.quiet && self.fullness(now, row) < 0.5;
+        let [all, late] = sum(self.queued.last(now - 2 * INTERVAL, 4));
+        let room = first && known && !self.quiet && 10 * late < all && self.fullness(now, row) < 0.5;
         ctl.pick(rpc, machine, if room { early.min(left) } else { left }.max(step));
     }
 
