Node's pool: ends in one place, idle ones found by their time; one hash of keys for all

A second reading, behaviour as it was. machine_gone and machine_due were one piece with another outcome: machine_over now. An idle connection was looked for through all idle ones at each pick; its step carries the time by which it is found. The time of a stop was kept and never read.

--- a/door/src/lib.rs
+++ b/door/src/lib.rs
@@ -128,3 +128,8 @@
     let hash = name.bytes().fold(0x811c_9dc5u32, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193));
     (hash >> 16) ^ (hash & 0xffff)
 }
+
+/// A key that is any text, as a number: FNV-1a, 64 bits.
+pub fn key_hash(text: &str) -> u64 {
+    text.bytes().fold(0xcbf2_9ce4_8422_2325, |h: u64, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+}
--- a/front/src/hall.rs
+++ b/front/src/hall.rs
@@ -830,10 +830,7 @@
     })
 }
 
-/// A key as the module wants it: a number as it is, any other text by its hash (FNV-1a, 64 bits).
+/// A key as the module wants it: a number as it is, any other text by its hash.
 fn key_of(text: &str) -> u64 {
-    text.parse().unwrap_or_else(|_| {
-        text.bytes()
-            .fold(0xcbf2_9ce4_8422_2325, |h: u64, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
-    })
+    text.parse().unwrap_or_else(|_| rockpick_door::key_hash(text))
 }
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -24,7 +24,7 @@
     wire: Wire,
     front: Front,
     listener: Id,
-    stopping: Option<Ns>,
+    stopping: bool,
     /// Since when nothing is owed, in a stop.
     rested: Option<Ns>,
 }
@@ -49,7 +49,7 @@
     let mut events = Vec::new();
     wire.net.turn(&mut events, 0).map_err(say)?;
     let front = Front::start(post, &mut wire);
-    let mut node = Node { wire, front, listener, stopping: None, rested: None };
+    let mut node = Node { wire, front, listener, stopping: false, rested: None };
     if let Some(telling) = roster::read(&known, &node.wire.opening.zones) {
         let told = node.wire.listed(Roll::Saved, telling);
         node.tell(told);
@@ -294,11 +294,9 @@
     }
 
     fn stop(&mut self, number: i32) {
-        if self.stopping.is_none() {
-            let now = self.wire.net.now();
+        if !std::mem::replace(&mut self.stopping, true) {
             tracing::info!(event = "stopping", number);
-            self.stopping = Some(now);
-            self.wire.net.wake_at(now + GOES_ON, STOP);
+            self.wire.net.wake_at(self.wire.net.now() + GOES_ON, STOP);
         }
     }
 
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -41,7 +41,8 @@
     Asked,
     /// Answered; not ready yet.
     Tail,
-    Idle,
+    /// Since when.
+    Idle(Ns),
 }
 
 struct Conn {
@@ -207,8 +208,10 @@
             return false;
         }
         open.picks[number].conn = Some(id);
-        self.unidle(id);
         if let Some(conn) = self.pool.conns.get_mut(&id) {
+            if let Step::Idle(since) = conn.step {
+                self.pool.idle.remove(&(since, id));
+            }
             (conn.step, conn.job) = (Step::Asked, Some((rpc, number)));
             conn.answer.asked();
         }
@@ -216,16 +219,12 @@
         true
     }
 
-    fn unidle(&mut self, id: Id) {
-        self.pool.idle.retain(|(_, i)| *i != id);
-    }
-
     /// Closes a connection to a machine; what becomes of its pick is the caller's.
     pub fn drop_machine_conn(&mut self, id: Id) {
         let Some(conn) = self.pool.conns.remove(&id) else { return };
         self.pool.held -= conn.held;
-        if conn.step == Step::Idle {
-            self.unidle(id);
+        if let Step::Idle(since) = conn.step {
+            self.pool.idle.remove(&(since, id));
             self.pool.places[conn.machine].idle.retain(|i| *i != id);
         }
         self.dues.clear(id);
@@ -253,7 +252,7 @@
             match heard {
                 Ok(Heard::More) => {
                     // Words behind an answer, not whole: of no further use, and the answer stands.
-                    if step == Step::Idle && !conn.answer.clean() {
+                    if matches!(step, Step::Idle(_)) && !conn.answer.clean() {
                         self.drop_machine_conn(id);
                     }
                     break;
@@ -325,7 +324,7 @@
             self.drop_machine_conn(id);
             return false;
         }
-        (conn.step, conn.job) = (Step::Idle, None);
+        (conn.step, conn.job) = (Step::Idle(now), None);
         place.idle.push(id);
         self.pool.idle.insert((now, id));
         // Well before the machine closes it: a pick written to a closed one would be a reset.
@@ -335,20 +334,20 @@
 
     /// A machine's connection has gone by itself.
     pub fn machine_gone(&mut self, id: Id, unsent: bool) -> Option<(usize, usize, Outcome)> {
-        let conn = self.pool.conns.get_mut(&id)?;
-        let (step, job) = (conn.step, conn.job.take());
-        self.drop_machine_conn(id);
-        let never = unsent || step == Step::Opening;
-        job.map(|(rpc, n)| (rpc, n, if never { Outcome::Unreachable } else { Outcome::Broken }))
+        self.machine_over(id, unsent, Outcome::Broken)
     }
 
     /// The time of a machine's connection is up: to come up, to answer, to be ready, or to be kept.
     pub fn machine_due(&mut self, id: Id) -> Option<(usize, usize, Outcome)> {
-        let conn = self.pool.conns.get_mut(&id)?;
-        let (step, job) = (conn.step, conn.job.take());
         let unsent = self.net.backlog(id).is_some_and(|n| n > 0);
+        self.machine_over(id, unsent, Outcome::TimedOut)
+    }
+
+    /// Ends a connection; its pick, which never ran unless its statement was written whole, else came to `how`.
+    fn machine_over(&mut self, id: Id, unsent: bool, how: Outcome) -> Option<(usize, usize, Outcome)> {
+        let conn = self.pool.conns.get_mut(&id)?;
+        let (never, job) = (unsent || conn.step == Step::Opening, conn.job.take());
         self.drop_machine_conn(id);
-        let never = unsent || step == Step::Opening;
-        job.map(|(rpc, n)| (rpc, n, if never { Outcome::Unreachable } else { Outcome::TimedOut }))
+        job.map(|(rpc, n)| (rpc, n, if never { Outcome::Unreachable } else { how }))
     }
 }
