--- a/copies/src/shelf.rs
+++ b/copies/src/shelf.rs
@@ -1,7 +1,8 @@
 //! All rows of one front, with the dot of each one's last change, versions, and digests by range.
-use crate::tables::{Count, Key, Row, Table};
+use crate::tables::{Count, Fnv, Key, Row, Table};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::hash::{Hash, Hasher};
 
 /// Ranges of a table's digest, by the high bits of the key's hash.
 pub const RANGES: usize = 64;
@@ -56,8 +57,12 @@
     (key.hash() >> 58) as usize
 }
 
+/// One hash over both: of key and row apart, xored, two rows that have changed places would leave the digest as it was.
 fn print(key: &Key, row: &Row) -> u64 {
-    key.hash().rotate_left(17).wrapping_mul(3) ^ row.hash()
+    let mut hash = Fnv::default();
+    Hash::hash(key, &mut hash);
+    Hash::hash(row, &mut hash);
+    hash.finish()
 }
 
 impl Shelf {
--- a/copies/src/tables.rs
+++ b/copies/src/tables.rs
@@ -192,10 +192,4 @@
             (a, _) => a,
         }
     }
-
-    pub fn hash(&self) -> u64 {
-        let mut hash = Fnv::default();
-        Hash::hash(self, &mut hash);
-        hash.finish()
-    }
 }
--- a/copies/tests/laws.rs
+++ b/copies/tests/laws.rs
@@ -80,3 +80,18 @@
         prop_assert_eq!(Word::read(&bytes), Some(word));
     }
 }
+
+/// Found by storm 10,268 of 100,000: two rows of one range with each other's content gave the same digest, so that two
+/// fronts held different bindings for good and took them for equal.
+#[test]
+fn rows_that_have_changed_places_change_the_digest() {
+    let shelf = |builds: [u32; 2]| {
+        let mut shelf = Shelf::new(1);
+        let range = |key: u64| Key::Bound(key).hash() >> 58;
+        let other = (1..).find(|key| range(*key) == range(0)).unwrap();
+        shelf.change(Key::Bound(0), Row::Bound([builds[0], 0]));
+        shelf.change(Key::Bound(other), Row::Bound([builds[1], 0]));
+        shelf.whole(Table::Bindings)
+    };
+    assert_ne!(shelf([4, 5]), shelf([5, 4]));
+}
--- a/copies/tests/storms.rs
+++ b/copies/tests/storms.rs
@@ -322,8 +322,9 @@
 
 #[test]
 fn copies_are_equal_after_a_storm_and_say_what_was_noted_down() {
-    let seeds = std::env::var("STORMS").map_or(60, |n| n.parse().expect("a number"));
-    for seed in 0..seeds {
+    let told = |name: &str, or: u64| std::env::var(name).map_or(or, |n| n.parse().expect("a number"));
+    let (first, seeds) = (told("FIRST", 0), told("STORMS", 60));
+    for seed in first..first + seeds {
         let plan = Plan::draw(seed, range(2 + seed as usize % 5));
         if let Err(why) = checked(&plan, Plant::None) {
             let less = shrink(&plan, 200, |plan| checked(plan, Plant::None).is_err());
--- a/members/src/members.rs
+++ b/members/src/members.rs
@@ -594,8 +594,12 @@
                 now + self.pace.exchange / 2 + self.chance.random_range(0..=self.pace.exchange / 2);
             let there: Vec<SocketAddr> = self.others().filter(|r| r.there()).map(|r| r.at).collect();
             let to = there.get(self.chance.random_range(0..there.len().max(1))).copied();
-            let to = to.or_else(|| self.place.join.first().copied());
-            if let Some(to) = to {
+            // An address to begin with that none of those there has: where some left or returned while the ones they
+            // knew were down, two circles stand side by side, each with others held for left, and nobody asks there.
+            let apart = |at: &SocketAddr| self.others().all(|r| r.at != *at || !r.there());
+            let strange: Vec<SocketAddr> = self.place.join.iter().copied().filter(apart).collect();
+            let other = strange.get(self.chance.random_range(0..strange.len().max(1))).copied();
+            for to in to.into_iter().chain(other) {
                 self.say(to, None, Word::Ask { from: String::new() }, act);
             }
         }
--- a/members/tests/storms.rs
+++ b/members/tests/storms.rs
@@ -194,7 +194,14 @@
                 (false, Some(r)) if !r.there() => {}
                 (false, None) => {}
                 (there, record) => {
-                    return Err(format!("{me} holds of {who} (there: {there}): {record:?}"));
+                    let held = |m: &usize| {
+                        let row = |r: &Record| format!("{} {:?} turn {}", r.name, r.status, r.turn);
+                        let members = &world.part(*m).expect("running").members;
+                        let all: Vec<String> = members.others().map(row).collect();
+                        format!("\n  {m}: {}, troubles {}", all.join(", "), members.troubles())
+                    };
+                    let held: String = running.iter().map(held).collect();
+                    return Err(format!("{me} holds of {who} (there: {there}): {record:?}{held}"));
                 }
             }
         }
@@ -204,16 +211,21 @@
 
 #[test]
 fn all_that_run_know_each_other_after_a_storm() {
-    let seeds = std::env::var("STORMS").map_or(150, |n| n.parse().expect("a number"));
+    let told = |name: &str, or: u64| std::env::var(name).map_or(or, |n| n.parse().expect("a number"));
+    let (first, seeds) = (told("FIRST", 0), told("STORMS", 150));
     let mut events = 0;
-    for seed in 0..seeds {
+    for seed in first..first + seeds {
         let parts = 3 + seed as usize % 5;
         let plan = Plan::draw(seed, range(parts));
         match play(&plan, Plant::None) {
             Ok(world) => events += world.events,
             Err(why) => {
                 let less = shrink(&plan, 200, |plan| play(plan, Plant::None).is_err());
-                panic!("seed {seed}: {why}\n{}{:?}", less.write(), play(&less, Plant::None).err());
+                panic!(
+                    "seed {seed}: {why}\n{}{}",
+                    less.write(),
+                    play(&less, Plant::None).err().unwrap_or_default()
+                );
             }
         }
     }
@@ -363,3 +375,17 @@
     assert!(sitter.members.odd > 15_000);
     assert!(sitter.members.others().count() == 0);
 }
+
+/// Found by storm 7,378 of 100,000, shrunk: two that left returned while each knew the other alone; the rest held both
+/// for left, and asked them no more.
+#[test]
+fn two_circles_side_by_side_find_each_other() {
+    let text = r#"{"seed":7378,"parts":6,"length":197130409786}
+{"from":6305668696,"until":20958838275,"fault":{"stop":{"who":4}}}
+{"from":16530332089,"until":30018480732,"fault":{"links":{"from":[0,3,4],"to":[1,2,5],"way":{"lost":0.0,"doubled":0.0,"overtaken":0.0,"flipped":0.0,"delay":0,"jitter":0,"cut":true,"stalled":false,"reset":false,"narrow":0}}}}
+{"from":17333283404,"until":28411485852,"fault":{"leave":{"who":0}}}
+{"from":24738352861,"until":32289058711,"fault":{"leave":{"who":2}}}
+{"from":28214000265,"until":47130409786,"fault":{"links":{"from":[3,5],"to":[0],"way":{"lost":0.0,"doubled":0.0,"overtaken":0.0,"flipped":0.0,"delay":0,"jitter":0,"cut":true,"stalled":false,"reset":false,"narrow":0}}}}
+{"from":31656234141,"until":43739710321,"fault":{"links":{"from":[1],"to":[0,1,2,4,5],"way":{"lost":0.0,"doubled":0.0,"overtaken":0.0,"flipped":0.0,"delay":0,"jitter":0,"cut":false,"stalled":true,"reset":false,"narrow":0}}}}"#;
+    play(&Plan::read(text).unwrap(), Plant::None).unwrap();
+}
--- a/storm/src/virt.rs
+++ b/storm/src/virt.rs
@@ -28,7 +28,7 @@
 
 enum Due {
     Letter { to: usize, from: usize, bytes: Vec<u8> },
-    Wake { who: usize, life: u32 },
+    Wake { who: usize, life: u32, own: Ns },
     Begins(usize),
     Ends(usize),
     Look,
@@ -171,7 +171,7 @@
             self.free.push(slot);
             match self.dues[slot].take() {
                 Some(Due::Letter { to, from, bytes }) => self.arrives(to, from, bytes),
-                Some(Due::Wake { who, life }) => self.wakes(who, life),
+                Some(Due::Wake { who, life, own }) => self.wakes(who, life, own),
                 Some(Due::Begins(act)) => self.fault(act, true, &mut make),
                 Some(Due::Ends(act)) => self.fault(act, false, &mut make),
                 Some(Due::Look) => {
@@ -198,9 +198,9 @@
         let mut out = Out::default();
         act(part, now, &mut out);
         let life = self.seats[who].life;
-        for at in out.wakes {
-            let at = self.when(who, at.max(now + 1));
-            self.put(at, Due::Wake { who, life });
+        for own in out.wakes {
+            let own = own.max(now + 1);
+            self.put(self.when(who, own), Due::Wake { who, life, own });
         }
         for (to, bytes) in out.letters {
             self.send(who, to, bytes);
@@ -247,11 +247,17 @@
         self.with(to, |part, now, out| part.letter(now, from, &bytes, out));
     }
 
-    fn wakes(&mut self, who: usize, life: u32) {
+    fn wakes(&mut self, who: usize, life: u32, own: Ns) {
+        let short = self.clock(who) < own;
         let seat = &mut self.seats[who];
         if seat.life != life {
             return;
         }
+        // A loop holds its timers against the process's own clock: one whose pace has changed since is waited for.
+        if short {
+            let at = self.when(who, own).max(self.now + 1);
+            return self.put(at, Due::Wake { who, life, own });
+        }
         if seat.stopped > 0 {
             seat.woken = true;
             return;
