--- a/members/src/members.rs
+++ b/members/src/members.rs
@@ -14,6 +14,8 @@
 const MOST_ERRANDS: usize = 64;
 /// Helpers of a probe that got no ack: SWIM's k; at 30% loss each way three leave one probe in sixteen without an ack.
 const HELPERS: usize = 3;
+/// Others that a refutation goes to at once.
+const REFUTES: usize = 12;
 /// Confirmations by others that bring a suspicion to its shortest time (Lifeguard's K).
 const CONFIRMS: usize = 3;
 /// Most of the count of one's own troubles (Lifeguard's S): probes are up to nine times as slow and patient.
@@ -508,10 +510,11 @@
         if record.turn < MOST_TURN {
             self.turn = self.turn.max(record.turn + 1);
         }
-        // Those met next hear it first, as every letter bears the sender's own record.
-        let others: Vec<SocketAddr> = self.others().filter(|r| r.there()).map(|r| r.at).collect();
-        for _ in 0..HELPERS.min(others.len()) {
-            let to = others[self.chance.random_range(0..others.len())];
+        // Those met next hear it, too, as every letter bears the sender's own record. Of 200 minutes at 30% loss three
+        // letters, drawn with return, left 23 in which one of five was held for gone; letters to all of them, 13.
+        let mut others: Vec<SocketAddr> = self.others().filter(|r| r.there()).map(|r| r.at).collect();
+        others.shuffle(&mut self.chance);
+        for to in others.into_iter().take(REFUTES) {
             self.say(to, None, Word::News, act);
         }
     }
