--- a/cli/src/ask.rs
+++ b/cli/src/ask.rs
@@ -3,6 +3,7 @@
 use rockpick_control::Charter;
 use rockpick_net::http::Response;
 use serde_json::Value;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
@@ -73,6 +74,59 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Rows of a table, page by page, as many as a table can have.
+fn table(front: SocketAddr, table: &str, mut each: impl FnMut(&Value)) -> Result<(), Bad2> {
+    let mut from = String::new();
+    loop {
+        let page = json(front, &format!("/peers/rows?table={table}{from}"))?;
+        page["rows"].as_array().into_iter().flatten().for_each(&mut each);
+        match page["next"].as_str() {
+            Some(next) => from = format!("&from={next}"),
+            None => return Ok(()),
+        }
+    }
+}
+
+pub fn rows(front: SocketAddr, name: &str, raw: bool) -> Result<ExitCode, Bad2> {
+    table(front, name, |row| {
+        let word = |field: &str| row[field].as_str().unwrap_or("");
+        if raw {
+            println!("{row}");
+        } else {
+            println!("{}  {}  by {} {}", word("key"), word("row"), word("life"), row["serial"]);
+        }
+    })?;
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Tables whose digests differ are had whole, and their rows compared.
+pub fn differ(fronts: &[SocketAddr]) -> Result<ExitCode, Bad2> {
+    let shown: Vec<Value> = fronts.iter().map(|f| json(*f, "/peers")).collect::<Result<_, _>>()?;
+    let digests = |v: &Value| v["copies"]["digests"].as_object().cloned().unwrap_or_default();
+    let mut many = 0;
+    for (name, digest) in digests(&shown[0]) {
+        if shown.iter().all(|v| digests(v).get(&name) == Some(&digest)) {
+            continue;
+        }
+        let mut held: BTreeMap<String, Vec<Option<String>>> = BTreeMap::new();
+        for (at, front) in fronts.iter().enumerate() {
+            table(*front, &name, |row| {
+                let word = |field: &str| row[field].as_str().unwrap_or("").to_string();
+                held.entry(word("key")).or_insert_with(|| vec![None; fronts.len()])[at] = Some(word("row"));
+            })?;
+        }
+        for (key, rows) in held.iter().filter(|(_, rows)| rows.iter().any(|row| *row != rows[0])) {
+            many += 1;
+            println!("{name} {key}");
+            for (front, row) in fronts.iter().zip(rows) {
+                println!("  {front}: {}", row.as_deref().unwrap_or("not held"));
+            }
+        }
+    }
+    println!("{many} rows differ");
+    Ok(ExitCode::from(u8::from(many > 0)))
+}
+
 pub fn status(to: SocketAddr, raw: bool) -> Result<ExitCode, Bad2> {
     let status = json(to, "/status")?;
     if raw {
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -102,6 +102,22 @@
         #[arg(long)]
         json: bool,
     },
+    /// The rows of one table, as one front holds them.
+    State {
+        #[arg(long)]
+        front: SocketAddr,
+        /// builds, machines, bindings, evidence or spent.
+        #[arg(long, default_value = "builds")]
+        table: String,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Rows that fronts hold differently; ends with 1 where there are any.
+    Differ {
+        /// Two fronts or more, by commas.
+        #[arg(long, value_delimiter = ',', required = true)]
+        fronts: Vec<SocketAddr>,
+    },
 }
 
 #[derive(Subcommand)]
@@ -503,7 +519,11 @@
             rockpick_front::run(opening, ready).map_err(Bad2)?;
             good
         }
-        What::Peers { what: PeersWhat::Show { front, json } } => ask::peers(front, json),
+        What::Peers { what } => match what {
+            PeersWhat::Show { front, json } => ask::peers(front, json),
+            PeersWhat::State { front, table, json } => ask::rows(front, &table, json),
+            PeersWhat::Differ { fronts } => ask::differ(&fronts),
+        },
         What::Storm { peers, seeds, first, lanes, shrink, plan } => {
             if !(2..=50).contains(&peers) {
                 return Err(Bad2("--peers: 2 to 50".into()));
--- a/cli/tests/company.rs
+++ b/cli/tests/company.rs
@@ -202,3 +202,66 @@
     until("it knows all again", || whole(&f0));
     until("the bound key is answered by the trial again", || goes(&f0) == 200);
 }
+
+/// A front whose own desk is silent hears from another front that the build on trial goes back, and stays with that
+/// though a line from before comes late.
+#[test]
+fn a_build_withdrawn_elsewhere_gets_no_more_picks_here() {
+    let charter = || {
+        let mut charter = Charter::example(2, 4);
+        (charter.rollout.told_every_ms, charter.rollout.tally_every_ms) = (5_000, 0);
+        (charter.rollout.free, charter.rollout.window_ms) = (100.0, 500);
+        charter
+    };
+    let (old, new) = (Scripted::begin(Does::Answers), Scripted::begin(Does::Answers));
+    let tellers = [Teller::begin(charter()), Teller::begin(charter())];
+    for teller in &tellers {
+        teller.stage(1, 0, "released", 1.0);
+        teller.roster("whole", &[("a", old.at, 1, "up"), ("b", new.at, 2, "up")]);
+        teller.stage(2, 0, "on-trial", 1.0);
+    }
+    let key = key("the key of these two fronts");
+    let file = key.path().display().to_string();
+    let mut join = String::new();
+    let fronts: Vec<Proc> = tellers
+        .iter()
+        .enumerate()
+        .map(|(i, teller)| {
+            let (name, at) = (format!("f{i}"), teller.at.to_string());
+            let mut args =
+                vec!["front", "--name", &name, "--controller", &at, "--peers-listen", "127.0.0.1:0"];
+            args.extend(["--peers-period-ms", "50", "--peers-key", &file]);
+            if i > 0 {
+                args.extend(["--peers", &join]);
+            }
+            let front = start(&args);
+            listed(&front, 2);
+            join = listens(&front).to_string();
+            front
+        })
+        .collect();
+    until("they know each other", || fronts.iter().all(|f| get(f.at, "/peers")["there"] == 2));
+    let built = |said: &str| said.split("Rockpick-Build: ").nth(1).and_then(|s| s.chars().next());
+    let asked = |key: u32| built(&rpc(fronts[1].at, "lookup", &format!("Rockpick-Key: k{key}\r\n")).1);
+    let mut at = 0;
+    until("the trial gets picks", || {
+        at += 1;
+        asked(at) == Some('2')
+    });
+    // The desk of the first alone says so.
+    tellers[0].stage(2, 0, "going-back", 0.0);
+    until("the second knows", || get(fronts[1].at, "/status")["stage"]["phase"] == "going-back");
+    tellers[1].stage(2, 0, "on-trial", 1.0);
+    assert!((0..60).all(|i| asked(1_000 + i) != Some('2')));
+    assert_eq!(get(fronts[1].at, "/status")["stage"]["phase"], "going-back");
+    let state = |args: &[&str]| {
+        Command::new(env!("CARGO_BIN_EXE_rockpick")).arg("peers").args(args).output().unwrap()
+    };
+    let at = fronts[1].at.to_string();
+    let rows = String::from_utf8_lossy(&state(&["state", "--front", &at]).stdout).to_string();
+    assert!(rows.contains("Build(2)") && rows.contains("withdrawn: true"), "{rows}");
+    let both = format!("{},{at}", fronts[0].at);
+    until("they hold the same", || state(&["differ", "--fronts", &both]).status.code() == Some(0));
+    let (status, _) = (state(&["state", "--front", &at, "--table", "nonsense"]).status, ());
+    assert_eq!(status.code(), Some(2));
+}
--- a/cli/tests/whole.rs
+++ b/cli/tests/whole.rs
@@ -119,3 +119,15 @@
     );
     let _ = std::fs::remove_dir_all(torn);
 }
+
+/// Three fronts under a drawn storm, keys of one way: kept over fronts and lives where they keep company, and found to be
+/// lost where they don't.
+#[test]
+fn a_day_of_peers_keeps_rules_and_copies_and_its_checker_finds_fronts_that_keep_none() {
+    let day = ["--day", "peers", "--machines", "8", "--rate", "60", "--quiet"];
+    let alone = std::thread::spawn(move || rehearse(&[&day[..], &["--seed", "3", "--alone"]].concat()));
+    let (code, said) = rehearse(&[&day[..], &["--seed", "1"]].concat());
+    assert!(code == 0 && said.contains("copies: all fronts hold the same"), "{said}");
+    let (code, said) = alone.join().unwrap();
+    assert!(code == 1 && said.contains("that another front, or life, has"), "{said}");
+}
--- a/copies/src/tables.rs
+++ b/copies/src/tables.rs
@@ -72,6 +72,21 @@
         }
     }
 
+    /// As a word for a place to go on from.
+    pub fn write(&self) -> String {
+        postcard::to_stdvec(self).unwrap_or_default().iter().map(|b| format!("{b:02x}")).collect()
+    }
+
+    pub fn read(word: &str) -> Option<Key> {
+        if word.len() > 80 || !word.is_ascii() {
+            return None;
+        }
+        let byte = |i: usize| u8::from_str_radix(word.get(2 * i..2 * i + 2)?, 16).ok();
+        let bytes: Vec<u8> = (0..word.len().div_ceil(2)).map(byte).collect::<Option<_>>()?;
+        let (key, rest) = postcard::take_from_bytes(&bytes).ok()?;
+        rest.is_empty().then_some(key)
+    }
+
     /// FNV: the same at every front and in every version.
     pub fn hash(&self) -> u64 {
         let mut hash = Fnv::default();
--- a/emu/src/world.rs
+++ b/emu/src/world.rs
@@ -17,6 +17,7 @@
 use rockpick_standin::crowd::{Crowd, How, Load, Next, Rpc, Tolls};
 use rockpick_standin::schedule::Arrivals;
 use rockpick_standin::shop::{Bad, Did, Fault, Job, Kind, Reply, Shop, Yard, HELD};
+use rockpick_storm::Fault as Fate;
 use rockpick_tenant::{Directory, Limits, Tenancy, Tenants, Unknown};
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
@@ -1364,6 +1365,18 @@
             Act::Load(load) => {
                 let _ = self.crowd.schedule.load.change(load);
             }
+            // The emulator's fronts keep no company: of a storm they are stopped and killed.
+            Act::Storm { deed, begins: true, .. } => {
+                let ms = ((deed.until - deed.from) / MS) as u64;
+                match deed.fault {
+                    Fate::Stop { who } => self.act(&Act::StopFront { front: who, ms }),
+                    Fate::Kill { who, .. } | Fate::Leave { who } => {
+                        self.act(&Act::KillFront { front: who, down_ms: ms })
+                    }
+                    Fate::Links { .. } | Fate::Clock { .. } | Fate::Disk { .. } => {}
+                }
+            }
+            Act::Storm { begins: false, .. } => {}
             // Fronts go on with what they have; the emulator has no directory to lose.
             Act::Directory(_) => {}
             Act::Notes(carried) => self.carried = *carried,
--- a/emu/tests/days.rs
+++ b/emu/tests/days.rs
@@ -21,6 +21,7 @@
         one_way: false,
         bad: "errors:0.3".into(),
         agents: false,
+        alone: false,
         faulty: None,
         quiet: true,
     }
--- a/front/src/hall.rs
+++ b/front/src/hall.rs
@@ -3,7 +3,7 @@
 use crate::shelf::Shelf;
 use crate::wire::{back_lines, read_note, wait_lines, What, Wire, LAPSE, LOG_LINES, MODULE, PEERS, TICK};
 use crate::{fresh, Opening};
-use rockpick::{Front, Member, Ns, Outcome, Reply, Roll, Standing, State};
+use rockpick::{Front, Member, Ns, Outcome, Phase, Reply, Roll, Standing, State};
 use rockpick_control::charter::{plain, Repeats, Wrong, MOST_WEIGHT, MOST_ZONES};
 use rockpick_control::desk::{phase_of, phase_word, state_of, MOST_ROWS};
 use rockpick_control::keep::Writer;
@@ -11,7 +11,7 @@
 use rockpick_control::Charter;
 use rockpick_net::http::Request;
 use rockpick_net::{take_line, End, Event, Id, Net, Often, MS, SEC};
-use rockpick_peers::{Company, Peers, Seal};
+use rockpick_peers::{Company, Peers, Seal, Stands};
 use serde_json::{json, Value};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -185,7 +185,7 @@
         while let Some((rpc, pick, outcome, _)) = self.wire.owed.pop() {
             self.pick_over(rpc, pick, outcome, None);
         }
-        self.share_keys();
+        self.share();
         let now = self.wire.net.now();
         for (tenant, served) in self.wire.over.drain(..) {
             if let Some(shelf) = &mut self.shelf {
@@ -194,20 +194,34 @@
         }
     }
 
-    /// What this front's RPCs have bound goes to the others, and what theirs have comes here.
-    fn share_keys(&mut self) {
+    /// What this front's RPCs have bound goes to the others, and what they know comes here.
+    fn share(&mut self) {
         let Some(peers) = &mut self.peers else { return self.wire.bound.clear() };
         for (key, build) in self.wire.bound.drain(..) {
             peers.bind(key, build);
         }
-        let (bound, known) = peers.bound();
-        if !bound.is_empty() || known != self.known_keys {
-            self.known_keys = known;
+        let news = peers.news();
+        if !news.bound.is_empty() || news.keys_known != self.known_keys {
+            self.known_keys = news.keys_known;
             self.each(|front, _| {
-                bound.iter().for_each(|(key, build)| front.bound_elsewhere(*key, *build));
-                front.keys_known(known);
+                news.bound.iter().for_each(|(key, build)| front.bound_elsewhere(*key, *build));
+                front.keys_known(news.keys_known);
             });
         }
+        // Its own watch may be silent, or the desk cut off: more careful at once.
+        let ours = |s: &Standing| news.withdrawn.contains(&s.build) && stays(s.phase);
+        if let (Some(stage), true) = (self.stage.clone(), self.wire.standing.as_ref().is_some_and(ours)) {
+            tracing::info!(event = "withdrawn, by another front", build = stage["build"].as_u64());
+            self.told_again(stage);
+        }
+    }
+
+    /// The stage as it was last told, at its present age.
+    fn told_again(&mut self, mut stage: Value) {
+        let now = self.wire.net.now();
+        let age = self.wire.standing.map_or(0.0, |s| (now - s.since) as f64 / MS as f64);
+        stage["age_ms"] = json!(age);
+        self.told(Reply::News, Some(stage));
     }
 
     fn event(&mut self, event: Event) {
@@ -295,6 +309,19 @@
                 Some(peers) => (200, peers.show(self.wire.net.now())),
                 None => (404, json!({ "error": "this front keeps no company: it has no --peers-listen" })),
             },
+            ("GET" | "HEAD", "/peers/rows") => {
+                let table = request.query("table").unwrap_or("bindings");
+                match self.peers.as_ref().map(|peers| peers.rows(table, request.query("from"))) {
+                    Some(Some(rows)) => (200, rows),
+                    Some(None) => (
+                        400,
+                        json!({ "error": "table: builds, machines, bindings, evidence or spent; from: as told by next" }),
+                    ),
+                    None => {
+                        (404, json!({ "error": "this front keeps no company: it has no --peers-listen" }))
+                    }
+                }
+            }
             ("POST", "/dispute") => self.dispute(&request.body),
             ("POST", "/directory/confirm") => match &self.shelf {
                 Some(shelf) => match shelf.confirm(self.wire.net.now()) {
@@ -303,9 +330,10 @@
                 },
                 None => (404, json!({ "error": "the settings name no directory" })),
             },
-            (_, "/status" | "/peers" | "/dispute" | "/directory/confirm") => {
-                (405, json!({ "error": "GET /status or /peers, POST /dispute or /directory/confirm" }))
-            }
+            (_, "/status" | "/peers" | "/peers/rows" | "/dispute" | "/directory/confirm") => (
+                405,
+                json!({ "error": "GET /status, /peers or /peers/rows, POST /dispute or /directory/confirm" }),
+            ),
             _ => (404, json!({ "error": "POST /rpc/METHOD, POST /dispute and GET /status are known" })),
         };
         let body = format!("{value}\n");
@@ -534,11 +562,15 @@
     fn standing(&self, stage: &Value) -> Option<Standing> {
         let now = self.wire.net.now();
         let number = |name: &str| stage.get(name).and_then(Value::as_f64);
+        let build = number("build").filter(|b| (0.0..=MOST_BUILD.into()).contains(b))? as u32;
+        let (phase, cap) = (phase_of(stage.get("phase")?.as_str()?)?, number("cap")?.clamp(0.0, 1.0));
+        // A line that a stall held back, or a desk of old, calls a build good that others know to be withdrawn.
+        let over = stays(phase) && self.peers.as_ref().is_some_and(|p| p.withdrawn(build));
         Some(Standing {
-            build: number("build").filter(|b| (0.0..=MOST_BUILD.into()).contains(b))? as u32,
+            build,
             stage: number("stage")? as u32,
-            phase: phase_of(stage.get("phase")?.as_str()?)?,
-            cap: number("cap")?.clamp(0.0, 1.0),
+            phase: if over { Phase::GoingBack } else { phase },
+            cap: if over { 0.0 } else { cap },
             since: now - (number("age_ms")?.clamp(0.0, MOST_AGE) * MS as f64) as Ns,
         })
     }
@@ -551,6 +583,14 @@
         let (now, window) = (self.wire.net.now(), self.wire.charter.rollout.window_ms as Ns * MS);
         let mut held = None;
         if let Some(news) = news {
+            if let Some(peers) = &mut self.peers {
+                let stands = match news.phase {
+                    Phase::OnTrial => Stands::OnTrial,
+                    Phase::Released => Stands::Released,
+                    Phase::GoingBack | Phase::Withdrawn => Stands::Withdrawn,
+                };
+                peers.stands(news.build, news.stage, stands);
+            }
             let before = self.wire.standing.replace(news);
             let moved =
                 before.is_none_or(|b| (b.build, b.stage, b.phase) != (news.build, news.stage, news.phase));
@@ -760,10 +800,8 @@
         let now = self.wire.net.now();
         if let Some(at) = self.again.filter(|at| *at <= now) {
             self.again = None;
-            let age = self.wire.standing.map_or(0.0, |s| (now - s.since) as f64 / MS as f64);
-            if let Some(mut stage) = self.stage.clone() {
-                stage["age_ms"] = json!(age);
-                self.told(Reply::News, Some(stage));
+            if let Some(stage) = self.stage.clone() {
+                self.told_again(stage);
             }
             tracing::info!(event = "window over", since_start_ms = (at - self.born) / MS);
         }
@@ -836,10 +874,15 @@
             "open": self.wire.door.in_use(), "clients": clients, "calls": calls, "taken": t.taken, "ok": t.ok,
             "pushed_back": t.pushed_back, "aborted": t.aborted, "left": t.left, "late": t.late, "picks": t.picks,
             "not_taken": t.not_taken, "refused_connections": self.wire.net.refused,
-            "peers": self.wire.peers.len(), "directory": self.shelf.as_ref().map(|s| s.status(now)), "module_ms": (self.wire.in_module - self.wire.in_actions) / MS, "up_ms": now / MS })
+            "peers": self.wire.peers.len(), "notes": self.wire.notes_real.to_string(), "directory": self.shelf.as_ref().map(|s| s.status(now)), "module_ms": (self.wire.in_module - self.wire.in_actions) / MS, "up_ms": now / MS })
     }
 }
 
+/// Does a build of this phase get picks?
+fn stays(phase: Phase) -> bool {
+    matches!(phase, Phase::OnTrial | Phase::Released)
+}
+
 /// How a call ended, for the log.
 fn why(end: &End) -> String {
     match end {
--- a/front/src/wire.rs
+++ b/front/src/wire.rs
@@ -134,6 +134,8 @@
     pub notes: Id,
     pub at: String,
     pub notes_at: String,
+    /// Where notes come in, whatever the others are told.
+    pub notes_real: SocketAddr,
     pub watch: Option<Id>,
     pub voting: Option<Id>,
     /// Sampled picks and those not ok, by build and method.
@@ -161,8 +163,10 @@
     pub fn new(
         opening: Opening, charter: Charter, net: Net, notes: Id, at: SocketAddr, notes_at: SocketAddr,
     ) -> Wire {
+        let notes_real = notes_at;
         let notes_at = opening.notes_at.unwrap_or(notes_at).to_string();
         Wire {
+            notes_real,
             net,
             door: Door::default(),
             chance: StdRng::seed_from_u64(opening.seed),
--- a/peers/src/lib.rs
+++ b/peers/src/lib.rs
@@ -5,7 +5,7 @@
 pub use seal::{Odd, Seal, LEAST_KEY};
 
 use rand::Rng;
-use rockpick_copies::{self as copies, Copies, Fact, Key, Near, Row, Table};
+use rockpick_copies::{self as copies, Build, Copies, Fact, Key, Near, Phase, Row, Table};
 use rockpick_members::{Act, Change, Event, Members, Ns, Pace, Place, Record, Status, MS, SEC};
 use rockpick_net::{Id, Net, Often};
 use serde_json::{json, Value};
@@ -70,12 +70,40 @@
     fn show(&self, now: Ns) -> Value;
     /// This front has bound a key.
     fn bind(&mut self, key: u64, build: u32);
-    /// What others have bound since it was last asked; and whether all that any front knew of keys is here now.
-    fn bound(&mut self) -> (Vec<(u64, u32)>, bool);
+    /// The desk has told this front where a build stands.
+    fn stands(&mut self, build: u32, stage: u32, phase: Stands);
+    /// Has the desk told any front that this build goes, or went, back? Builds' numbers only rise, so that is for good.
+    fn withdrawn(&self, build: u32) -> bool;
+    /// What has come from others since it was last asked.
+    fn news(&mut self) -> News;
     /// All bindings known.
     fn bindings(&self) -> Vec<(u64, u32)>;
+    /// Rows of a table, some at a time: none where the table's name or the place to go on from makes no sense.
+    fn rows(&self, table: &str, from: Option<&str>) -> Option<Value>;
 }
 
+/// Where a build stands, as far as others need to know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stands {
+    OnTrial,
+    Released,
+    Withdrawn,
+}
+
+/// What has come from other fronts.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct News {
+    /// Keys, and which build has answered them.
+    pub bound: Vec<(u64, u32)>,
+    /// Builds that go, or went, back.
+    pub withdrawn: Vec<u32>,
+    /// All that any front knew of keys is here now.
+    pub keys_known: bool,
+}
+
+/// Rows of one answer about a table.
+const ROWS_SHOWN: usize = 1_000;
+
 pub struct Peers {
     members: Members,
     copies: Copies,
@@ -83,6 +111,8 @@
     near: BTreeMap<u64, SocketAddr>,
     /// Keys that others have bound, not yet handed on.
     learnt: Vec<(u64, u32)>,
+    /// Builds that others know to be withdrawn, not yet handed on.
+    withdrawn: Vec<u32>,
     differs: u64,
     seal: Seal,
     sock: Id,
@@ -124,6 +154,7 @@
             copies: Copies::new(place.life, chance.random(), told),
             near: BTreeMap::new(),
             learnt: Vec::new(),
+            withdrawn: Vec::new(),
             differs: 0,
             members: Members::new(place, pace),
             seal: Seal::new(&circle.key)?,
@@ -177,6 +208,9 @@
                 Fact::Learnt(Key::Bound(key), Row::Bound(builds)) => {
                     self.learnt.extend(builds.iter().filter(|b| **b > 0).map(|build| (key, *build)));
                 }
+                Fact::Learnt(Key::Build(build), Row::Build(row)) if row.withdrawn => {
+                    self.withdrawn.push(build);
+                }
                 Fact::Learnt(..) => {}
                 Fact::Whole(table) => tracing::info!(event = "copies whole", table = ?table),
                 Fact::Differs(key) => {
@@ -292,8 +326,45 @@
         self.copies.change(Key::Bound(key), Row::Bound([build, 0]));
     }
 
-    fn bound(&mut self) -> (Vec<(u64, u32)>, bool) {
-        (std::mem::take(&mut self.learnt), self.copies.is_whole(Table::Bindings))
+    fn stands(&mut self, build: u32, stage: u32, phase: Stands) {
+        // The desk numbers what it says by no term yet: within a build stages only rise, and a release comes after.
+        let row = Build {
+            withdrawn: phase == Stands::Withdrawn,
+            term: 0,
+            serial: 0,
+            phase: if phase == Stands::Released { Phase::Released } else { Phase::OnTrial },
+            stage,
+        };
+        self.copies.change(Key::Build(build), Row::Build(row));
+    }
+
+    fn withdrawn(&self, build: u32) -> bool {
+        self.copies.withdrawn(build)
+    }
+
+    fn news(&mut self) -> News {
+        News {
+            bound: std::mem::take(&mut self.learnt),
+            withdrawn: std::mem::take(&mut self.withdrawn),
+            keys_known: self.copies.is_whole(Table::Bindings),
+        }
+    }
+
+    fn rows(&self, table: &str, from: Option<&str>) -> Option<Value> {
+        let table = copies::TABLES.into_iter().find(|t| format!("{t:?}").eq_ignore_ascii_case(table))?;
+        let first = match from {
+            Some(word) => Key::read(word).filter(|key| key.table() == table)?,
+            None => Key::least(table),
+        };
+        let mut rest = self.copies.shelf().from(first);
+        let row = |(key, row, dot): (&Key, &Row, &copies::Dot)| {
+            json!({ "key": format!("{key:?}"), "row": format!("{row:?}"), "life": format!("{:016x}", dot.origin),
+                "serial": dot.serial })
+        };
+        let rows: Vec<Value> = rest.by_ref().take(ROWS_SHOWN).map(row).collect();
+        Some(
+            json!({ "table": format!("{table:?}"), "rows": rows, "next": rest.next().map(|(key, ..)| key.write()) }),
+        )
     }
 
     fn bindings(&self) -> Vec<(u64, u32)> {
--- a/rehearse/src/crew.rs
+++ b/rehearse/src/crew.rs
@@ -3,10 +3,11 @@
 use crate::books;
 use crate::day::{self, Act, Plan};
 use crate::judge::{self, Judgement, Written};
-use crate::relay::Relay;
 use crate::{call, watch};
 use rockpick_control::Charter;
 use rockpick_standin::record::{clock, Record};
+use rockpick_storm::relay::Relay;
+use rockpick_storm::{Fault, Return, Way};
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
@@ -28,6 +29,9 @@
 const BOOT: i64 = SEC / 2;
 /// All must be up within this.
 const UP_WITHIN: i64 = 20 * SEC;
+/// On a day of peers: how fast fronts probe each other, and how long after the day they may take to agree.
+const PERIOD_MS: u64 = 100;
+const SETTLES: i64 = 20 * SEC;
 /// Breaches printed of each rule.
 const SHOWN: usize = 8;
 /// After the last arrival: the longest deadline and the time to end.
@@ -128,7 +132,16 @@
     faults: BTreeMap<String, Value>,
     parted: bool,
     shared: f64,
+    /// Seats for notes, by front, and then for peers.
     relay: Relay,
+    /// What becomes of notes, and the fronts' zones while they are parted.
+    carried: day::Carried,
+    zones: Vec<u32>,
+    /// The storm of a day of peers: which acts are on; by front, how often it is stopped and down.
+    storm: Option<rockpick_storm::Plan>,
+    on: Vec<usize>,
+    stopped: Vec<u32>,
+    down: Vec<u32>,
     hosted: i64,
     pending: Vec<(i64, Pending)>,
     warm: bool,
@@ -186,9 +199,16 @@
     fn assemble(plan: Plan, charter: Charter, out: PathBuf) -> Result<Crew, String> {
         let say = |err: std::io::Error| err.to_string();
         let acts = Record::open(Some(&out.join("acts.jsonl"))).map_err(say)?;
-        let relay = Relay::begin(plan.fronts, plan.seed).map_err(say)?;
+        let relay = Relay::begin(2 * plan.fronts, plan.seed).map_err(say)?;
+        let storm = (plan.day == "peers" && plan.trouble.is_empty()).then(|| day::storm(&plan));
+        if let Some(storm) = &storm {
+            std::fs::write(out.join("storm.jsonl"), storm.write()).map_err(say)?;
+            std::fs::write(out.join("peers.key"), "the key of a rehearsal's fronts").map_err(say)?;
+        }
         let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
         let mut crew = Crew {
+            stopped: vec![0; plan.fronts],
+            down: vec![0; plan.fronts],
             fronts: (0..plan.fronts).map(|_| None).collect(),
             front_at: vec![nowhere; plan.fronts],
             plan,
@@ -205,6 +225,10 @@
             fault: None,
             shared: 0.0,
             relay,
+            carried: day::Carried::default(),
+            zones: Vec::new(),
+            storm,
+            on: Vec::new(),
             faults: BTreeMap::new(),
             parted: false,
             hosted: 0,
@@ -318,7 +342,7 @@
         self.starts += 1;
         let state = self.out.join(&name);
         let (state, notes) = (state.to_string_lossy().into_owned(), self.relay.seats[front].to_string());
-        let args = match self.plan.faulty {
+        let mut args = match self.plan.faulty {
             Some(rule) => words(&[
                 "faulty",
                 "--listen",
@@ -350,12 +374,168 @@
                 "json",
             ]),
         };
+        let company = self.storm.is_some() && !self.plan.alone;
+        let seat = |front: usize| self.relay.seats[self.plan.fronts + front].to_string();
+        if company {
+            let others: Vec<String> =
+                (0..self.plan.fronts).filter(|i| *i != front).take(3).map(seat).collect();
+            let key = self.out.join("peers.key");
+            args.extend(words(&["--peers-listen", "127.0.0.1:0", "--peers-at", &seat(front)]));
+            args.extend(words(&["--peers", &others.join(","), "--peers-key", &key.to_string_lossy()]));
+            args.extend(words(&["--peers-period-ms", &PERIOD_MS.to_string()]));
+        }
         let proc = Proc::start(&args, &self.log(&name))?;
         self.front_at[front] = proc.at;
         self.fronts[front] = Some(proc);
+        // Where its sockets really are; the others know the relay's seats alone.
+        let told = |target: &str, field: &str| -> Option<SocketAddr> {
+            let answer = call(self.front_at[front], "GET", target, "").ok()?;
+            serde_json::from_slice::<Value>(&answer.body).ok()?[field].as_str()?.parse().ok()
+        };
+        if let Some(at) = told("/status", "notes") {
+            self.relay.real(front, at);
+        }
+        if let (true, Some(at)) = (company, told("/peers", "listen")) {
+            self.relay.real(self.plan.fronts + front, at);
+        }
         Ok(())
     }
 
+    /// What each link between fronts does now, for notes and for peers.
+    fn links(&self) {
+        let fronts = self.plan.fronts;
+        let carried = Way {
+            lost: self.carried.lost,
+            doubled: self.carried.twice,
+            jitter: self.carried.late_ms as i64 * 1_000_000,
+            ..Way::default()
+        };
+        for (from, to) in (0..fronts).flat_map(|a| (0..fronts).map(move |b| (a, b))).filter(|(a, b)| a != b) {
+            let parted = Way { cut: self.zones.get(from) != self.zones.get(to), ..Way::default() };
+            let storm =
+                self.storm.iter().flat_map(|s| self.on.iter().filter_map(|i| s.acts[*i].fault.way(from, to)));
+            let way = storm.fold(carried, Way::with).with(&parted);
+            self.relay.set(from, to, way);
+            self.relay.set(fronts + from, fronts + to, way);
+        }
+    }
+
+    /// A fault of the storm begins or ends.
+    fn storm(&mut self, act: usize, begins: bool) -> Result<(), String> {
+        let Some(fault) = self.storm.as_ref().map(|s| s.acts[act].fault.clone()) else { return Ok(()) };
+        self.on.retain(|i| *i != act);
+        if begins {
+            self.on.push(act);
+        }
+        let count = |n: &mut u32| *n = if begins { *n + 1 } else { n.saturating_sub(1) };
+        match fault {
+            Fault::Links { .. } => {
+                self.links();
+                self.note(if begins { "cut" } else { "join" }, &format!("link {act}"));
+            }
+            Fault::Stop { who } => {
+                count(&mut self.stopped[who]);
+                self.hold(who);
+            }
+            Fault::Kill { who, back } => {
+                count(&mut self.down[who]);
+                self.take_down(who, begins, back)?;
+            }
+            // Its clients would have to be told; here a front that leaves is killed.
+            Fault::Leave { who } => {
+                count(&mut self.down[who]);
+                self.take_down(who, begins, Return::Same)?;
+            }
+            Fault::Clock { .. } | Fault::Disk { .. } => {}
+        }
+        Ok(())
+    }
+
+    /// Stops a front's process, or lets it go on, by how often it is stopped now.
+    fn hold(&mut self, who: usize) {
+        let stopped = self.stopped[who] > 0;
+        if let Some(proc) = &self.fronts[who] {
+            proc.signal(if stopped { Signal::STOP } else { Signal::CONT });
+            let name = self.charter.fronts[who].name.clone();
+            self.note(if stopped { "stop" } else { "cont" }, &name);
+        }
+    }
+
+    fn take_down(&mut self, who: usize, begins: bool, back: Return) -> Result<(), String> {
+        let name = self.charter.fronts[who].name.clone();
+        let (folder, former) = (self.out.join(&name), self.out.join(format!("{name}.former")));
+        if begins {
+            if self.fronts[who].is_none() {
+                return Ok(());
+            }
+            if self.stopped[who] > 0 {
+                self.note("cont", &name);
+            }
+            self.note("kill", &name);
+            self.fronts[who] = None;
+            let file = folder.join(format!("{name}.json"));
+            match back {
+                Return::Empty => drop(std::fs::remove_file(&file)),
+                Return::Former => drop(std::fs::copy(&former, &file)),
+                Return::Same | Return::Never => {}
+            }
+        } else if self.down[who] == 0 && self.fronts[who].is_none() {
+            self.start_front(who)?;
+            self.note("start", &name);
+            // What it has kept by now is a former folder's later on.
+            let _ = std::fs::copy(folder.join(format!("{name}.json")), &former);
+            if self.stopped[who] > 0 {
+                self.hold(who);
+            }
+        }
+        Ok(())
+    }
+
+    /// What is wrong in the copies that the fronts hold after the day: held against what machines answered, `by` front and
+    /// key, and against each other.
+    fn copies(&self, bound: &BTreeMap<u64, u32>) -> Option<String> {
+        let mut whole: Vec<Value> = Vec::new();
+        for (at, front) in self.front_at.iter().zip(&self.charter.fronts) {
+            let answer = call(*at, "GET", "/peers", "").ok();
+            let shown: Value =
+                answer.and_then(|a| serde_json::from_slice(&a.body).ok()).unwrap_or(Value::Null);
+            if shown["copies"]["whole"].as_array().is_none_or(|w| w.len() < 5) {
+                return Some(format!("{} is not whole", front.name));
+            }
+            whole.push(shown["copies"]["digests"].clone());
+        }
+        if let Some(at) = whole.iter().position(|d| *d != whole[0]) {
+            return Some(format!(
+                "{} and {} differ",
+                self.charter.fronts[0].name, self.charter.fronts[at].name
+            ));
+        }
+        let (mut held, mut from) = (BTreeMap::new(), String::new());
+        loop {
+            let page =
+                call(self.front_at[0], "GET", &format!("/peers/rows?table=bindings{from}"), "").ok()?;
+            let page: Value = serde_json::from_slice(&page.body).unwrap_or(Value::Null);
+            for row in page["rows"].as_array().into_iter().flatten() {
+                let inner = |word: &str| {
+                    word.split(['(', '[', ',', ']', ')']).find_map(|n| n.trim().parse::<u64>().ok())
+                };
+                if let (Some(key), Some(build)) =
+                    (row["key"].as_str().and_then(inner), row["row"].as_str().and_then(inner))
+                {
+                    held.insert(key, build as u32);
+                }
+            }
+            match page["next"].as_str() {
+                Some(next) => from = format!("&from={next}"),
+                None => break,
+            }
+        }
+        let lost = bound.iter().find(|(key, build)| held.get(key).is_none_or(|b| b < build));
+        lost.map(|(key, build)| {
+            format!("key {key} was answered by build {build}, all hold {:?}", held.get(key))
+        })
+    }
+
     fn repo(&self, args: &[&str]) -> Result<(), String> {
         let program = std::env::current_exe().map_err(|err| err.to_string())?;
         let (dir, keys) = (self.out.join("repo"), self.out.join("keys"));
@@ -615,7 +795,8 @@
             }
             Act::Notes(carried) => {
                 self.note(&format!("{carried:?}"), "fronts");
-                self.relay.change(|way| way.carried = *carried);
+                self.carried = *carried;
+                self.links();
             }
             Act::Directory(back) => {
                 self.note(if *back { "start" } else { "kill" }, "directory");
@@ -626,11 +807,13 @@
                     self.directory = None;
                 }
             }
+            Act::Storm { act, begins, .. } => self.storm(*act, *begins)?,
             Act::Part(parted) => {
                 self.note(if *parted { "part" } else { "join" }, "zones");
                 let zones = self.charter.fronts.iter().map(|f| self.charter.zone(&f.zone));
                 let zones = if *parted { zones.collect() } else { Vec::new() };
-                self.relay.change(|way| way.zones = zones);
+                self.zones = zones;
+                self.links();
                 self.parted = *parted;
                 for (name, at) in self.machines() {
                     let fault = self.faults.get(&name).cloned().unwrap_or_else(|| json!({}));
@@ -730,6 +913,9 @@
             "--seed",
             &self.plan.seed.to_string(),
         ]);
+        if self.storm.is_some() {
+            self.note("company", "fronts");
+        }
         self.clients = Some(Proc::start(&args, &self.log("clients"))?);
         let began = clock();
         self.say(&format!(
@@ -771,6 +957,26 @@
         self.clients = None;
         // Machines finish what runs on them; then all may go.
         std::thread::sleep(Duration::from_millis(300));
+        let mut differ = None;
+        if self.storm.is_some() && !self.plan.alone {
+            let evidence = judge::read(&self.charter, &written(&self.out)?);
+            let bound = judge::kept_keys(&self.charter, &evidence);
+            let by = clock() + SETTLES;
+            loop {
+                differ = self.copies(&bound);
+                if differ.is_none() || clock() > by {
+                    break;
+                }
+                std::thread::sleep(BEAT);
+            }
+            match &differ {
+                None => println!(
+                    "copies: all fronts hold the same, {} keys answered by a trial among them",
+                    bound.len()
+                ),
+                Some(why) => println!("copies: {why}"),
+            }
+        }
         stop.store(true, Ordering::Relaxed);
         let _ = watcher.join();
         for proc in self.fronts.iter().flatten() {
@@ -783,7 +989,7 @@
         let evidence = judge::read(&self.charter, &written(&self.out)?);
         let judgement = judge::judge(&self.charter, &evidence);
         print(&judgement, "loopback");
-        let mut good = judgement.breaches.is_empty();
+        let mut good = judgement.breaches.is_empty() && differ.is_none();
         if let Some([_, control]) = self.books {
             let status = call(control, "GET", "/status", "")?;
             let status: Value = serde_json::from_slice(&status.body).unwrap_or(Value::Null);
--- a/rehearse/src/day.rs
+++ b/rehearse/src/day.rs
@@ -2,6 +2,8 @@
 use clap::Args;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use rockpick_storm::plan::{Act as Deed, Plan as Storm, Range};
+use rockpick_storm::SEC;
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 use std::path::PathBuf;
@@ -11,7 +13,8 @@
     /// morning (a bad build, a burst on a drain, a killed front, a silent machine, a controller that stands
     /// still), quiet (one good build), short (eleven seconds, one build on trial), calm (no build) or stop (no
     /// build; all machines stand still for five seconds) cold (no build; all machines are lost and come back) or directory
-    /// (tenants from a directory that is lost in a burst and returns with changes).
+    /// (tenants from a directory that is lost in a burst and returns with changes) or peers (fronts that keep company under
+    /// a storm drawn from the seed).
     #[arg(long, default_value = "morning")]
     pub day: String,
     /// A kind of trouble, for a day of its own; may be given several times. `list` names them.
@@ -51,6 +54,9 @@
     /// An agent at each place starts the builds, from a repository of signed ones.
     #[arg(long)]
     pub agents: bool,
+    /// On a day of peers the fronts keep no company all the same, to see that the checker finds what is lost by that.
+    #[arg(long, hide = true)]
+    pub alone: bool,
     /// Puts small faulty fronts in place of real ones, to see that the checker catches rule 1 to 5.
     #[arg(long, hide = true)]
     pub faulty: Option<u8>,
@@ -105,6 +111,12 @@
     Part(bool),
     /// The directory is killed; or is back, with other content.
     Directory(bool),
+    /// A fault of the day's storm begins, or ends.
+    Storm {
+        act: usize,
+        deed: Deed,
+        begins: bool,
+    },
 }
 
 /// How notes between fronts, datagrams, are carried.
@@ -182,8 +194,24 @@
     }
 }
 
-pub fn days() -> [&'static str; 7] {
-    ["morning", "quiet", "short", "calm", "stop", "cold", "directory"]
+pub fn days() -> [&'static str; 8] {
+    ["morning", "quiet", "short", "calm", "stop", "cold", "directory", "peers"]
+}
+
+/// The storm of a day of peers: it begins with the traffic, and leaves time for a second build after it.
+pub fn storm(plan: &Plan) -> Storm {
+    let (stormy, longest) = (14 * SEC, 4 * SEC);
+    let range = Range {
+        acts: 8,
+        parts: plan.fronts,
+        stormy,
+        longest,
+        settles: 30 * SEC,
+        kills: true,
+        // Processes read the system's own clock.
+        clocks: false,
+    };
+    Storm::draw(plan.seed, range)
 }
 
 /// The settings that a plan asks for.
@@ -196,7 +224,8 @@
     let unknown = |_| format!("--control {}: first-voice, by-count or automatic", plan.control);
     charter.rollout.control = control.map_err(unknown)?;
     charter.rollout.step_ms = 4_000;
-    (charter.rollout.parallel, charter.rollout.one_way) = (!plan.in_place, plan.one_way);
+    let one_way = plan.one_way || plan.day == "peers" && plan.trouble.is_empty();
+    (charter.rollout.parallel, charter.rollout.one_way) = (!plan.in_place, one_way);
     Ok(charter)
 }
 
@@ -322,6 +351,20 @@
                 ];
                 (acts, 50.0)
             }
+            "peers" => {
+                // Few keys draw most of the traffic, so that many fronts meet each of them.
+                let keys = json!({ "hot": 0.6, "hot_keys": 60 });
+                let mut acts = vec![(0.0, Act::Load(keys)), offer(2.0, 2, false), offer(25.0, 3, false)];
+                for (act, deed) in storm(plan).acts.iter().enumerate() {
+                    for (at, begins) in [(deed.from, true), (deed.until, false)] {
+                        acts.push((
+                            4.0 + at as f64 / SEC as f64,
+                            Act::Storm { act, deed: deed.clone(), begins },
+                        ));
+                    }
+                }
+                (acts, 44.0)
+            }
             "short" => (vec![offer(2.0, 2, false), (4.0, Act::Leave(0))], 11.0),
             other => return Err(format!("--day {other}: one of {}", days().join(", "))),
         }
--- a/rehearse/src/judge.rs
+++ b/rehearse/src/judge.rs
@@ -17,6 +17,10 @@
 const SKEW: Ns = 150 * MS;
 /// After a controller stood still, fronts may have to ask for a new watch: this long.
 const NEWS: Ns = 4 * SEC;
+/// Fronts that keep company know what another has bound after this: each greets a drawn one every half a second at most.
+const TELLS: Ns = 4 * SEC;
+/// After the last fault they know who is there again, and what they missed: some rounds of the slowest probes.
+const HEALS: Ns = 10 * SEC;
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Breach {
@@ -106,6 +110,8 @@
     /// Words that clients got after an answer; whether their record came to its end.
     pub stray: u64,
     pub whole: bool,
+    /// The fronts keep company: keys hold over fronts and lives.
+    pub company: bool,
 }
 
 /// Service by method.
@@ -140,8 +146,8 @@
             let spans = downs.0.entry(act.who.clone()).or_default();
             match act.act.as_str() {
                 "kill" => spans.push((act.t, Ns::MAX, true)),
-                "stop" => spans.push((act.t, Ns::MAX, false)),
-                "start" | "cont" => {
+                "stop" | "cut" => spans.push((act.t, Ns::MAX, false)),
+                "start" | "cont" | "join" => {
                     if let Some(open) = spans.last_mut().filter(|s| s.1 == Ns::MAX) {
                         open.1 = act.t;
                     }
@@ -162,6 +168,17 @@
         self.0.get(who).is_some_and(|spans| spans.iter().any(|d| d.2 && d.0 <= to && d.1 >= from))
     }
 
+    /// Since when nothing has been down or cut at that time; none while something is.
+    fn calm(&self, at: Ns) -> Option<Ns> {
+        let before = self.0.values().flatten().filter(|d| d.0 <= at);
+        before.map(|d| d.1).max().map_or(Some(Ns::MIN / 2), |last| (last <= at).then_some(last))
+    }
+
+    /// Was anything down or cut in this span?
+    fn any(&self, from: Ns, to: Ns) -> bool {
+        self.0.values().flatten().any(|d| d.0 <= to && d.1 >= from)
+    }
+
     /// When a thing of that time was really met: after the stop in which it falls.
     fn after(&self, who: &str, at: Ns) -> Ns {
         let spans = self.0.get(who).map_or(&[][..], |s| s);
@@ -340,9 +357,29 @@
     day.names = names;
     let deed = |v: &Value| Deed { t: t(v), act: s(v, "act").into(), who: s(v, "who").into() };
     day.acts = written.acts.iter().map(deed).collect();
+    day.company = day.acts.iter().any(|act| act.act == "company");
     day
 }
 
+/// Keys that the newest build answered while it was on trial, in calm: no front may have lost them at the end of the day.
+pub fn kept_keys(charter: &Charter, day: &Evidence) -> BTreeMap<u64, u32> {
+    let downs = Downs::of(&day.acts);
+    let Some(newest) = day.told.iter().max_by_key(|l| l.t).filter(|l| l.phase < 2) else {
+        return BTreeMap::new();
+    };
+    let on_trial = |at: Ns| {
+        let told = day.told.iter().filter(|l| l.t + SKEW < at).max_by_key(|l| l.t);
+        told.is_some_and(|l| l.build == newest.build && l.phase == 0)
+    };
+    let end = day.machines.iter().map(|l| l.t).max().unwrap_or(0);
+    let lines = day
+        .machines
+        .iter()
+        .filter(|l| l.did == Did::Ok && l.build == newest.build && charter.rollout.one_way);
+    let kept = lines.filter(|l| l.t + TELLS < end && on_trial(l.t) && !downs.any(l.t - SKEW, l.t + TELLS));
+    kept.filter_map(|l| Some((l.key?, l.build))).collect()
+}
+
 pub fn judge(charter: &Charter, day: &Evidence) -> Judgement {
     let downs = Downs::of(&day.acts);
     let grace = charter.guard.drain_grace_ms as Ns * MS;
@@ -549,6 +586,8 @@
         let (mut said, mut found) = (BTreeSet::new(), Vec::new());
         let mut trial_picks = 0;
         let mut bound: BTreeMap<(u16, u64), (u32, Ns)> = BTreeMap::new();
+        // By any front in any of its lives, where fronts keep company: kept unless something was amiss before it was told.
+        let mut known: BTreeMap<u64, (u32, Ns)> = BTreeMap::new();
         for l in &self.machines {
             let (front, build, at) = (self.front(l.front), l.build, l.t);
             if let Some(key) = l.key.filter(|_| r.one_way && l.did == Did::Ok) {
@@ -556,6 +595,10 @@
                 if build > kept.0 {
                     *kept = (build, at);
                 }
+                if self.day.company && !self.downs.any(at - SKEW, at + TELLS) {
+                    let kept = known.entry(key).or_insert((build, at));
+                    *kept = if build > kept.0 { (build, at) } else { *kept };
+                }
             }
             if l.did != Did::Arrived {
                 continue;
@@ -571,6 +614,15 @@
                     found.push(format!("{front} sent a key of build {b} to build {build}"));
                 }
             }
+            if let Some((b, since)) = l.key.and_then(|key| known.get(&key)) {
+                let stands = stages.around(front, at).iter().all(|s| s.build == *b && s.phase < 2);
+                let told = self.downs.calm(at).is_some_and(|calm| at > (calm + HEALS).max(since + TELLS));
+                if stands && build < *b && told && said.insert((l.front, *b, "company")) {
+                    found.push(format!(
+                        "{front} sent a key that another front, or life, has of build {b} to build {build}"
+                    ));
+                }
+            }
             let Some(cap) = stages.cap(front, build, at) else { continue };
             trial_picks += 1;
             let guarded = (stages.stage(front, build, at).unwrap_or(0) as usize) < r.guarded_stages;
@@ -728,6 +780,39 @@
         assert_eq!(rules(&day), [5]);
     }
 
+    /// A key that one front's build on trial has answered goes to no earlier build at another, once that can know.
+    #[test]
+    fn keys_hold_over_fronts_that_keep_company_unless_a_fault_came_before_they_were_told() {
+        let charter = || {
+            let mut charter = Charter::example(2, 4);
+            charter.rollout.one_way = true;
+            charter
+        };
+        let rules = |day: &Written| -> Vec<String> {
+            judge(&charter(), &read(&charter(), day)).breaches.iter().map(|b| b.what.clone()).collect()
+        };
+        let mut day = clean();
+        day.watch.push(stage(SEC / 2, 2, "on-trial", 1.0));
+        let mut at = |t: Ns, event: &str, front: &str, build: u64, rpc: &str| {
+            let mut line = machine(t, event, &format!("p{build}..{build}"), rpc);
+            (line["build"], line["front"], line["method"]) = (build.into(), front.into(), "lookup".into());
+            day.machines.push(line);
+        };
+        at(2 * SEC, "arrived", "f0", 2, "k");
+        at(2 * SEC + MS, "ok", "f0", 2, "k");
+        at(4 * SEC, "arrived", "f1", 1, "soon");
+        at(20 * SEC, "arrived", "f1", 1, "late");
+        assert_eq!(rules(&day), [""; 0], "they keep no company");
+        let deed = |t: Ns, act: &str, who: &str| json!({ "t": t, "act": act, "who": who });
+        day.acts.push(deed(0, "company", "fronts"));
+        assert!(rules(&day).len() == 1 && rules(&day)[0].contains("another front"), "{:?}", rules(&day));
+        day.acts.extend([deed(15 * SEC, "cut", "link 0"), deed(16 * SEC, "join", "link 0")]);
+        assert_eq!(rules(&day), [""; 0], "the cut has just ended");
+        day.acts.truncate(1);
+        day.acts.extend([deed(3 * SEC, "kill", "f0"), deed(4 * SEC, "start", "f0")]);
+        assert_eq!(rules(&day), [""; 0], "killed before it was told");
+    }
+
     #[test]
     fn sends_past_the_grace_of_a_drain_are_found_unless_the_front_could_not_hear() {
         let mut day = clean();
--- a/rehearse/src/lib.rs
+++ b/rehearse/src/lib.rs
@@ -10,7 +10,6 @@
 mod crew;
 pub mod day;
 pub mod judge;
-mod relay;
 mod watch;
 
 pub use crew::{print, written};
