--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -37,6 +37,12 @@
     /// How log lines look, on standard error.
     #[arg(long, global = true, value_enum, default_value = "text")]
     log: Log,
+    /// A file that says how disks lie (see the package files): for storms.
+    #[arg(long, global = true, hide = true)]
+    disk_lies: Option<PathBuf>,
+    /// By how many parts of a million clocks run fast, a hundredth at most: for storms.
+    #[arg(long, global = true, hide = true, value_parser = clap::value_parser!(i64).range(-10_000..=10_000))]
+    clock_ppm: Option<i64>,
     #[command(subcommand)]
     what: What,
 }
@@ -462,6 +468,10 @@
         Log::Json => made.json().flatten_event(true).init(),
         Log::Text => made.with_ansi(false).init(),
     }
+    if let Some(file) = cli.disk_lies {
+        rockpick_files::lie_by(file);
+    }
+    rockpick_net::skew(cli.clock_ppm.unwrap_or(0));
     let end = act(cli.what).and_then(|code| match rockpick_rehearse::out_lost() {
         None => Ok(code),
         Some(why) => Err(Bad2(format!("standard output: {why}"))),
--- a/cli/src/storms.rs
+++ b/cli/src/storms.rs
@@ -49,6 +49,8 @@
         kills: true,
         // Processes read the system's own clock.
         clocks: false,
+        // Nothing of peers is kept.
+        disks: &[],
     }
 }
 
--- a/cli/tests/hardening.rs
+++ b/cli/tests/hardening.rs
@@ -2,6 +2,7 @@
 mod peers;
 
 use peers::*;
+use rockpick_control::keep::open;
 use rockpick_control::Charter;
 use rustix::process::Signal;
 use serde_json::{json, Value};
@@ -158,8 +159,9 @@
     );
     let one = front(teller.at, &["--state", &state]);
     listed(&one, 1);
-    let kept =
-        || -> Value { std::fs::read(&file).map_or(Value::Null, |t| serde_json::from_slice(&t).unwrap()) };
+    let kept = || -> Value {
+        std::fs::read(&file).map_or(Value::Null, |t| serde_json::from_slice(&open(t).unwrap()).unwrap())
+    };
     until("its snapshot", || kept()["members"][0]["name"] == "m");
     drop(one);
     let mut old = kept();
@@ -401,7 +403,7 @@
     until("its snapshot", || file.exists());
     signal(&one, Signal::TERM);
     ended_well(&mut one);
-    let mut kept: Value = serde_json::from_slice(&std::fs::read(&file).unwrap()).unwrap();
+    let mut kept: Value = serde_json::from_slice(&open(std::fs::read(&file).unwrap()).unwrap()).unwrap();
     kept["later"] = json!(1);
     std::fs::write(&file, kept.to_string()).unwrap();
     drop(front(nobody(), &["--state", &state]));
--- a/control/src/keep.rs
+++ b/control/src/keep.rs
@@ -1,7 +1,7 @@
 //! One file, replaced atomically: a reader finds the old text or the new one, whole, also after a power cut. A
 //! [`Writer`] does so on a thread of its own, so that a slow disk holds nobody.
-use std::fs::{self, File};
-use std::io::{self, Write};
+use rockpick_files::{self as files, File};
+use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, TryRecvError};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
@@ -20,10 +20,10 @@
     let beside = path.with_extension("new");
     let mut file = File::create(&beside)?;
     file.write_all(bytes)?;
-    file.sync_all()?;
-    fs::rename(&beside, path)?;
+    file.sync()?;
+    files::rename(&beside, path)?;
     match path.parent() {
-        Some(dir) if !dir.as_os_str().is_empty() => File::open(dir)?.sync_all(),
+        Some(dir) if !dir.as_os_str().is_empty() => files::sync_folder(dir),
         _ => Ok(()),
     }
 }
@@ -33,13 +33,48 @@
 /// # Errors
 /// Those of the file system.
 pub fn load(path: &Path) -> io::Result<Option<Vec<u8>>> {
-    match fs::read(path) {
+    match files::read(path) {
         Ok(bytes) => Ok(Some(bytes)),
         Err(err) if err.kind() == io::ErrorKind::NotFound => Ok(None),
         Err(err) => Err(err),
     }
 }
 
+/// Stands before the checksum, on a line of its own after the text.
+const MARK: &[u8] = b"\ncrc32c ";
+
+/// A text with its checksum: a disk's word that this is what was written is not believed.
+pub fn seal(mut text: Vec<u8>) -> Vec<u8> {
+    let sum = crc32c::crc32c(&text);
+    text.extend_from_slice(MARK);
+    text.extend_from_slice(format!("{sum:08x}\n").as_bytes());
+    text
+}
+
+/// The text of a sealed file; one of a former version has no checksum, and is taken as it is.
+///
+/// # Errors
+/// The text is not what was written, or ends in its middle.
+pub fn open(mut bytes: Vec<u8>) -> io::Result<Vec<u8>> {
+    let spoilt = || {
+        io::Error::new(
+            io::ErrorKind::InvalidData,
+            "the snapshot is damaged: its checksum is another, or it was cut",
+        )
+    };
+    let at = bytes.len().saturating_sub(MARK.len() + 9);
+    let Some(sum) = bytes[at..].strip_prefix(MARK) else {
+        // JSON without a checksum ends with a brace; all else was sealed once.
+        return if bytes.last() == Some(&b'}') { Ok(bytes) } else { Err(spoilt()) };
+    };
+    let told = std::str::from_utf8(sum).ok().and_then(|s| u32::from_str_radix(s.trim_end(), 16).ok());
+    if told != Some(crc32c::crc32c(&bytes[..at])) {
+        return Err(spoilt());
+    }
+    bytes.truncate(at);
+    Ok(bytes)
+}
+
 /// What the thread is to do, and what has come of it. Snapshots are numbered from 1.
 struct Task<T> {
     /// The newest alone: it takes the place of one that still waits.
@@ -75,7 +110,7 @@
         let ends = now.ends;
         let Some((number, what)) = now.next.take().or(again.take()) else { return };
         drop(now);
-        let end = text(&what).and_then(|text| replace(file, &text)).map_err(|err| err.to_string());
+        let end = text(&what).and_then(|text| replace(file, &seal(text))).map_err(|err| err.to_string());
         if let Err(why) = &end {
             tracing::error!(event = "snapshot not kept", file = %file.display(), why);
             again = Some((number, what)).filter(|_| !ends);
@@ -143,6 +178,25 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn a_sealed_text_cut_or_changed_anywhere_is_refused() {
+        let sealed = seal(br#"{"version":7}"#.to_vec());
+        assert_eq!(open(sealed.clone()).unwrap(), br#"{"version":7}"#);
+        // A file of a former version has no checksum.
+        assert_eq!(open(br#"{"version":7}"#.to_vec()).unwrap(), br#"{"version":7}"#);
+        for at in 0..sealed.len() {
+            // A cut right after the text leaves what a former version wrote: whole.
+            let cut = open(sealed[..at].to_vec());
+            assert!(cut.is_err() || at == 13, "cut at {at}");
+            for bit in 0..8 {
+                let mut flipped = sealed.clone();
+                flipped[at] ^= 1 << bit;
+                let read = open(flipped);
+                assert!(read.is_err() || read.unwrap() == br#"{"version":7}"#, "bit {bit} of {at}");
+            }
+        }
+    }
+
     /// Finding 16: a snapshot given to nobody is not kept.
     #[test]
     fn a_writer_whose_thread_has_ended_says_so() {
--- a/copies/tests/storms.rs
+++ b/copies/tests/storms.rs
@@ -187,7 +187,16 @@
 }
 
 fn range(parts: usize) -> Range {
-    Range { acts: 6, parts, stormy: 15 * SEC, longest: 8 * SEC, settles: 60 * SEC, kills: true, clocks: true }
+    Range {
+        acts: 6,
+        parts,
+        stormy: 15 * SEC,
+        longest: 8 * SEC,
+        settles: 60 * SEC,
+        kills: true,
+        clocks: true,
+        disks: &[],
+    }
 }
 
 type Rows = Vec<(Key, Row, Dot)>;
--- a/front/src/saved.rs
+++ b/front/src/saved.rs
@@ -22,13 +22,23 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
 }
 
-/// Reads the snapshot of this front.
+/// Reads the snapshot of this front. One that a disk has damaged, or can't read, is set aside: all of it can be had anew,
+/// from the controller, and a front must come up without. One of settings that this version can't take is left as it is.
 ///
 /// # Errors
-/// Names the file and what is wrong with it.
+/// Names the file and what this version can't take in it.
 pub fn load(file: &Path) -> Result<Option<Saved>, String> {
     let at = |why: String| format!("{}: {why}", file.display());
-    let Some(text) = keep::load(file).map_err(|err| at(err.to_string()))? else { return Ok(None) };
+    let text = match keep::load(file).and_then(|text| text.map(keep::open).transpose()) {
+        Ok(Some(text)) => text,
+        Ok(None) => return Ok(None),
+        Err(err) => {
+            let aside = file.with_extension("damaged");
+            let moved = std::fs::rename(file, &aside).is_ok();
+            tracing::error!(event = "snapshot not read", why = at(err.to_string()), moved, to = %aside.display());
+            return Ok(None);
+        }
+    };
     let saved: Saved = serde_json::from_slice(&text).map_err(|err| at(err.to_string()))?;
     match saved.settings.check().first() {
         Some(wrong) => Err(at(format!("{}: {}", wrong.field, wrong.why))),
--- a/front/src/shelf.rs
+++ b/front/src/shelf.rs
@@ -39,7 +39,13 @@
 }
 
 fn load(file: &Path) -> Option<(Kept, u64)> {
-    let text = keep::load(file).ok()??;
+    let text = match keep::load(file).and_then(|text| text.map(keep::open).transpose()) {
+        Ok(text) => text?,
+        Err(err) => {
+            tracing::error!(event = "tenants' snapshot not read", file = %file.display(), why = %err);
+            return None;
+        }
+    };
     match serde_json::from_slice::<File>(&text) {
         Ok(file) => Some((file.directory, crate::saved::wall_ms().saturating_sub(file.saved_ms))),
         // It can be had anew, from the directory; a front must come up without it.
@@ -68,7 +74,7 @@
             Box::new(move |kept| {
                 let file_now = File { directory: kept.clone(), saved_ms: crate::saved::wall_ms() };
                 let text = serde_json::to_vec(&file_now).map_err(std::io::Error::other);
-                let done = text.and_then(|text| keep::replace(&file, &text));
+                let done = text.and_then(|text| keep::replace(&file, &keep::seal(text)));
                 if let Err(err) = &done {
                     tracing::error!(event = "tenants not kept", file = %file.display(), why = %err);
                 }
--- a/members/tests/storms.rs
+++ b/members/tests/storms.rs
@@ -147,6 +147,7 @@
         settles: 150 * SEC,
         kills: true,
         clocks: true,
+        disks: &[],
     }
 }
 
--- a/net/src/net.rs
+++ b/net/src/net.rs
@@ -10,6 +10,7 @@
 use std::collections::HashMap;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::sync::atomic::{AtomicI64, Ordering};
 use std::time::Instant;
 
 /// A socket of this loop: slot in the low half, generation in the high one.
@@ -307,6 +308,14 @@
     std::fs::File::open("/dev/null").ok().map(OwnedFd::from)
 }
 
+/// By how many parts of a million the process's clock runs fast.
+static SKEW: AtomicI64 = AtomicI64::new(0);
+
+/// The one seam of time: from now on clocks of loops run fast, or slow, by so many parts of a million, as a storm asks.
+pub fn skew(ppm: i64) {
+    SKEW.store(ppm, Ordering::Relaxed);
+}
+
 impl Net {
     pub fn new(most_clients: usize) -> io::Result<Net> {
         let mut full = Vec::new();
@@ -348,7 +357,8 @@
 
     /// The time at this very moment.
     pub fn clock(&self) -> Ns {
-        self.born.elapsed().as_nanos() as Ns
+        let lived = self.born.elapsed().as_nanos() as Ns;
+        lived + lived / 1_000_000 * SKEW.load(Ordering::Relaxed)
     }
 
     pub fn wake_at(&mut self, at: Ns, tag: u64) {
--- a/rehearse/src/crew.rs
+++ b/rehearse/src/crew.rs
@@ -374,6 +374,11 @@
                 "json",
             ]),
         };
+        if self.storm.is_some() && self.plan.faulty.is_none() {
+            let lies = self.out.join(format!("{name}.lies"));
+            args.extend(words(&["--disk-lies", &lies.to_string_lossy()]));
+            args.push(format!("--clock-ppm={}", day::pace(&self.plan, front)));
+        }
         let company = self.storm.is_some() && !self.plan.alone;
         let seat = |front: usize| self.relay.seats[self.plan.fronts + front].to_string();
         if company {
@@ -446,7 +451,13 @@
                 count(&mut self.down[who]);
                 self.take_down(who, begins, Return::Same)?;
             }
-            Fault::Clock { .. } | Fault::Disk { .. } => {}
+            Fault::Disk { who, how } => {
+                let name = self.charter.fronts[who].name.clone();
+                let text = if begins { how.as_str() } else { "" };
+                std::fs::write(self.out.join(format!("{name}.lies")), text).map_err(|err| err.to_string())?;
+                self.note(&format!("disk {text}"), &name);
+            }
+            Fault::Clock { .. } => {}
         }
         Ok(())
     }
--- a/rehearse/src/day.rs
+++ b/rehearse/src/day.rs
@@ -208,12 +208,18 @@
         longest,
         settles: 30 * SEC,
         kills: true,
-        // Processes read the system's own clock.
+        // Each front's clock has a pace of its own all day (see `pace`).
         clocks: false,
+        disks: &rockpick_files::LIES,
     };
     Storm::draw(plan.seed, range)
 }
 
+/// By how many parts of a million a front's clock runs fast on a day of peers: up to a hundredth, or slow.
+pub fn pace(plan: &Plan, front: usize) -> i64 {
+    StdRng::seed_from_u64(plan.seed ^ (front as u64 + 1) << 40).random_range(-10_000..=10_000)
+}
+
 /// The settings that a plan asks for.
 ///
 /// # Errors
--- a/storm/src/plan.rs
+++ b/storm/src/plan.rs
@@ -88,6 +88,8 @@
     pub settles: Ns,
     pub kills: bool,
     pub clocks: bool,
+    /// Names of how disks may lie; none: they don't.
+    pub disks: &'static [&'static str],
 }
 
 impl Plan {
@@ -200,7 +202,11 @@
 fn fault(chance: &mut StdRng, range: Range) -> Fault {
     let who = chance.random_range(0..range.parts);
     let kinds = 6 + 3 * usize::from(range.kills) + usize::from(range.clocks);
-    match chance.random_range(0..kinds) {
+    let kind = chance.random_range(0..kinds + 2 * usize::from(!range.disks.is_empty()));
+    if kind >= kinds {
+        return Fault::Disk { who, how: range.disks[chance.random_range(0..range.disks.len())].into() };
+    }
+    match kind {
         0 => {
             // A part of all is cut off, both ways.
             let some = some(chance, range.parts);
@@ -267,7 +273,16 @@
 
     pub fn range() -> Range {
         let (stormy, longest, settles) = (30 * SEC, 10 * SEC, 30 * SEC);
-        Range { acts: 8, parts: 5, stormy, longest, settles, kills: true, clocks: true }
+        Range {
+            acts: 8,
+            parts: 5,
+            stormy,
+            longest,
+            settles,
+            kills: true,
+            clocks: true,
+            disks: &["sync-lies"],
+        }
     }
 
     #[test]
--- a/storm/src/shrink.rs
+++ b/storm/src/shrink.rs
@@ -72,6 +72,7 @@
             settles: SEC,
             kills: true,
             clocks: true,
+            disks: &[],
         };
         // Breaks by a stop of 2 s and more, of 3, with any kill of 1.
         let breaks = |plan: &Plan| {
