--- a/cli/tests/node.rs
+++ b/cli/tests/node.rs
@@ -396,3 +396,47 @@
     }
     assert!(sockets >= 3, "listener, discovery and desk at least, {sockets} found");
 }
+
+/// Two nodes that have joined each other: one whose desk says nothing hears from the other that the build on trial goes
+/// back, and sends it nothing more, though a line from before comes late.
+#[test]
+fn a_node_that_has_joined_another_hears_of_a_build_withdrawn_there() {
+    let (old, new) = (machine(&[Does::Answers]), machine(&[Does::Answers]));
+    let machines = [("a", old.at, 1, "active"), ("b", new.at, 2, "active")];
+    let platforms = [Platform::begin(), Platform::begin()];
+    let mut key = tempfile::NamedTempFile::new().unwrap();
+    key.write_all(b"the key of these two nodes").unwrap();
+    let file = key.path().display().to_string();
+    let free = std::net::UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
+    let nodes: Vec<Node> = platforms
+        .iter()
+        .enumerate()
+        .map(|(i, platform)| {
+            let mut told = configuration(platform, &machines);
+            (told["name"], told["settings"]["balancers"]) = (format!("n{i}").into(), 2.into());
+            told["settings"]["rank"] = i.into();
+            let listen = if i == 0 { free.as_str() } else { "127.0.0.1:0" };
+            let mut args = vec!["--peers-listen", listen, "--peers-key", &file, "--peers-period-ms", "50"];
+            if i > 0 {
+                args.extend(["--join", &free]);
+            }
+            Node::begin_with(&told, &args)
+        })
+        .collect();
+    platforms.iter().for_each(|p| p.news("* progress 2 0 canary 1 20000"));
+    let (mut client, mut id) = (nodes[1].client(), 0);
+    let mut trial = |asks: u64| {
+        let before = new.queries();
+        for _ in 0..asks {
+            id += 1;
+            client.rpc(&lookup(id, 900));
+        }
+        new.queries() - before
+    };
+    until("the trial gets picks", || trial(1) > 0);
+    platforms[0].news("* progress 2 0 reverting 0 0");
+    until("the other knows", || trial(10) == 0);
+    platforms[1].news("* progress 2 0 canary 1 20000");
+    std::thread::sleep(Duration::from_millis(200));
+    assert_eq!(trial(100), 0);
+}
--- a/cli/tests/peers/platform.rs
+++ b/cli/tests/peers/platform.rs
@@ -296,10 +296,15 @@
 
 impl Node {
     pub fn begin(told: &Value) -> Node {
+        Node::begin_with(told, &[])
+    }
+
+    pub fn begin_with(told: &Value, more: &[&str]) -> Node {
         let file = tempfile::NamedTempFile::new().unwrap();
         std::fs::write(file.path(), told.to_string()).unwrap();
         let prefix = format!("PROXY_CONFIG='{}'", file.path().display());
-        Node { proc: start_with(&prefix, &["node"], Stdio::null()), file }
+        let args = [&["node"], more].concat();
+        Node { proc: start_with(&prefix, &args, Stdio::null()), file }
     }
 
     pub fn rewrite(&self, told: &str) {
