Builds and bindings outlive a restart of all fronts at once; hard cases as tests of real processes

Need: nothing of copies was on disk, so that all fronts restarted within a second forgot every one-way key.

--- a/cli/src/bench.rs
+++ b/cli/src/bench.rs
@@ -45,6 +45,7 @@
         at: None,
         key: std::fs::read(key).map_err(say)?,
         period: SEC / 10,
+        file: None,
     };
     let mut peers = Peers::begin(&mut net, "companion", 1, &circle, 1).map_err(Bad2)?;
     peers.fill(bindings, 1);
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -93,7 +93,8 @@
         let file = self.peers_key.ok_or(Bad2("--peers-key: peers need the group's key".into()))?;
         let key = std::fs::read(&file).map_err(|err| Bad2(format!("{}: {err}", file.display())))?;
         let period = i64::try_from(self.peers_period_ms.min(1 << 32)).unwrap_or(0) * MS;
-        let circle = rockpick_peers::Circle { join: self.peers, listen, at: self.peers_at, key, period };
+        let circle =
+            rockpick_peers::Circle { join: self.peers, listen, at: self.peers_at, key, period, file: None };
         circle.check().map_err(Bad2)?;
         Ok(Some(circle))
     }
@@ -519,6 +520,11 @@
             if state.is_some() && (name == "controller" || name.ends_with(".tenants")) {
                 return Err(Bad2(format!("--name {name}: its snapshot would be another's")));
             }
+            let mut circle = circle.circle()?;
+            if let (Some(circle), Some(dir)) = (&mut circle, &state) {
+                std::fs::create_dir_all(dir).map_err(|err| Bad2(format!("{}: {err}", dir.display())))?;
+                circle.file = Some(dir.join(format!("{name}.peers")));
+            }
             let opening = rockpick_front::Opening {
                 name,
                 listen: listen.listen,
@@ -528,7 +534,7 @@
                 profile,
                 most_clients: clients,
                 notes_at,
-                peers: circle.circle()?,
+                peers: circle,
             };
             rockpick_front::run(opening, ready).map_err(Bad2)?;
             good
--- a/cli/tests/company.rs
+++ b/cli/tests/company.rs
@@ -20,11 +20,18 @@
 
 /// A front of a name, reached at `at`, that begins with `join`.
 fn member(name: &str, at: Option<SocketAddr>, join: &[SocketAddr], key: &tempfile::NamedTempFile) -> Proc {
+    member_of("127.0.0.1:9", name, at, join, key, &[])
+}
+
+fn member_of(
+    desk: &str, name: &str, at: Option<SocketAddr>, join: &[SocketAddr], key: &tempfile::NamedTempFile,
+    more: &[&str],
+) -> Proc {
     let join: Vec<String> = join.iter().map(SocketAddr::to_string).collect();
     let (join, at, key) = (join.join(","), at.map(|a| a.to_string()), key.path().display().to_string());
-    let mut args =
-        vec!["front", "--name", name, "--controller", "127.0.0.1:9", "--peers-listen", "127.0.0.1:0"];
+    let mut args = vec!["front", "--name", name, "--controller", desk, "--peers-listen", "127.0.0.1:0"];
     args.extend(["--peers-period-ms", "50", "--peers-key", &key]);
+    args.extend(more);
     if !join.is_empty() {
         args.extend(["--peers", &join]);
     }
@@ -265,3 +272,190 @@
     let (status, _) = (state(&["state", "--front", &at, "--table", "nonsense"]).status, ());
     assert_eq!(status.code(), Some(2));
 }
+
+#[test]
+fn clocks_a_hundredth_apart_take_nobody_out() {
+    let key = key("the key of these three fronts");
+    let begin = |i: usize, join: &[SocketAddr], ppm: &str| {
+        member_of("127.0.0.1:9", &format!("f{i}"), None, join, &key, &[ppm])
+    };
+    let first = begin(0, &[], "--clock-ppm=10000");
+    let join = [listens(&first)];
+    let fronts = [first, begin(1, &join, "--clock-ppm=-10000"), begin(2, &join, "--clock-ppm=0")];
+    until("all know each other", || fronts.iter().all(|f| get(f.at, "/peers")["there"] == 3));
+    let heard = |f: &Proc| get(f.at, "/peers")["heard"]["datagrams"].as_u64().unwrap();
+    until("many periods have passed", || fronts.iter().all(|f| heard(f) > 100));
+    let went =
+        |f: &Proc| get(f.at, "/peers")["changes"].as_array().unwrap().iter().any(|c| c["what"] == "gone");
+    assert!(!fronts.iter().any(went));
+}
+
+#[test]
+fn loss_of_a_third_for_a_hundred_periods_leaves_all_agreed() {
+    let (relay, fronts, _key) = three();
+    let all = |way: Way| (0..3).for_each(|a| (0..3).filter(|b| *b != a).for_each(|b| relay.set(a, b, way)));
+    all(Way { lost: 0.3, ..Way::default() });
+    std::thread::sleep(std::time::Duration::from_secs(5));
+    all(Way::default());
+    let agreed = |f: &Proc| {
+        let shown = get(f.at, "/peers");
+        shown["there"] == 3 && shown["members"].as_array().unwrap().iter().all(|m| m["status"] == "alive")
+    };
+    until("all agree", || fronts.iter().all(agreed));
+}
+
+#[test]
+fn a_name_taken_by_two_living_processes_stays_with_one() {
+    let key = key("the key of these three fronts");
+    let first = member("f0", None, &[], &key);
+    let join = [listens(&first)];
+    let fronts = [first, member("f1", None, &join, &key), member("f2", None, &join, &key)];
+    until("all know each other", || fronts.iter().all(|f| get(f.at, "/peers")["there"] == 3));
+    let second = member("f1", None, &join, &key);
+    let taken = |f: &Proc| {
+        get(f.at, "/peers")["changes"].as_array().unwrap().iter().any(|c| c["what"] == "name taken")
+    };
+    until("one of them falls silent", || taken(&fronts[1]) || taken(&second));
+    let keeps = if taken(&second) { &fronts[1] } else { &second };
+    assert!(!taken(keeps));
+    let life = get(keeps.at, "/peers")["self"]["life"].clone();
+    let held = |f: &Proc| {
+        let shown = get(f.at, "/peers");
+        let rows = shown["members"].as_array().unwrap();
+        rows.iter().any(|m| m["name"] == "f1" && m["life"] == life && m["status"] == "alive")
+    };
+    until("the others hold it", || [&fronts[0], &fronts[2]].into_iter().all(held));
+}
+
+/// Three fronts with a build on trial for keys of one way, behind a relay.
+struct Keyed {
+    relay: Relay,
+    teller: Teller,
+    key: tempfile::NamedTempFile,
+    fronts: Vec<Proc>,
+    _machines: [Scripted; 2],
+}
+
+impl Keyed {
+    fn begin() -> Keyed {
+        let mut charter = Charter::example(3, 4);
+        (charter.rollout.told_every_ms, charter.rollout.tally_every_ms) = (100, 0);
+        (charter.rollout.one_way, charter.rollout.free, charter.rollout.window_ms) = (true, 10_000.0, 500);
+        let machines = [Scripted::begin(Does::Answers), Scripted::begin(Does::Answers)];
+        let teller = Teller::begin(charter);
+        teller.stage(1, 0, "released", 1.0);
+        teller.roster("whole", &[("a", machines[0].at, 1, "up"), ("b", machines[1].at, 2, "up")]);
+        teller.stage(2, 0, "on-trial", 1.0);
+        let (relay, key) = (Relay::begin(3, 1).unwrap(), key("the key of these three fronts"));
+        let mut keyed = Keyed { relay, teller, key, fronts: Vec::new(), _machines: machines };
+        (0..3).for_each(|i| {
+            let front = keyed.front(i);
+            keyed.fronts.push(front);
+        });
+        until("all are whole", || keyed.fronts.iter().all(whole));
+        keyed
+    }
+
+    fn front(&self, i: usize) -> Proc {
+        self.front_with(i, &[])
+    }
+
+    fn front_with(&self, i: usize, more: &[&str]) -> Proc {
+        let others: Vec<SocketAddr> = (0..3).filter(|j| *j != i).map(|j| self.relay.seats[j]).collect();
+        let (desk, seat) = (self.teller.at.to_string(), Some(self.relay.seats[i]));
+        let front = member_of(&desk, &format!("f{i}"), seat, &others, &self.key, more);
+        self.relay.real(i, listens(&front));
+        listed(&front, 2);
+        front
+    }
+
+    /// Asks for keys at a front until so many were answered by the trial.
+    fn bind(&self, front: usize, from: u32, many: u64) {
+        let at = self.fronts[front].at;
+        let before = rows(&self.fronts[front]);
+        let mut key = from;
+        while rows(&self.fronts[front]) < before + many {
+            (0..20).for_each(|i| drop(rpc(at, "lookup", &format!("Rockpick-Key: {}\r\n", key + i))));
+            key += 20;
+            assert!(key < from + 50_000);
+        }
+    }
+}
+
+fn whole(f: &Proc) -> bool {
+    get(f.at, "/peers")["copies"]["whole"].as_array().is_some_and(|w| w.len() == 5)
+}
+
+fn rows(f: &Proc) -> u64 {
+    get(f.at, "/peers")["copies"]["rows"]["Bindings"].as_u64().unwrap()
+}
+
+fn digest(f: &Proc) -> Value {
+    get(f.at, "/peers")["copies"]["digests"].clone()
+}
+
+/// The one that returns takes chunks over a bad line; one of its givers is killed meanwhile.
+#[test]
+fn a_giver_killed_in_mid_chunk_is_gone_on_from_by_another() {
+    let mut keyed = Keyed::begin();
+    keyed.bind(0, 0, 400);
+    let all = rows(&keyed.fronts[0]);
+    until("all hold them", || keyed.fronts.iter().all(|f| rows(f) == all));
+    drop(keyed.fronts.remove(2));
+    let way = Way { lost: 0.2, delay: 20_000_000, ..Way::default() };
+    (0..2).for_each(|i| keyed.relay.set(i, 2, way));
+    let back = keyed.front(2);
+    until("it has some", || rows(&back) > 0);
+    drop(keyed.fronts.remove(0));
+    until("it is whole", || whole(&back) && rows(&back) == all);
+    assert_eq!(digest(&back), digest(&keyed.fronts[0]));
+}
+
+/// Keys are bound on both sides of a cut; after it both hold all of them, and nothing was lost.
+#[test]
+fn a_cut_in_mid_stage_with_keys_bound_on_both_sides() {
+    let keyed = Keyed::begin();
+    let cut = |on: bool| {
+        for (a, b) in [(0, 1), (0, 2), (1, 0), (2, 0)] {
+            keyed.relay.set(a, b, Way { cut: on, ..Way::default() });
+        }
+    };
+    cut(true);
+    keyed.bind(0, 0, 50);
+    keyed.bind(1, 100_000, 50);
+    let sides = [rows(&keyed.fronts[0]), rows(&keyed.fronts[1])];
+    cut(false);
+    until("all hold all", || {
+        let first = digest(&keyed.fronts[0]);
+        keyed.fronts.iter().all(|f| rows(f) == sides[0] + sides[1] && digest(f) == first)
+    });
+}
+
+/// All are killed and come up again within a second, one of them from a disk that kept nothing of what it said: keys hold
+/// by what the others' folders have.
+#[test]
+fn all_restarted_within_a_second_hold_the_keys_of_their_folders() {
+    let mut keyed = Keyed::begin();
+    keyed.fronts.clear();
+    let dir = tempfile::tempdir().unwrap();
+    let lies = dir.path().join("lies");
+    std::fs::write(&lies, "sync-lies").unwrap();
+    let (state, lies) = (dir.path().display().to_string(), lies.display().to_string());
+    let begin = |keyed: &Keyed| -> Vec<Proc> {
+        let more = |i: usize| match i {
+            0 => vec!["--state", &state, "--disk-lies", &lies],
+            _ => vec!["--state", &state],
+        };
+        (0..3).map(|i| keyed.front_with(i, &more(i))).collect()
+    };
+    keyed.fronts = begin(&keyed);
+    until("all are whole", || keyed.fronts.iter().all(whole));
+    keyed.bind(0, 0, 100);
+    let all = rows(&keyed.fronts[0]);
+    until("all hold them", || keyed.fronts.iter().all(|f| rows(f) == all));
+    let kept = |f: &Proc| get(f.at, "/peers")["copies"]["kept"].as_u64().unwrap_or(0);
+    until("all have kept them", || keyed.fronts.iter().all(|f| kept(f) >= all));
+    keyed.fronts.clear();
+    keyed.fronts = begin(&keyed);
+    until("all hold them again", || keyed.fronts.iter().all(|f| whole(f) && rows(f) == all));
+}
--- a/copies/src/copies.rs
+++ b/copies/src/copies.rs
@@ -178,6 +178,16 @@
         &mut self.shelf
     }
 
+    /// A row of this front's own folder, from a former life: it counts as any row, and makes no table whole.
+    pub fn recall(&mut self, key: Key, row: Row, dot: Dot) {
+        if !self.obsolete(&key, &row) {
+            self.shelf.take(key, row, dot);
+            if key.table() == Table::Builds {
+                self.low = self.floor();
+            }
+        }
+    }
+
     pub fn is_whole(&self, table: Table) -> bool {
         self.whole.contains(&table)
     }
--- a/copies/src/shelf.rs
+++ b/copies/src/shelf.rs
@@ -75,6 +75,10 @@
         self.rows.get(key).map(|(row, _)| row)
     }
 
+    pub fn row(&self, key: &Key) -> Option<(Row, Dot)> {
+        self.rows.get(key).copied()
+    }
+
     pub fn len(&self, table: Table) -> usize {
         self.sizes.get(&table).copied().unwrap_or(0)
     }
--- a/copies/tests/storms.rs
+++ b/copies/tests/storms.rs
@@ -224,7 +224,7 @@
         let mut copies = Copies::new(life, chance.random(), told);
         if back == Return::Former {
             for (key, row, dot) in f.borrow().get(&me).into_iter().flatten() {
-                copies.shelf_mut().take(*key, *row, *dot);
+                copies.recall(*key, *row, *dot);
             }
         }
         if plant == Plant::LifeGoesOn {
--- a/peers/src/lib.rs
+++ b/peers/src/lib.rs
@@ -1,16 +1,20 @@
 //! Carries what the state machines of fronts that know each other say, over `net`; it decides nothing. A host has one
 //! [`Peers`] in its loop and hands on what [`Company`] asks for. Off unless asked for: a front without it is as it was.
+mod kept;
 mod seal;
 
 pub use seal::{Odd, Seal, LEAST_KEY};
 
+use kept::Keeper;
 use rand::Rng;
 use rockpick_copies::{self as copies, Build, Copies, Fact, Key, Near, Phase, Row, Table};
 use rockpick_members::{Act, Change, Event, Members, Ns, Pace, Place, Record, Status, MS, SEC};
 use rockpick_net::{Id, Net, Often};
 use serde_json::{json, Value};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::Ordering;
 
 /// Changes kept for whoever asks how it came to this.
 const MOST_CHANGES: usize = 200;
@@ -29,6 +33,8 @@
     pub at: Option<SocketAddr>,
     pub key: Vec<u8>,
     pub period: Ns,
+    /// Where builds and bindings are kept, for when all fronts are restarted at once.
+    pub file: Option<PathBuf>,
 }
 
 impl Circle {
@@ -113,6 +119,9 @@
     learnt: Vec<(u64, u32)>,
     /// Builds that others know to be withdrawn, not yet handed on.
     withdrawn: Vec<u32>,
+    keeper: Option<Keeper>,
+    /// Keys whose rows are to be kept.
+    fresh: BTreeSet<Key>,
     differs: u64,
     seal: Seal,
     sock: Id,
@@ -155,6 +164,8 @@
             near: BTreeMap::new(),
             learnt: Vec::new(),
             withdrawn: Vec::new(),
+            keeper: None,
+            fresh: BTreeSet::new(),
             differs: 0,
             members: Members::new(place, pace),
             seal: Seal::new(&circle.key)?,
@@ -167,6 +178,12 @@
             sent: (0, 0),
             strange: 0,
         };
+        if let Some(file) = &circle.file {
+            let (rows, keeper) = Keeper::begin(file.clone());
+            tracing::info!(event = "copies read", rows = rows.len());
+            rows.into_iter().for_each(|(key, row, dot)| peers.copies.recall(key, row, dot));
+            peers.keeper = Some(keeper);
+        }
         peers.copy(net, copies::Event::Begin);
         peers.event(net, Event::Begin);
         tracing::info!(event = "peers up", at = %listen, join = circle.join.len());
@@ -213,6 +230,9 @@
             &mut Hands { net, seal, sock, tag, sent, near: &self.near, told: &mut told },
         );
         for fact in told {
+            if let Fact::Learnt(key, _) = fact {
+                self.note_down(key);
+            }
             match fact {
                 Fact::Learnt(Key::Bound(key), Row::Bound(builds)) => {
                     self.learnt.extend(builds.iter().filter(|b| **b > 0).map(|build| (key, *build)));
@@ -232,6 +252,20 @@
         }
     }
 
+    fn note_down(&mut self, key: Key) {
+        if self.keeper.is_some() && matches!(key.table(), Table::Builds | Table::Bindings) {
+            self.fresh.insert(key);
+        }
+    }
+
+    /// What has changed goes to the disk's thread.
+    fn keep(&mut self) {
+        let Some(keeper) = self.keeper.as_mut().filter(|_| !self.fresh.is_empty()) else { return };
+        let shelf = self.copies.shelf();
+        let row = |key: &Key| shelf.row(key).map(|(row, dot)| (*key, row, dot));
+        keeper.keep(std::mem::take(&mut self.fresh).iter().filter_map(row).collect());
+    }
+
     fn note(&mut self, now: Ns, change: Change) {
         let (what, record) = words(&change);
         if let Some(left_out) = self.often.may(now) {
@@ -320,6 +354,7 @@
     fn woke(&mut self, net: &mut Net) {
         self.event(net, Event::Woke);
         self.copy(net, copies::Event::Woke);
+        self.keep();
     }
 
     fn told(&mut self, fronts: u32) {
@@ -329,10 +364,13 @@
 
     fn leave(&mut self, net: &mut Net) {
         self.event(net, Event::Leave);
+        self.keep();
     }
 
     fn bind(&mut self, key: u64, build: u32) {
-        self.copies.change(Key::Bound(key), Row::Bound([build, 0]));
+        if self.copies.change(Key::Bound(key), Row::Bound([build, 0])) {
+            self.note_down(Key::Bound(key));
+        }
     }
 
     fn stands(&mut self, build: u32, stage: u32, phase: Stands) {
@@ -344,7 +382,9 @@
             phase: if phase == Stands::Released { Phase::Released } else { Phase::OnTrial },
             stage,
         };
-        self.copies.change(Key::Build(build), Row::Build(row));
+        if self.copies.change(Key::Build(build), Row::Build(row)) {
+            self.note_down(Key::Build(build));
+        }
     }
 
     fn withdrawn(&self, build: u32) -> bool {
@@ -407,6 +447,7 @@
                 "rows": copies::TABLES.iter().map(|t| (format!("{t:?}"), json!(self.copies.shelf().len(*t)))).collect::<serde_json::Map<_, _>>(),
                 "digests": copies::TABLES.iter().map(|t| (format!("{t:?}"), json!(format!("{:016x}", self.copies.shelf().whole(*t))))).collect::<serde_json::Map<_, _>>(),
                 "learnt": self.copies.tolls.learnt, "differs": self.differs, "gave": self.copies.tolls.gave,
+                "kept": self.keeper.as_ref().filter(|k| k.well()).map(|k| k.kept.load(Ordering::Relaxed)),
                 "busy": self.copies.tolls.busy, "refused": self.copies.tolls.refused },
             "sent": { "datagrams": self.sent.0, "bytes": self.sent.1 }, "changes": changes })
     }
--- a/rehearse/src/crew.rs
+++ b/rehearse/src/crew.rs
@@ -474,7 +474,10 @@
 
     fn take_down(&mut self, who: usize, begins: bool, back: Return) -> Result<(), String> {
         let name = self.charter.fronts[who].name.clone();
-        let (folder, former) = (self.out.join(&name), self.out.join(format!("{name}.former")));
+        let files = ["json", "peers"].map(|kind| {
+            let file = self.out.join(&name).join(format!("{name}.{kind}"));
+            (file, self.out.join(format!("{name}.{kind}.former")))
+        });
         if begins {
             if self.fronts[who].is_none() {
                 return Ok(());
@@ -484,17 +487,18 @@
             }
             self.note("kill", &name);
             self.fronts[who] = None;
-            let file = folder.join(format!("{name}.json"));
-            match back {
-                Return::Empty => drop(std::fs::remove_file(&file)),
-                Return::Former => drop(std::fs::copy(&former, &file)),
-                Return::Same | Return::Never => {}
+            for (file, former) in &files {
+                match back {
+                    Return::Empty => drop(std::fs::remove_file(file)),
+                    Return::Former => drop(std::fs::copy(former, file)),
+                    Return::Same | Return::Never => {}
+                }
             }
         } else if self.down[who] == 0 && self.fronts[who].is_none() {
             self.start_front(who)?;
             self.note("start", &name);
             // What it has kept by now is a former folder's later on.
-            let _ = std::fs::copy(folder.join(format!("{name}.json")), &former);
+            files.iter().for_each(|(file, former)| drop(std::fs::copy(file, former)));
             if self.stopped[who] > 0 {
                 self.hold(who);
             }
