--- a/front/src/hall.rs
+++ b/front/src/hall.rs
@@ -734,7 +734,9 @@
         // Methods may have other numbers from here on.
         self.wire.counts.clear();
         if let Some(peers) = &mut self.peers {
-            peers.told(charter.fronts.len() as u32);
+            let zone = charter.fronts.iter().find(|f| f.name == self.wire.opening.name).map(|f| &f.zone);
+            let near = charter.fronts.iter().filter(|f| Some(&f.zone) == zone).map(|f| f.name.clone());
+            peers.told(&mut self.wire.net, charter.fronts.len() as u32, near.collect());
         }
         self.wire.charter = charter;
         (self.version, self.no_settings) = (version, false);
--- a/peers/src/lib.rs
+++ b/peers/src/lib.rs
@@ -69,8 +69,8 @@
 pub trait Company {
     fn datagram(&mut self, net: &mut Net, from: SocketAddr, bytes: &[u8]);
     fn woke(&mut self, net: &mut Net);
-    /// The settings tell of so many fronts now.
-    fn told(&mut self, fronts: u32);
+    /// The settings tell of so many fronts now, and that these are of this one's own zone: the first to be asked for chunks.
+    fn told(&mut self, net: &mut Net, fronts: u32, near: BTreeSet<String>);
     /// Says that this process goes.
     fn leave(&mut self, net: &mut Net);
     fn show(&self, now: Ns) -> Value;
@@ -115,6 +115,8 @@
     copies: Copies,
     /// Addresses by number, of those that are there.
     near: BTreeMap<u64, SocketAddr>,
+    /// Numbers of those that are in this front's own zone.
+    zone: BTreeSet<u64>,
     /// Keys that others have bound, not yet handed on.
     learnt: Vec<(u64, u32)>,
     /// Builds that others know to be withdrawn, not yet handed on.
@@ -162,6 +164,7 @@
         let mut peers = Peers {
             copies: Copies::new(place.life, chance.random(), told),
             near: BTreeMap::new(),
+            zone: BTreeSet::new(),
             learnt: Vec::new(),
             withdrawn: Vec::new(),
             keeper: None,
@@ -216,7 +219,12 @@
         }
         let there = self.members.others().filter(|r| r.there());
         self.near = there.map(|r| (id(&r.name), r.at)).collect();
-        let near: Vec<Near> = self.near.keys().map(|id| Near { id: *id, near: false }).collect();
+        self.tell_near(net);
+    }
+
+    fn tell_near(&mut self, net: &mut Net) {
+        let near = |id: &u64| Near { id: *id, near: self.zone.contains(id) };
+        let near: Vec<Near> = self.near.keys().map(near).collect();
         self.copy(net, copies::Event::Peers(&near));
     }
 
@@ -357,9 +365,11 @@
         self.keep();
     }
 
-    fn told(&mut self, fronts: u32) {
+    fn told(&mut self, net: &mut Net, fronts: u32, near: BTreeSet<String>) {
         self.members.told(fronts);
         self.copies.told(fronts);
+        self.zone = near.iter().map(|name| id(name)).collect();
+        self.tell_near(net);
     }
 
     fn leave(&mut self, net: &mut Net) {
