--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -516,14 +516,15 @@
             if clients == 0 {
                 return Err(Bad2("--clients: 1 or more".into()));
             }
-            // Their snapshots would be the controller's, and those of another front's tenants.
-            if state.is_some() && (name == "controller" || name.ends_with(".tenants")) {
+            // Their snapshots would be the controller's, and those of another front's tenants, or in its peers' way.
+            let anothers = [".tenants", ".peers"].iter().any(|end| name.ends_with(end));
+            if state.is_some() && (name == "controller" || anothers) {
                 return Err(Bad2(format!("--name {name}: its snapshot would be another's")));
             }
             let mut circle = circle.circle()?;
             if let (Some(circle), Some(dir)) = (&mut circle, &state) {
                 std::fs::create_dir_all(dir).map_err(|err| Bad2(format!("{}: {err}", dir.display())))?;
-                circle.file = Some(dir.join(format!("{name}.peers")));
+                circle.file = Some(dir.join(format!("{name}.peers.rows")));
             }
             let opening = rockpick_front::Opening {
                 name,
--- a/cli/tests/company.rs
+++ b/cli/tests/company.rs
@@ -459,3 +459,14 @@
     keyed.fronts = begin(&keyed);
     until("all hold them again", || keyed.fronts.iter().all(|f| whole(f) && rows(f) == all));
 }
+
+/// The snapshot's disk hangs, played by a pipe that nobody reads where it is written: rows are kept beside it all the same.
+#[test]
+fn rows_are_kept_beside_a_snapshot_that_hangs() {
+    let (dir, key) = (tempfile::tempdir().unwrap(), key("the key of this front alone"));
+    fifo(&dir.path().join("f0.new"));
+    let state = dir.path().display().to_string();
+    let front = member_of("127.0.0.1:9", "f0", None, &[], &key, &["--state", &state]);
+    until("its rows are kept", || dir.path().join("f0.peers.rows").exists());
+    assert_eq!(get(front.at, "/peers")["copies"]["kept"], 0);
+}
--- a/cli/tests/hardening.rs
+++ b/cli/tests/hardening.rs
@@ -8,7 +8,6 @@
 use serde_json::{json, Value};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::Path;
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -39,10 +38,6 @@
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
 }
 
-fn fifo(at: &Path) {
-    assert!(Command::new("mkfifo").arg(at).status().unwrap().success());
-}
-
 /// 1: a front that was down while the settings changed goes by the new ones.
 #[test]
 fn settings_changed_while_a_front_was_away_reach_it() {
@@ -247,7 +242,7 @@
 fn names_that_lead_elsewhere_are_refused() {
     let dir = tempfile::tempdir().unwrap();
     let state = dir.path().join("in").to_string_lossy().into_owned();
-    for name in ["../x", "a b", "", "controller", "f0.tenants"] {
+    for name in ["../x", "a b", "", "controller", "f0.tenants", "f0.peers"] {
         let args = ["front", "--name", name, "--controller", "127.0.0.1:1", "--state", &state];
         let mut child = Command::new(env!("CARGO_BIN_EXE_rockpick"))
             .args(args)
--- a/cli/tests/peers/mod.rs
+++ b/cli/tests/peers/mod.rs
@@ -293,6 +293,11 @@
     serde_json::from_slice(&answer.body).unwrap()
 }
 
+/// A pipe that nobody reads, where a file would be written: a disk that does not answer.
+pub fn fifo(at: &std::path::Path) {
+    assert!(Command::new("mkfifo").arg(at).status().unwrap().success());
+}
+
 pub fn signal(proc: &Proc, signal: rustix::process::Signal) {
     let pid = rustix::process::Pid::from_raw(proc.child.id() as i32).unwrap();
     rustix::process::kill_process(pid, signal).unwrap();
--- a/control/src/keep.rs
+++ b/control/src/keep.rs
@@ -1,6 +1,6 @@
 //! One file, replaced atomically: a reader finds the old text or the new one, whole, also after a power cut. A
 //! [`Writer`] does so on a thread of its own, so that a slow disk holds nobody.
-use rockpick_files::{self as files, File};
+use rockpick_files as files;
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, TryRecvError};
@@ -12,33 +12,15 @@
 /// An end waits this long for a disk, and then goes without it.
 const LAST: Duration = Duration::from_secs(1);
 
-/// Writes beside the file, syncs, renames over it, syncs the folder.
+/// Replaces a file as a whole (see [`files::replace`]).
 ///
 /// # Errors
 /// Those of the file system; the old file then stands as it was.
 pub fn replace(path: &Path, bytes: &[u8]) -> io::Result<()> {
-    let beside = path.with_extension("new");
-    let mut file = File::create(&beside)?;
-    file.write_all(bytes)?;
-    file.sync()?;
-    files::rename(&beside, path)?;
-    match path.parent() {
-        Some(dir) if !dir.as_os_str().is_empty() => files::sync_folder(dir),
-        _ => Ok(()),
-    }
+    files::replace(path, bytes).map(drop)
 }
 
-/// The file's text; none when there is no such file.
-///
-/// # Errors
-/// Those of the file system.
-pub fn load(path: &Path) -> io::Result<Option<Vec<u8>>> {
-    match files::read(path) {
-        Ok(bytes) => Ok(Some(bytes)),
-        Err(err) if err.kind() == io::ErrorKind::NotFound => Ok(None),
-        Err(err) => Err(err),
-    }
-}
+pub use files::load;
 
 /// Stands before the checksum, on a line of its own after the text.
 const MARK: &[u8] = b"\ncrc32c ";
@@ -75,6 +57,14 @@
     Ok(bytes)
 }
 
+/// The text of a sealed file; none when there is no such file.
+///
+/// # Errors
+/// Those of the file system; the text is not what was written.
+pub fn load_sealed(path: &Path) -> io::Result<Option<Vec<u8>>> {
+    load(path)?.map(open).transpose()
+}
+
 /// What the thread is to do, and what has come of it. Snapshots are numbered from 1.
 struct Task<T> {
     /// The newest alone: it takes the place of one that still waits.
--- a/control/src/server.rs
+++ b/control/src/server.rs
@@ -35,9 +35,7 @@
             std::fs::create_dir_all(dir).map_err(|err| format!("{}: {err}", dir.display()))?;
         }
         let kept = match &file {
-            Some(file) => keep::load(file)
-                .and_then(|text| text.map(keep::open).transpose())
-                .map_err(|err| format!("{}: {err}", file.display()))?,
+            Some(file) => keep::load_sealed(file).map_err(|err| format!("{}: {err}", file.display()))?,
             None => None,
         };
         let mut desk = Desk::open(net.now(), kept.as_deref())?;
--- a/files/src/lib.rs
+++ b/files/src/lib.rs
@@ -30,20 +30,14 @@
     let _ = LIE.set(file);
 }
 
-/// The lie that is on now.
+/// The lie that is on now, looked at once a call; one that is slow has taken its time by then.
 fn lie() -> Option<String> {
     let text = fs::read_to_string(LIE.get()?).ok()?;
-    Some(text.trim().to_string()).filter(|name| !name.is_empty())
-}
-
-fn is(name: &str) -> bool {
-    match lie() {
-        Some(lie) if lie == "slow" => {
-            std::thread::sleep(HANGS);
-            false
-        }
-        lie => lie.as_deref() == Some(name),
+    let name = text.trim();
+    if name == "slow" {
+        std::thread::sleep(HANGS);
     }
+    Some(name.to_string())
 }
 
 fn fails(kind: io::ErrorKind) -> io::Error {
@@ -70,13 +64,15 @@
         if LIE.get().is_none() {
             return self.real.write_all(bytes);
         }
-        if is("write-fails") {
-            return Err(fails(io::ErrorKind::Other));
-        }
-        let short = is("write-short") || is("no-space");
-        self.held.extend_from_slice(if short { &bytes[..bytes.len() / 2] } else { bytes });
-        if is("no-space") {
-            return Err(fails(io::ErrorKind::StorageFull));
+        let half = &bytes[..bytes.len() / 2];
+        match lie().as_deref() {
+            Some("write-fails") => return Err(fails(io::ErrorKind::Other)),
+            Some("no-space") => {
+                self.held.extend_from_slice(half);
+                return Err(fails(io::ErrorKind::StorageFull));
+            }
+            Some("write-short") => self.held.extend_from_slice(half),
+            _ => self.held.extend_from_slice(bytes),
         }
         Ok(())
     }
@@ -85,11 +81,12 @@
     /// Those of the file system. What was written since the last sync that succeeded is not to be relied on from then on.
     pub fn sync(&mut self) -> io::Result<()> {
         if LIE.get().is_some() {
-            if is("sync-lies") {
+            let lie = lie();
+            if lie.as_deref() == Some("sync-lies") {
                 return Ok(());
             }
             let held = std::mem::take(&mut self.held);
-            if is("sync-fails") {
+            if lie.as_deref() == Some("sync-fails") {
                 return Err(fails(io::ErrorKind::Other));
             }
             self.real.write_all(&held)?;
@@ -101,7 +98,7 @@
 /// # Errors
 /// Those of the file system; both files then stand as they were.
 pub fn rename(from: &Path, to: &Path) -> io::Result<()> {
-    if is("rename-fails") {
+    if lie().as_deref() == Some("rename-fails") {
         return Err(fails(io::ErrorKind::Other));
     }
     fs::rename(from, to)
@@ -110,7 +107,7 @@
 /// # Errors
 /// Those of the file system; a rename may be lost by a power cut then.
 pub fn sync_folder(dir: &Path) -> io::Result<()> {
-    if is("sync-lies") {
+    if lie().as_deref() == Some("sync-lies") {
         return Ok(());
     }
     fs::File::open(dir)?.sync_all()
@@ -120,13 +117,43 @@
 /// Those of the file system, also that there is no such file.
 pub fn read(path: &Path) -> io::Result<Vec<u8>> {
     let mut bytes = fs::read(path)?;
-    if is("read-fails") {
-        return Err(fails(io::ErrorKind::Other));
-    }
-    if is("read-flips") && !bytes.is_empty() {
+    match lie().as_deref() {
+        Some("read-fails") => return Err(fails(io::ErrorKind::Other)),
         // One bit, in the middle of what is there.
-        let at = bytes.len() / 2;
-        bytes[at] ^= 0x10;
+        Some("read-flips") if !bytes.is_empty() => {
+            let at = bytes.len() / 2;
+            bytes[at] ^= 0x10;
+        }
+        _ => {}
     }
     Ok(bytes)
 }
+
+/// Replaces a file as a whole, so that a reader finds the old text or the new one, also after a power cut: writes beside it,
+/// syncs, renames over it, syncs the folder. The file stays open for what is to be written behind.
+///
+/// # Errors
+/// Those of the file system; the old file then stands as it was.
+pub fn replace(path: &Path, bytes: &[u8]) -> io::Result<File> {
+    let beside = path.with_extension("new");
+    let mut file = File::create(&beside)?;
+    file.write_all(bytes)?;
+    file.sync()?;
+    rename(&beside, path)?;
+    if let Some(dir) = path.parent().filter(|dir| !dir.as_os_str().is_empty()) {
+        sync_folder(dir)?;
+    }
+    Ok(file)
+}
+
+/// A file's bytes; none when there is no such file.
+///
+/// # Errors
+/// Those of the file system.
+pub fn load(path: &Path) -> io::Result<Option<Vec<u8>>> {
+    match read(path) {
+        Ok(bytes) => Ok(Some(bytes)),
+        Err(err) if err.kind() == io::ErrorKind::NotFound => Ok(None),
+        Err(err) => Err(err),
+    }
+}
--- a/front/src/hall.rs
+++ b/front/src/hall.rs
@@ -210,14 +210,15 @@
         }
         // Its own watch may be silent, or the desk cut off: more careful at once.
         let ours = |s: &Standing| news.withdrawn.contains(&s.build) && stays(s.phase);
-        if let (Some(stage), true) = (self.stage.clone(), self.wire.standing.as_ref().is_some_and(ours)) {
-            tracing::info!(event = "withdrawn, by another front", build = stage["build"].as_u64());
-            self.told_again(stage);
+        if let Some(s) = self.wire.standing.filter(ours) {
+            tracing::info!(event = "withdrawn, by another front", build = s.build);
+            self.told_again();
         }
     }
 
     /// The stage as it was last told, at its present age.
-    fn told_again(&mut self, mut stage: Value) {
+    fn told_again(&mut self) {
+        let Some(mut stage) = self.stage.clone() else { return };
         let now = self.wire.net.now();
         let age = self.wire.standing.map_or(0.0, |s| (now - s.since) as f64 / MS as f64);
         stage["age_ms"] = json!(age);
@@ -802,9 +803,7 @@
         let now = self.wire.net.now();
         if let Some(at) = self.again.filter(|at| *at <= now) {
             self.again = None;
-            if let Some(stage) = self.stage.clone() {
-                self.told_again(stage);
-            }
+            self.told_again();
             tracing::info!(event = "window over", since_start_ms = (at - self.born) / MS);
         }
         if now - self.ticked < TICK_EVERY && self.ticked > 0 {
--- a/front/src/saved.rs
+++ b/front/src/saved.rs
@@ -29,7 +29,7 @@
 /// Names the file and what this version can't take in it.
 pub fn load(file: &Path) -> Result<Option<Saved>, String> {
     let at = |why: String| format!("{}: {why}", file.display());
-    let text = match keep::load(file).and_then(|text| text.map(keep::open).transpose()) {
+    let text = match keep::load_sealed(file) {
         Ok(Some(text)) => text,
         Ok(None) => return Ok(None),
         Err(err) => {
--- a/front/src/shelf.rs
+++ b/front/src/shelf.rs
@@ -39,7 +39,7 @@
 }
 
 fn load(file: &Path) -> Option<(Kept, u64)> {
-    let text = match keep::load(file).and_then(|text| text.map(keep::open).transpose()) {
+    let text = match keep::load_sealed(file) {
         Ok(text) => text?,
         Err(err) => {
             tracing::error!(event = "tenants' snapshot not read", file = %file.display(), why = %err);
--- a/peers/src/kept.rs
+++ b/peers/src/kept.rs
@@ -2,9 +2,9 @@
 //! that comes up takes them as rows like any other's: its file makes no table whole, and a file that is old, torn or
 //! damaged costs the rows that it lacks, nothing else.
 use rockpick_copies::{Dot, Key, Row};
-use rockpick_files::{self as files, File};
+use rockpick_files as files;
 use std::io;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{sync_channel, SyncSender, TrySendError};
 use std::sync::Arc;
@@ -53,41 +53,18 @@
     (rows, damaged)
 }
 
-fn write(file: &mut File, rows: &[(Key, Row, Dot)]) -> io::Result<u64> {
-    let mut bytes = 0;
-    for some in rows.chunks(MOST_ROWS) {
-        let batch = batch(some);
-        file.write_all(&batch)?;
-        bytes += batch.len() as u64;
-    }
-    file.sync()?;
-    Ok(bytes)
-}
-
-/// Writes the file anew with what was read, beside the old one.
-fn anew(path: &Path, rows: &[(Key, Row, Dot)]) -> io::Result<(File, u64)> {
-    let beside = path.with_extension("new");
-    let mut file = File::create(&beside)?;
-    let bytes = write(&mut file, rows)?;
-    files::rename(&beside, path)?;
-    if let Some(dir) = path.parent().filter(|dir| !dir.as_os_str().is_empty()) {
-        files::sync_folder(dir)?;
-    }
-    Ok((file, bytes))
+fn batches(rows: &[(Key, Row, Dot)]) -> Vec<u8> {
+    rows.chunks(MOST_ROWS).flat_map(batch).collect()
 }
 
 impl Keeper {
     /// What the file holds, and one that goes on with it. A disk that refuses keeps nobody from coming up.
     pub fn begin(path: PathBuf) -> (Rows, Keeper) {
-        let bytes = match files::read(&path) {
-            Ok(bytes) => bytes,
-            Err(err) if err.kind() == io::ErrorKind::NotFound => Vec::new(),
-            Err(err) => {
-                tracing::error!(event = "copies not read", file = %path.display(), why = %err);
-                Vec::new()
-            }
-        };
-        let (rows, damaged) = read(&bytes);
+        let bytes = files::load(&path).unwrap_or_else(|err| {
+            tracing::error!(event = "copies not read", file = %path.display(), why = %err);
+            None
+        });
+        let (rows, damaged) = read(&bytes.unwrap_or_default());
         if damaged > 0 {
             tracing::error!(event = "copies damaged on disk", file = %path.display(), batches = damaged, rows = rows.len());
         }
@@ -99,20 +76,22 @@
                 theirs.store(true, Ordering::Relaxed);
                 tracing::error!(event = "copies not kept", file = %path.display(), why = %why);
             };
-            let (mut file, mut size) = match anew(&path, &mine) {
-                Ok(begun) => begun,
+            let mut bytes = batches(&mine);
+            drop(mine);
+            let (mut file, mut size) = match files::replace(&path, &bytes) {
+                Ok(file) => (file, bytes.len() as u64),
                 Err(why) => return fails(why),
             };
-            drop(mine);
             for rows in from {
                 if size > MOST_BYTES {
                     return fails(io::Error::new(io::ErrorKind::FileTooLarge, "full until the next start"));
                 }
                 // After a sync that failed nothing of the file is to be relied on: no more is said to be kept.
-                match write(&mut file, &rows) {
-                    Ok(bytes) => size += bytes,
-                    Err(why) => return fails(why),
+                bytes = batches(&rows);
+                if let Err(why) = file.write_all(&bytes).and_then(|()| file.sync()) {
+                    return fails(why);
                 }
+                size += bytes.len() as u64;
                 count.fetch_add(rows.len() as u64, Ordering::Relaxed);
             }
         });
--- a/rehearse/src/crew.rs
+++ b/rehearse/src/crew.rs
@@ -474,7 +474,7 @@
 
     fn take_down(&mut self, who: usize, begins: bool, back: Return) -> Result<(), String> {
         let name = self.charter.fronts[who].name.clone();
-        let files = ["json", "peers"].map(|kind| {
+        let files = ["json", "peers.rows"].map(|kind| {
             let file = self.out.join(&name).join(format!("{name}.{kind}"));
             (file, self.out.join(format!("{name}.{kind}.former")))
         });
