--- a/copies/src/copies.rs
+++ b/copies/src/copies.rs
@@ -189,9 +189,7 @@
     pub fn recall(&mut self, key: Key, row: Row, dot: Dot) {
         if !self.obsolete(&key, &row) {
             self.shelf.take(key, row, dot);
-            if key.table() == Table::Builds {
-                self.low = self.floor();
-            }
+            self.refloor(&key);
         }
     }
 
@@ -202,8 +200,8 @@
     /// A change of this front's own; true where it is one.
     pub fn change(&mut self, key: Key, row: Row) -> bool {
         let changed = !self.obsolete(&key, &row) && self.shelf.change(key, row);
-        if changed && key.table() == Table::Builds {
-            self.low = self.floor();
+        if changed {
+            self.refloor(&key);
         }
         changed
     }
@@ -231,6 +229,13 @@
         newest.len().checked_sub(2).map_or(0, |at| newest[at])
     }
 
+    /// A row has changed: one of a build may have moved the floor.
+    fn refloor(&mut self, key: &Key) {
+        if key.table() == Table::Builds {
+            self.low = self.floor();
+        }
+    }
+
     /// Rows that need not be kept, and are not taken from one that still has them. All fronts come to the same word on
     /// it, as the builds' table joins.
     fn obsolete(&self, key: &Key, row: &Row) -> bool {
@@ -324,9 +329,7 @@
                 continue;
             }
             let taken = self.shelf.take(key, row, dot);
-            if key.table() == Table::Builds {
-                self.low = self.floor();
-            }
+            self.refloor(&key);
             match taken {
                 Taken::New => {
                     self.tolls.learnt += 1;
@@ -348,17 +351,17 @@
         }
     }
 
-    /// Letters full of rows; true when all of them were sent.
+    /// Letters full of rows; the first that was not sent any more, if any.
     fn send_rows(
         to: u64, rows: impl Iterator<Item = (Key, Row, Dot)>, wrap: impl Fn(Rows) -> Word, act: &mut impl Act,
-    ) -> bool {
+    ) -> Option<Key> {
         let (mut letters, mut part, mut room) = (0, Rows::new(), FOR_ROWS);
         for row in rows {
             let long = size(&row);
             if long > room {
                 if letters + 1 >= MOST_LETTERS {
                     act.send(to, &wrap(part).write());
-                    return false;
+                    return Some(row.0);
                 }
                 letters += 1;
                 act.send(to, &wrap(std::mem::take(&mut part)).write());
@@ -370,7 +373,7 @@
         if !part.is_empty() {
             act.send(to, &wrap(part).write());
         }
-        true
+        None
     }
 
     fn wholes(&self) -> [u64; 5] {
@@ -451,22 +454,12 @@
                 let first = peer.looked.filter(|key| key.table() == table).unwrap_or(Key::least(table));
                 let mut looked = self.shelf.from(first);
                 let some = looked.by_ref().take(MOST_LOOKS).filter(|(key, ..)| differ[range(key)]);
-                let (mut rows, mut room) = (Vec::new(), (MOST_LETTERS - 1) * FOR_ROWS);
-                let mut next = None;
-                for (key, row, dot) in some {
-                    let row = (*key, *row, *dot);
-                    let Some(left) = room.checked_sub(size(&row)) else {
-                        next = Some(*key);
-                        break;
-                    };
-                    room = left;
-                    rows.push(row);
-                }
-                let next = next.or_else(|| looked.next().map(|(key, ..)| *key));
+                let some = some.map(|(key, row, dot)| (*key, *row, *dot));
+                let stopped = Copies::send_rows(from, some, |rows| Word::Range { rows }, act);
+                let next = stopped.or_else(|| looked.next().map(|(key, ..)| *key));
                 if let Some(peer) = self.peers.get_mut(&from) {
                     peer.looked = next;
                 }
-                Copies::send_rows(from, rows.into_iter(), |rows| Word::Range { rows }, act);
             }
             Word::Range { rows } => self.rows(rows, from, act),
             Word::PullVersions { serial, from: first, any } => {
@@ -518,7 +511,7 @@
                 seen.insert(*origin, theirs.get(origin).copied().unwrap_or(0));
             }
             let rows = self.shelf.beyond(&seen).map(|(k, r, d)| (*k, *r, *d));
-            if Copies::send_rows(to, rows, |rows| Word::Delta { rows, up_to: None }, act) {
+            if Copies::send_rows(to, rows, |rows| Word::Delta { rows, up_to: None }, act).is_none() {
                 // The versions come last; where one of the letters before them was lost, digests find the row.
                 act.send(to, &Word::Delta { rows: Vec::new(), up_to: Some(part.to_vec()) }.write());
             }
--- a/front/src/hall.rs
+++ b/front/src/hall.rs
@@ -3,7 +3,7 @@
 use crate::shelf::Shelf;
 use crate::wire::{back_lines, read_note, wait_lines, What, Wire, LAPSE, LOG_LINES, MODULE, PEERS, TICK};
 use crate::{fresh, Opening};
-use rockpick::{Front, Member, Ns, Outcome, Phase, Reply, Roll, Standing, State};
+use rockpick::{Front, Member, Ns, Outcome, Reply, Roll, Standing, State};
 use rockpick_control::charter::{plain, Repeats, Wrong, MOST_WEIGHT, MOST_ZONES};
 use rockpick_control::desk::{phase_of, phase_word, state_of, MOST_ROWS};
 use rockpick_control::keep::Writer;
@@ -11,7 +11,7 @@
 use rockpick_control::Charter;
 use rockpick_net::http::Request;
 use rockpick_net::{take_line, End, Event, Id, Net, Often, MS, SEC};
-use rockpick_peers::{Company, Peers, Seal, Stands};
+use rockpick_peers::{Company, Peers, Seal};
 use serde_json::{json, Value};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -32,6 +32,7 @@
 const TICK_EVERY: Ns = 250 * MS;
 /// A front without settings, or that was told of others, asks for them this often.
 const ASK_EVERY: Ns = 500 * MS;
+const NO_COMPANY: &str = "this front keeps no company: it has no --peers-listen";
 const SIGTERM: i32 = 15;
 const SIGINT: i32 = 2;
 
@@ -62,8 +63,6 @@
     shelf: Option<Shelf>,
     /// The other fronts, where it was told to keep company.
     peers: Option<Peers>,
-    /// Was the module last told that all that any front knew of keys is here?
-    known_keys: bool,
 }
 
 /// Runs a front until a signal ends it; `ready` hears the address taken.
@@ -116,7 +115,6 @@
         no_settings,
         odd: Often::new(LOG_LINES),
         shelf: None,
-        known_keys: peers.is_none(),
         peers,
     };
     if let Some(kept) = kept {
@@ -200,17 +198,10 @@
         for (key, build) in self.wire.bound.drain(..) {
             peers.bind(key, build);
         }
-        let news = peers.news();
-        if !news.bound.is_empty() || news.keys_known != self.known_keys {
-            self.known_keys = news.keys_known;
-            self.each(|front, _| {
-                news.bound.iter().for_each(|(key, build)| front.bound_elsewhere(*key, *build));
-                front.keys_known(news.keys_known);
-            });
-        }
+        let Some(news) = peers.news() else { return };
+        self.each(|front, _| news.tell(front));
         // Its own watch may be silent, or the desk cut off: more careful at once.
-        let ours = |s: &Standing| news.withdrawn.contains(&s.build) && stays(s.phase);
-        if let Some(s) = self.wire.standing.filter(ours) {
+        if let Some(s) = news.withdrawn {
             tracing::info!(event = "withdrawn, by another front", build = s.build);
             self.told_again();
         }
@@ -308,7 +299,7 @@
             ("GET" | "HEAD", "/status") => (200, self.status()),
             ("GET" | "HEAD", "/peers") => match &self.peers {
                 Some(peers) => (200, peers.show(self.wire.net.now())),
-                None => (404, json!({ "error": "this front keeps no company: it has no --peers-listen" })),
+                None => (404, json!({ "error": NO_COMPANY })),
             },
             ("GET" | "HEAD", "/peers/rows") => {
                 let table = request.query("table").unwrap_or("bindings");
@@ -318,9 +309,7 @@
                         400,
                         json!({ "error": "table: builds, machines, bindings, evidence or spent; from: as told by next" }),
                     ),
-                    None => {
-                        (404, json!({ "error": "this front keeps no company: it has no --peers-listen" }))
-                    }
+                    None => (404, json!({ "error": NO_COMPANY })),
                 }
             }
             ("POST", "/dispute") => self.dispute(&request.body),
@@ -563,15 +552,11 @@
     fn standing(&self, stage: &Value) -> Option<Standing> {
         let now = self.wire.net.now();
         let number = |name: &str| stage.get(name).and_then(Value::as_f64);
-        let build = number("build").filter(|b| (0.0..=MOST_BUILD.into()).contains(b))? as u32;
-        let (phase, cap) = (phase_of(stage.get("phase")?.as_str()?)?, number("cap")?.clamp(0.0, 1.0));
-        // A line that a stall held back, or a desk of old, calls a build good that others know to be withdrawn.
-        let over = stays(phase) && self.peers.as_ref().is_some_and(|p| p.withdrawn(build));
         Some(Standing {
-            build,
+            build: number("build").filter(|b| (0.0..=MOST_BUILD.into()).contains(b))? as u32,
             stage: number("stage")? as u32,
-            phase: if over { Phase::GoingBack } else { phase },
-            cap: if over { 0.0 } else { cap },
+            phase: phase_of(stage.get("phase")?.as_str()?)?,
+            cap: number("cap")?.clamp(0.0, 1.0),
             since: now - (number("age_ms")?.clamp(0.0, MOST_AGE) * MS as f64) as Ns,
         })
     }
@@ -584,14 +569,10 @@
         let (now, window) = (self.wire.net.now(), self.wire.charter.rollout.window_ms as Ns * MS);
         let mut held = None;
         if let Some(news) = news {
-            if let Some(peers) = &mut self.peers {
-                let stands = match news.phase {
-                    Phase::OnTrial => Stands::OnTrial,
-                    Phase::Released => Stands::Released,
-                    Phase::GoingBack | Phase::Withdrawn => Stands::Withdrawn,
-                };
-                peers.stands(news.build, news.stage, stands);
-            }
+            let news = match &mut self.peers {
+                Some(peers) => peers.stands(news),
+                None => news,
+            };
             let before = self.wire.standing.replace(news);
             let moved =
                 before.is_none_or(|b| (b.build, b.stage, b.phase) != (news.build, news.stage, news.phase));
@@ -747,8 +728,7 @@
         self.born = self.wire.net.now();
         let mut front = Front::start(post, &mut self.wire);
         if let Some(peers) = &mut self.peers {
-            peers.bindings().into_iter().for_each(|(key, build)| front.bound_elsewhere(key, build));
-            front.keys_known(self.known_keys);
+            peers.tell_all(&mut front);
         }
         self.lives.push_back((self.wire.life, front));
         tracing::info!(event = "settings", version, life = self.wire.life);
@@ -879,11 +859,6 @@
     }
 }
 
-/// Does a build of this phase get picks?
-fn stays(phase: Phase) -> bool {
-    matches!(phase, Phase::OnTrial | Phase::Released)
-}
-
 /// How a call ended, for the log.
 fn why(end: &End) -> String {
     match end {
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -3,9 +3,9 @@
 use crate::links::{standing, Tell, ENDS};
 use crate::wire::{Open, Wire, DESK, DUE, MODULE, PEERS, STOP, TICK};
 use crate::Opening;
-use rockpick::{Front, Ns, Outcome, Phase, Reply, Roll, Standing};
+use rockpick::{Front, Ns, Outcome, Reply, Roll};
 use rockpick_net::{Event, Id, Net, MS, SEC};
-use rockpick_peers::{Company, Peers, Stands};
+use rockpick_peers::{Company, Peers};
 use rockpick_pg as pg;
 use rockpick_platform::{roster, statement};
 use std::net::SocketAddr;
@@ -30,10 +30,6 @@
     rested: Option<Ns>,
     /// The other fronts, where it was told to join them.
     peers: Option<Peers>,
-    /// Was the module last told that all that any front knew of keys is here?
-    known_keys: bool,
-    /// Where the newest build stands, as the platform last told, and when.
-    standing: Option<Standing>,
 }
 
 /// Runs a node until SIGTERM ends it; `ready` hears the address taken.
@@ -59,7 +55,7 @@
     // that came and left in between, and a list that still has it up would never be put right.
     let at_start = roster::read(&known, &wire.opening.zones);
     wire.discovery.seq = at_start.as_ref().map_or(0, |telling| telling.seq);
-    let front = Front::start(post, &mut wire);
+    let mut front = Front::start(post, &mut wire);
     let peers = match wire.opening.circle.clone() {
         Some(circle) => {
             let (name, told) = (wire.opening.name.clone(), wire.opening.post.fronts);
@@ -67,10 +63,10 @@
         }
         None => None,
     };
-    let known_keys = peers.is_none();
-    let mut node =
-        Node { wire, front, listener, stopping: false, rested: None, peers, known_keys, standing: None };
-    node.front.keys_known(known_keys);
+    if let Some(peers) = &peers {
+        peers.tell_all(&mut front);
+    }
+    let mut node = Node { wire, front, listener, stopping: false, rested: None, peers };
     if let Some(telling) = at_start {
         let told = node.wire.listed(Roll::Saved, telling);
         node.tell(told);
@@ -124,36 +120,15 @@
     fn share(&mut self) {
         let Some(peers) = &mut self.peers else { return };
         self.wire.bound.drain(..).for_each(|(key, build)| peers.bind(key, build));
-        let news = peers.news();
-        if !news.bound.is_empty() || news.keys_known != self.known_keys {
-            self.known_keys = news.keys_known;
-            news.bound.iter().for_each(|(key, build)| self.front.bound_elsewhere(*key, *build));
-            self.front.keys_known(news.keys_known);
-        }
+        let Some(news) = peers.news() else { return };
+        news.tell(&mut self.front);
         // Its own desk may be silent, or cut off: more careful at once.
-        if let Some(s) = self.standing.filter(|s| stays(s.phase) && news.withdrawn.contains(&s.build)) {
+        if let Some(s) = news.withdrawn {
             tracing::info!(event = "withdrawn, by another front", build = s.build);
             self.tell(Tell::Told(Reply::News, Some(s)));
         }
     }
 
-    /// What the platform tells goes to the others; what they know to be withdrawn stays that, whatever comes late.
-    fn stands(&mut self, mut s: Standing) -> Standing {
-        if let Some(peers) = &mut self.peers {
-            let stands = match s.phase {
-                Phase::OnTrial => Stands::OnTrial,
-                Phase::Released => Stands::Released,
-                Phase::GoingBack | Phase::Withdrawn => Stands::Withdrawn,
-            };
-            peers.stands(s.build, s.stage, stands);
-            if stays(s.phase) && peers.withdrawn(s.build) {
-                (s.phase, s.cap) = (Phase::GoingBack, 0.0);
-            }
-        }
-        self.standing = Some(s);
-        s
-    }
-
     fn pick_over(&mut self, rpc: usize, pick: usize, how: Outcome, row: Option<&[u8]>) {
         if let Some((took, last)) = self.wire.pick_ended(rpc, pick, how, row) {
             self.front.ended(&mut self.wire, rpc, pick, how, took, last);
@@ -166,8 +141,10 @@
         match told {
             Tell::Members(roll, members) => front.members(wire, roll, &members),
             Tell::Told(reply, news) => {
-                let news = news.map(|s| self.stands(s));
-                let (front, wire) = (&mut self.front, &mut self.wire);
+                let news = match &mut self.peers {
+                    Some(peers) => news.map(|s| peers.stands(s)),
+                    None => news,
+                };
                 if let Some(s) = news {
                     tracing::info!(event = "standing", build = s.build, stage = s.stage, phase = ?s.phase, cap = s.cap, reply = ?reply);
                 }
@@ -318,8 +295,7 @@
         let ends = ENDS.map(|(name, how)| format!("{name} {}", t.ends[how as usize])).join(", ");
         let (conns, idle) = self.wire.pool.count();
         if let Some(peers) = &self.peers {
-            let shown = peers.show(now);
-            tracing::info!(event = "peers", there = %shown["there"], copies = %shown["copies"], strange = %shown["strange"]);
+            tracing::info!(event = "peers", counts = %peers.counts());
         }
         tracing::info!(
             event = "counts",
@@ -409,9 +385,4 @@
     }
 }
 
-/// Does a build of this phase get picks?
-fn stays(phase: Phase) -> bool {
-    matches!(phase, Phase::OnTrial | Phase::Released)
-}
-
 const _: () = assert!(pg::MOST_QUERY > 2 * pg::MOST_VALUE);
--- a/peers/src/lib.rs
+++ b/peers/src/lib.rs
@@ -7,6 +7,7 @@
 
 use kept::Keeper;
 use rand::Rng;
+use rockpick::{Front, Standing};
 use rockpick_copies::{self as copies, Build, Copies, Fact, Key, Near, Phase, Row, Table};
 use rockpick_members::{Act, Change, Event, Members, Ns, Pace, Place, Record, Status, MS, SEC};
 use rockpick_net::{Id, Net, Often};
@@ -74,37 +75,41 @@
     /// Says that this process goes.
     fn leave(&mut self, net: &mut Net);
     fn show(&self, now: Ns) -> Value;
+    /// The counts alone, for a line in the log.
+    fn counts(&self) -> Value;
     /// This front has bound a key.
     fn bind(&mut self, key: u64, build: u32);
-    /// The desk has told this front where a build stands.
-    fn stands(&mut self, build: u32, stage: u32, phase: Stands);
-    /// Has the desk told any front that this build goes, or went, back? Builds' numbers only rise, so that is for good.
-    fn withdrawn(&self, build: u32) -> bool;
-    /// What has come from others since it was last asked.
-    fn news(&mut self) -> News;
-    /// All bindings known.
-    fn bindings(&self) -> Vec<(u64, u32)>;
+    /// The desk has told this front where the newest build stands; as the front is to take it. One that any front was told
+    /// goes, or went, back stays that, whatever a stalled line or a desk of old says: builds' numbers only rise.
+    fn stands(&mut self, told: Standing) -> Standing;
+    /// What has come from others since it was last asked, if anything has.
+    fn news(&mut self) -> Option<News>;
+    /// Tells a new life of the module all that is known.
+    fn tell_all(&self, front: &mut Front);
     /// Rows of a table, some at a time: none where the table's name or the place to go on from makes no sense.
     fn rows(&self, table: &str, from: Option<&str>) -> Option<Value>;
 }
 
-/// Where a build stands, as far as others need to know.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stands {
-    OnTrial,
-    Released,
-    Withdrawn,
-}
-
 /// What has come from other fronts.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct News {
     /// Keys, and which build has answered them.
-    pub bound: Vec<(u64, u32)>,
-    /// Builds that go, or went, back.
-    pub withdrawn: Vec<u32>,
+    bound: Vec<(u64, u32)>,
     /// All that any front knew of keys is here now.
-    pub keys_known: bool,
+    keys_known: bool,
+    /// This front's newest build goes back: to be told to the module once more.
+    pub withdrawn: Option<Standing>,
+}
+
+impl News {
+    pub fn tell(&self, front: &mut Front) {
+        self.bound.iter().for_each(|(key, build)| front.bound_elsewhere(*key, *build));
+        front.keys_known(self.keys_known);
+    }
+}
+
+/// Does a build of this phase get picks?
+fn stays(phase: rockpick::Phase) -> bool {
+    matches!(phase, rockpick::Phase::OnTrial | rockpick::Phase::Released)
 }
 
 /// Rows of one answer about a table.
@@ -121,6 +126,9 @@
     learnt: Vec<(u64, u32)>,
     /// Builds that others know to be withdrawn, not yet handed on.
     withdrawn: Vec<u32>,
+    /// Where the newest build stands, as the module was last told; and whether it was told that all keys are known.
+    standing: Option<Standing>,
+    keys_known: bool,
     keeper: Option<Keeper>,
     /// Keys whose rows are to be kept.
     fresh: BTreeSet<Key>,
@@ -167,6 +175,8 @@
             zone: BTreeSet::new(),
             learnt: Vec::new(),
             withdrawn: Vec::new(),
+            standing: None,
+            keys_known: false,
             keeper: None,
             fresh: BTreeSet::new(),
             differs: 0,
@@ -260,6 +270,16 @@
         }
     }
 
+    fn copies_held(&self) -> Value {
+        json!({
+                "whole": copies::TABLES.iter().filter(|t| self.copies.is_whole(**t)).map(|t| format!("{t:?}")).collect::<Vec<_>>(),
+                "rows": copies::TABLES.iter().map(|t| (format!("{t:?}"), json!(self.copies.shelf().len(*t)))).collect::<serde_json::Map<_, _>>(),
+                "digests": copies::TABLES.iter().map(|t| (format!("{t:?}"), json!(format!("{:016x}", self.copies.shelf().whole(*t))))).collect::<serde_json::Map<_, _>>(),
+                "learnt": self.copies.tolls.learnt, "differs": self.differs, "gave": self.copies.tolls.gave,
+                "kept": self.keeper.as_ref().filter(|k| k.well()).map(|k| k.kept.load(Ordering::Relaxed)),
+                "busy": self.copies.tolls.busy, "refused": self.copies.tolls.refused })
+    }
+
     fn note_down(&mut self, key: Key) {
         if self.keeper.is_some() && matches!(key.table(), Table::Builds | Table::Bindings) {
             self.fresh.insert(key);
@@ -383,30 +403,45 @@
         }
     }
 
-    fn stands(&mut self, build: u32, stage: u32, phase: Stands) {
+    fn stands(&mut self, mut told: Standing) -> Standing {
         // The desk numbers what it says by no term yet: within a build stages only rise, and a release comes after.
         let row = Build {
-            withdrawn: phase == Stands::Withdrawn,
+            withdrawn: !stays(told.phase),
             term: 0,
             serial: 0,
-            phase: if phase == Stands::Released { Phase::Released } else { Phase::OnTrial },
-            stage,
+            phase: if told.phase == rockpick::Phase::Released { Phase::Released } else { Phase::OnTrial },
+            stage: told.stage,
         };
-        if self.copies.change(Key::Build(build), Row::Build(row)) {
-            self.note_down(Key::Build(build));
+        if self.copies.change(Key::Build(told.build), Row::Build(row)) {
+            self.note_down(Key::Build(told.build));
         }
+        if stays(told.phase) && self.copies.withdrawn(told.build) {
+            (told.phase, told.cap) = (rockpick::Phase::GoingBack, 0.0);
+        }
+        self.standing = Some(told);
+        told
     }
 
-    fn withdrawn(&self, build: u32) -> bool {
-        self.copies.withdrawn(build)
+    fn news(&mut self) -> Option<News> {
+        let bound = std::mem::take(&mut self.learnt);
+        let keys_known = self.copies.is_whole(Table::Bindings);
+        let known = std::mem::replace(&mut self.keys_known, keys_known);
+        let gone = std::mem::take(&mut self.withdrawn);
+        let withdrawn = self.standing.filter(|s| stays(s.phase) && gone.contains(&s.build));
+        (!bound.is_empty() || keys_known != known || withdrawn.is_some()).then_some(News {
+            bound,
+            keys_known,
+            withdrawn,
+        })
     }
 
-    fn news(&mut self) -> News {
-        News {
-            bound: std::mem::take(&mut self.learnt),
-            withdrawn: std::mem::take(&mut self.withdrawn),
-            keys_known: self.copies.is_whole(Table::Bindings),
+    fn tell_all(&self, front: &mut Front) {
+        for (key, row) in self.copies.shelf().table(Table::Bindings) {
+            if let (Key::Bound(key), Row::Bound(builds)) = (key, row) {
+                builds.iter().filter(|b| **b > 0).for_each(|build| front.bound_elsewhere(*key, *build));
+            }
         }
+        front.keys_known(self.keys_known);
     }
 
     fn rows(&self, table: &str, from: Option<&str>) -> Option<Value> {
@@ -426,12 +461,8 @@
         )
     }
 
-    fn bindings(&self) -> Vec<(u64, u32)> {
-        let rows = self.copies.shelf().table(Table::Bindings).flat_map(|(key, row)| match (key, row) {
-            (Key::Bound(key), Row::Bound(builds)) => builds.map(|build| (*key, build)),
-            _ => [(0, 0); 2],
-        });
-        rows.filter(|(_, build)| *build > 0).collect()
+    fn counts(&self) -> Value {
+        json!({ "there": self.members.there(), "copies": self.copies_held(), "strange": self.strange })
     }
 
     fn show(&self, now: Ns) -> Value {
@@ -452,13 +483,7 @@
             "there": self.members.there(), "counted": self.members.at_least(), "troubles": self.members.troubles(),
             "refuted": self.members.refuted, "odd": self.members.odd, "strange": self.strange,
             "heard": { "datagrams": self.heard.0, "bytes": self.heard.1 },
-            "copies": {
-                "whole": copies::TABLES.iter().filter(|t| self.copies.is_whole(**t)).map(|t| format!("{t:?}")).collect::<Vec<_>>(),
-                "rows": copies::TABLES.iter().map(|t| (format!("{t:?}"), json!(self.copies.shelf().len(*t)))).collect::<serde_json::Map<_, _>>(),
-                "digests": copies::TABLES.iter().map(|t| (format!("{t:?}"), json!(format!("{:016x}", self.copies.shelf().whole(*t))))).collect::<serde_json::Map<_, _>>(),
-                "learnt": self.copies.tolls.learnt, "differs": self.differs, "gave": self.copies.tolls.gave,
-                "kept": self.keeper.as_ref().filter(|k| k.well()).map(|k| k.kept.load(Ordering::Relaxed)),
-                "busy": self.copies.tolls.busy, "refused": self.copies.tolls.refused },
+            "copies": self.copies_held(),
             "sent": { "datagrams": self.sent.0, "bytes": self.sent.1 }, "changes": changes })
     }
 }
