--- a/cli/src/storms.rs
+++ b/cli/src/storms.rs
@@ -1,7 +1,7 @@
 //! Storms upon real processes: fronts that keep company, faults between them by a plan, and a judge that knows who runs
 //! because it started and stopped them. What each front holds of the others is held against that.
 use crate::Bad2;
-use rockpick_net::{Ns, SEC};
+use rockpick_net::SEC;
 use rockpick_storm::plan::Range;
 use rockpick_storm::relay::Relay;
 use rockpick_storm::{shrink, Fault, Plan, Way};
@@ -248,16 +248,9 @@
     for who in 0..plan.parts {
         crew.start(who)?;
     }
-    let mut edges: Vec<(Ns, usize, bool)> = plan
-        .acts
-        .iter()
-        .enumerate()
-        .flat_map(|(i, act)| [(act.from, i, true), (act.until, i, false)])
-        .collect();
-    edges.sort_unstable();
     let began = Instant::now();
     let mut on: Vec<usize> = Vec::new();
-    for (at, act, begins) in edges {
+    for (at, act, begins) in plan.edges() {
         let due = Duration::from_nanos(at as u64);
         std::thread::sleep(due.saturating_sub(began.elapsed()));
         if begins {
@@ -267,8 +260,7 @@
         }
         for from in 0..plan.parts {
             for to in (0..plan.parts).filter(|to| *to != from) {
-                let ways = on.iter().filter_map(|i| plan.acts[*i].fault.way(from, to));
-                crew.relay.set(from, to, ways.fold(Way::default(), Way::with));
+                crew.relay.set(from, to, plan.way(&on, from, to, Way::default()));
             }
         }
         crew.fault(&plan.acts[act].fault, begins)?;
--- a/cli/tests/company.rs
+++ b/cli/tests/company.rs
@@ -166,22 +166,15 @@
     teller.stage(2, 0, "on-trial", 1.0);
     let key = key("the key of these two fronts");
     let at = teller.at.to_string();
-    let begin = |name: &str, join: &str| {
-        let file = key.path().display().to_string();
-        let mut args = vec!["front", "--name", name, "--controller", &at, "--peers-listen", "127.0.0.1:0"];
-        args.extend(["--peers-period-ms", "50", "--peers-key", &file]);
-        if !join.is_empty() {
-            args.extend(["--peers", join]);
-        }
-        let front = start(&args);
+    let begin = |name: &str, join: &[SocketAddr]| {
+        let front = member_of(&at, name, None, join, &key, &[]);
         listed(&front, 2);
         front
     };
     let built = |said: &str| said.split("Rockpick-Build: ").nth(1).and_then(|s| s.chars().next());
     let ask = |front: &Proc, key: u32| rpc(front.at, "lookup", &format!("Rockpick-Key: k{key}\r\n"));
-    let f0 = begin("f0", "");
-    let join = listens(&f0).to_string();
-    let f1 = begin("f1", &join);
+    let f0 = begin("f0", &[]);
+    let f1 = begin("f1", &[listens(&f0)]);
     let whole = |f: &Proc| get(f.at, "/peers")["copies"]["whole"].as_array().is_some_and(|w| w.len() == 5);
     until("both are whole", || whole(&f0) && whole(&f1));
     // A key that the build on trial has answered at one front.
@@ -201,7 +194,7 @@
     };
     until("the bound key is answered by the trial", || goes(&f1) == 200);
     drop(f0);
-    let f0 = begin("f0", &listens(&f1).to_string());
+    let f0 = begin("f0", &[listens(&f1)]);
     (0..30).for_each(|_| {
         goes(&f0);
         std::thread::sleep(std::time::Duration::from_millis(20));
@@ -228,25 +221,14 @@
         teller.stage(2, 0, "on-trial", 1.0);
     }
     let key = key("the key of these two fronts");
-    let file = key.path().display().to_string();
-    let mut join = String::new();
-    let fronts: Vec<Proc> = tellers
-        .iter()
-        .enumerate()
-        .map(|(i, teller)| {
-            let (name, at) = (format!("f{i}"), teller.at.to_string());
-            let mut args =
-                vec!["front", "--name", &name, "--controller", &at, "--peers-listen", "127.0.0.1:0"];
-            args.extend(["--peers-period-ms", "50", "--peers-key", &file]);
-            if i > 0 {
-                args.extend(["--peers", &join]);
-            }
-            let front = start(&args);
-            listed(&front, 2);
-            join = listens(&front).to_string();
-            front
-        })
-        .collect();
+    let begin = |i: usize, join: &[SocketAddr]| {
+        let front = member_of(&tellers[i].at.to_string(), &format!("f{i}"), None, join, &key, &[]);
+        listed(&front, 2);
+        front
+    };
+    let first = begin(0, &[]);
+    let join = [listens(&first)];
+    let fronts = [first, begin(1, &join)];
     until("they know each other", || fronts.iter().all(|f| get(f.at, "/peers")["there"] == 2));
     let built = |said: &str| said.split("Rockpick-Build: ").nth(1).and_then(|s| s.chars().next());
     let asked = |key: u32| built(&rpc(fronts[1].at, "lookup", &format!("Rockpick-Key: k{key}\r\n")).1);
@@ -269,8 +251,7 @@
     assert!(rows.contains("Build(2)") && rows.contains("withdrawn: true"), "{rows}");
     let both = format!("{},{at}", fronts[0].at);
     until("they hold the same", || state(&["differ", "--fronts", &both]).status.code() == Some(0));
-    let (status, _) = (state(&["state", "--front", &at, "--table", "nonsense"]).status, ());
-    assert_eq!(status.code(), Some(2));
+    assert_eq!(state(&["state", "--front", &at, "--table", "nonsense"]).status.code(), Some(2));
 }
 
 #[test]
--- a/copies/tests/storms.rs
+++ b/copies/tests/storms.rs
@@ -385,9 +385,7 @@
 }
 
 fn plan(parts: usize, faults: &[(Ns, Ns, Fault)]) -> Plan {
-    let deed =
-        |(from, until, fault): &(Ns, Ns, Fault)| Deed { from: *from, until: *until, fault: fault.clone() };
-    Plan { seed: 9, parts, length: 70 * SEC, acts: faults.iter().map(deed).collect() }
+    Plan::of(9, parts, 70 * SEC, faults)
 }
 
 #[test]
--- a/members/tests/storms.rs
+++ b/members/tests/storms.rs
@@ -260,9 +260,7 @@
 }
 
 fn plan(parts: usize, length: Ns, faults: &[(Ns, Ns, Fault)]) -> Plan {
-    let deed =
-        |(from, until, fault): &(Ns, Ns, Fault)| Deed { from: *from, until: *until, fault: fault.clone() };
-    Plan { seed: 5, parts, length, acts: faults.iter().map(deed).collect() }
+    Plan::of(5, parts, length, faults)
 }
 
 fn cut(from: &[usize], to: &[usize]) -> Fault {
--- a/rehearse/src/crew.rs
+++ b/rehearse/src/crew.rs
@@ -200,7 +200,7 @@
         let say = |err: std::io::Error| err.to_string();
         let acts = Record::open(Some(&out.join("acts.jsonl"))).map_err(say)?;
         let relay = Relay::begin(2 * plan.fronts, plan.seed).map_err(say)?;
-        let storm = (plan.day == "peers" && plan.trouble.is_empty()).then(|| day::storm(&plan));
+        let storm = plan.is_of_peers().then(|| day::storm(&plan));
         if let Some(storm) = &storm {
             std::fs::write(out.join("storm.jsonl"), storm.write()).map_err(say)?;
             std::fs::write(out.join("peers.key"), "the key of a rehearsal's fronts").map_err(say)?;
@@ -417,9 +417,8 @@
         };
         for (from, to) in (0..fronts).flat_map(|a| (0..fronts).map(move |b| (a, b))).filter(|(a, b)| a != b) {
             let parted = Way { cut: self.zones.get(from) != self.zones.get(to), ..Way::default() };
-            let storm =
-                self.storm.iter().flat_map(|s| self.on.iter().filter_map(|i| s.acts[*i].fault.way(from, to)));
-            let way = storm.fold(carried, Way::with).with(&parted);
+            let storm = self.storm.as_ref().map_or(carried, |s| s.way(&self.on, from, to, carried));
+            let way = storm.with(&parted);
             self.relay.set(from, to, way);
             self.relay.set(fronts + from, fronts + to, way);
         }
@@ -506,8 +505,8 @@
         Ok(())
     }
 
-    /// What is wrong in the copies that the fronts hold after the day: held against what machines answered, `by` front and
-    /// key, and against each other.
+    /// What is wrong in the copies that the fronts hold after the day: held against each other, and against the keys that a
+    /// trial's machines have answered.
     fn copies(&self, bound: &BTreeMap<u64, u32>) -> Option<String> {
         let mut whole: Vec<Value> = Vec::new();
         for (at, front) in self.front_at.iter().zip(&self.charter.fronts) {
--- a/rehearse/src/day.rs
+++ b/rehearse/src/day.rs
@@ -175,6 +175,11 @@
 }
 
 impl Plan {
+    /// A day of fronts that keep company, under a storm.
+    pub fn is_of_peers(&self) -> bool {
+        self.day == "peers" && self.trouble.is_empty()
+    }
+
     /// # Errors
     /// Names the argument that makes no sense.
     pub fn check(&self) -> Result<(), String> {
@@ -230,7 +235,7 @@
     let unknown = |_| format!("--control {}: first-voice, by-count or automatic", plan.control);
     charter.rollout.control = control.map_err(unknown)?;
     charter.rollout.step_ms = 4_000;
-    let one_way = plan.one_way || plan.day == "peers" && plan.trouble.is_empty();
+    let one_way = plan.one_way || plan.is_of_peers();
     (charter.rollout.parallel, charter.rollout.one_way) = (!plan.in_place, one_way);
     Ok(charter)
 }
@@ -361,13 +366,10 @@
                 // Few keys draw most of the traffic, so that many fronts meet each of them.
                 let keys = json!({ "hot": 0.6, "hot_keys": 60 });
                 let mut acts = vec![(0.0, Act::Load(keys)), offer(2.0, 2, false), offer(25.0, 3, false)];
-                for (act, deed) in storm(plan).acts.iter().enumerate() {
-                    for (at, begins) in [(deed.from, true), (deed.until, false)] {
-                        acts.push((
-                            4.0 + at as f64 / SEC as f64,
-                            Act::Storm { act, deed: deed.clone(), begins },
-                        ));
-                    }
+                let storm = storm(plan);
+                for (at, act, begins) in storm.edges() {
+                    let deed = storm.acts[act].clone();
+                    acts.push((4.0 + at as f64 / SEC as f64, Act::Storm { act, deed, begins }));
                 }
                 (acts, 44.0)
             }
--- a/storm/src/plan.rs
+++ b/storm/src/plan.rs
@@ -108,6 +108,26 @@
         Plan { seed, parts: range.parts, length: end + range.settles, acts }
     }
 
+    /// A plan by hand: faults, each with its beginning and end.
+    pub fn of(seed: u64, parts: usize, length: Ns, faults: &[(Ns, Ns, Fault)]) -> Plan {
+        let act =
+            |(from, until, fault): &(Ns, Ns, Fault)| Act { from: *from, until: *until, fault: fault.clone() };
+        Plan { seed, parts, length, acts: faults.iter().map(act).collect() }
+    }
+
+    /// What the acts that are on, by index, make of a link: the worst of each, and of what it is without them.
+    pub fn way(&self, on: &[usize], from: usize, to: usize, base: Way) -> Way {
+        on.iter().filter_map(|act| self.acts[*act].fault.way(from, to)).fold(base, Way::with)
+    }
+
+    /// Beginnings and ends in order of time: when, which act, and whether it begins.
+    pub fn edges(&self) -> Vec<(Ns, usize, bool)> {
+        let both = |(i, act): (usize, &Act)| [(act.from, i, true), (act.until, i, false)];
+        let mut edges: Vec<_> = self.acts.iter().enumerate().flat_map(both).collect();
+        edges.sort_unstable();
+        edges
+    }
+
     pub fn write(&self) -> String {
         let Plan { seed, parts, length, .. } = self;
         let mut text = format!("{{\"seed\":{seed},\"parts\":{parts},\"length\":{length}}}\n");
@@ -166,7 +186,7 @@
     }
 
     /// Is it of the link from one process to another?
-    pub fn way(&self, from: usize, to: usize) -> Option<&Way> {
+    fn way(&self, from: usize, to: usize) -> Option<&Way> {
         match self {
             Fault::Links { from: f, to: t, way }
                 if (f.is_empty() || f.contains(&from)) && (t.is_empty() || t.contains(&to)) =>
--- a/storm/src/virt.rs
+++ b/storm/src/virt.rs
@@ -208,8 +208,7 @@
     }
 
     fn way(&self, from: usize, to: usize) -> Way {
-        let faults = self.on.iter().filter_map(|act| self.plan.acts[*act].fault.way(from, to));
-        faults.fold(self.base, Way::with)
+        self.plan.way(&self.on, from, to, self.base)
     }
 
     fn send(&mut self, from: usize, to: usize, mut bytes: Vec<u8>) {
@@ -331,7 +330,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::plan::Act;
     use crate::SEC;
 
     /// Sends its clock to the next part every second.
@@ -355,12 +353,7 @@
     }
 
     fn heard(faults: &[(Ns, Ns, Fault)]) -> [Vec<(Ns, usize)>; 2] {
-        let acts = faults.iter().map(|(from, until, fault)| Act {
-            from: *from,
-            until: *until,
-            fault: fault.clone(),
-        });
-        let plan = Plan { seed: 1, parts: 2, length: 10 * SEC + MS, acts: acts.collect() };
+        let plan = Plan::of(1, 2, 10 * SEC + MS, faults);
         let mut world = World::new(plan, Way::default());
         world.play(SEC, |me, _, _| Ticker { me, heard: Vec::new() }, |_| Ok(())).unwrap();
         [0, 1].map(|i| world.part(i).map_or(Vec::new(), |p| p.heard.clone()))
