Tallies hold on votes; quiet fronts keep to machines by lot; trials bear a release's load

Three causes, each seen in the logs: 1. 160 to 250 time-outs a second of 600 picks as each stage grows (13 to 16 s of 405; 33 to 36 s of the good 406). Excluded: the machines being cold (picks at those: 1 to 8 a second), a burst alone (406 had none), bad builds (406 is good). By machine: the first 15 got 31 to 47 a second, the newly come 1 to 6, as `cost` weighed a new connection 321 times a kept one: all 300 nodes stayed with the first machines that they held connections to. Lines: FRESH in `Front::cost`. 2. `baked` took any 20 tallied picks for evidence and never asked whether they failed; on votes stood while tallies said 25% against 0. `harm` reads tallies only beside an error of one's own and from three points on. 3. Before its release a build bore 0.6 of its later load, as quiet fronts gave it a share by `FILL`.

Change: quiet fronts keep to the few machines that a fixed draw over lots and costs names, times choose among these; a doubt in the tallies of the last four seconds holds the on vote (in the last stage from chance 1e-3 on, where it now has all first picks beside the earlier machines and waiting costs little); tallies judge from one point on beside an error of one's own; outcomes count for the present stage only. Nothing else of the mechanism moves: on after a clean bake, back at the first harm.

--- a/control/src/charter.rs
+++ b/control/src/charter.rs
@@ -315,7 +315,6 @@
             step: 5 * MS,
             cross_zone_price: self.cross_zone_price,
             handshake_price: 0.0,
-            idle: 0,
             methods: self
                 .methods
                 .iter()
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -97,9 +97,8 @@
     pub ask_roster: bool,
     pub step: Ns,
     pub cross_zone_price: f64,
-    /// Of a new connection, for each RPC; machines close one that was idle for so long.
+    /// Of a new connection, for each RPC.
     pub handshake_price: f64,
-    pub idle: Ns,
     pub methods: Vec<Method>,
     pub rollout: Rollout,
     pub guard: Guard,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -83,19 +83,27 @@
 
 /// Are `new`'s failures too many to be chance at `old`'s rate? `odds` is the chance allowed.
 pub fn deviates(new: Count, old: Count, odds: f64) -> bool {
-    // One failure in 300 is granted where the earlier build shows nothing, so little is not none.
-    let rate = (f64::from(old[1]) + 0.5) / (f64::from(old[0]) + 150.0);
     // The margin: one failure, or under a point of difference, is not worth a rollback's staleness.
-    if new[1] < 2 || share(new) < rate + 0.01 {
-        return false;
-    }
-    let mean = f64::from(new[0]) * rate;
+    share(new) >= share(old) + 0.01 && chance_of(new, old) < odds
+}
+
+/// The chance of so many failures of `new`, or more, at `old`'s rate; one failure alone may always be.
+fn chance_of(new: Count, old: Count) -> f64 {
+    // One failure in 300 is granted where the earlier build shows nothing, so little is not none.
+    let mean = f64::from(new[0]) * (f64::from(old[1]) + 0.5) / (f64::from(old[0]) + 150.0);
     let (mut term, mut under) = ((-mean).exp(), 0.0);
     for k in 0..new[1] {
         under += term;
         term *= mean / f64::from(k + 1);
     }
-    1.0 - under < odds
+    f64::from(u8::from(new[1] < 2)).max(1.0 - under)
+}
+
+/// A row that was tallied to fail far oftener at the new build, beyond `margin` and chance, in words.
+fn wide([new, old]: [Counts; 2], margin: f64, odds: f64) -> Option<String> {
+    let beyond = |r: &usize| share(new[*r]) > 3.0 * share(old[*r]) + margin && old[ALL][0] >= 100;
+    let row = (0..ROWS).filter(beyond).find(|r| chance_of(new[*r], old[*r]) < odds)?;
+    Some(format!("row {row}: {:?} against {:?}", new[row], old[row]))
 }
 
 /// Tells a machine's process from the one before it under the same name: its build and its start.
@@ -109,7 +117,7 @@
     slow: f64,
     ill: f64,
     reached: Ns,
-    answered: Option<Ns>, // its last ok
+    lot: f64, // drawn once for each run; by it a quiet front keeps to some machines
     counts: Ring<Counts>,
     credit: (f64, Ns), // picks that a cold one may still get from this front, as of a time
 }
@@ -124,10 +132,15 @@
         self.member.state == State::Up
     }
 
+    /// How old it is, against what it takes to be warm: 0 to 1.
+    fn age(&self, now: Ns, guard: &Guard) -> f64 {
+        let age = self.member.started.map_or(guard.cold_time, |at| (now - at).clamp(0, guard.cold_time));
+        age as f64 / guard.cold_time.max(1) as f64
+    }
+
     /// Its weight, by how warm it is at the least.
     fn size(&self, now: Ns, guard: &Guard) -> f64 {
-        let age = self.member.started.map_or(guard.cold_time, |at| (now - at).clamp(0, guard.cold_time));
-        let warmth = guard.cold_from + (1.0 - guard.cold_from) * age as f64 / guard.cold_time.max(1) as f64;
+        let warmth = guard.cold_from + (1.0 - guard.cold_from) * self.age(now, guard);
         (self.member.weight * warmth).max(1e-6)
     }
 }
@@ -183,6 +196,8 @@
     before: Counts,
     past: Vec<Sample>,
     platform: [Ring<Counts>; 2],
+    /// Its fullest tallies of the earlier build.
+    standard: Counts,
     notes: BTreeMap<usize, (Ns, u32, Tally)>,
     /// This front's vote, when it was cast, whether it counts; refusals in a row; what rests until when.
     ballot: Option<((u32, u32, Verdict), Ns, bool)>,
@@ -199,9 +214,11 @@
 /// Calls of so long a platform that hears none takes at once: 32 of 16 a second, on each of seven days.
 const SAVED_UP: Ns = 2 * SEC;
 
-/// Weight of the price of a new connection in a quiet front's picks. 25, 75, 250 and 1000 were tried on calm,
-/// herd and join days: each step served more, as what is met oftener is known better.
-const FRESH: f64 = 4000.0;
+/// Machines that a quiet front keeps to, for each RPC a second: it meets each every two seconds. The least.
+const NEAR: [f64; 2] = [2.0, 4.0];
+
+/// Intervals of tallies that speak of the present: a jam of the stage's first seconds is past after them.
+const LATELY: i64 = 8;
 
 const SPAN: Ns = 8 * INTERVAL; // of rates: some dozens of RPCs on a quiet front
 
@@ -280,7 +297,8 @@
                 // A restart, or another machine under this name: what was known of it is void, and so are the
                 // ends of picks at the former one.
                 let credit = (credit, entry.started.unwrap_or(now));
-                *known = Machine { reached: now, slow: 1.0, credit, ..Machine::default() };
+                let lot = self.chance.part();
+                *known = Machine { reached: now, slow: 1.0, lot, credit, ..Machine::default() };
             }
             known.member = entry.clone();
         }
@@ -315,7 +333,7 @@
             let tally = self.tally(now);
             self.before = merge(self.counted(&tally, 0), &self.counted(&tally, 1));
             self.watched = newest;
-            self.platform = Default::default();
+            (self.platform, self.standard) = Default::default();
             let both = |[new, old]: [Ring<Sample>; 2]| Sample::sum(new.cells.iter().chain(&old.cells));
             self.past = self.samples.iter_mut().map(|sides| both(std::mem::take(sides))).collect();
         }
@@ -349,12 +367,6 @@
         if now - m.reached > 5 * SEC {
             cost *= 1.0 + 8000.0 * self.scarce * self.scarce;
         }
-        // A quiet front meets each machine seldom, and a new connection costs the machine work: one that
-        // answered within two thirds of what it keeps an idle one for, and has no RPC of ours, has one left.
-        let kept = |at: Ns| m.held < 1.0 && now - at < self.post.idle / 3 * 2;
-        if self.quiet && !m.answered.is_some_and(kept) {
-            cost *= 1.0 + FRESH * self.post.handshake_price;
-        }
         // A slow or lossy link, or a zone that is full, shows in a zone's times long before a machine's.
         let slow = |zone: u32| self.zones.get(zone as usize).copied().unwrap_or(1.0).max(0.5);
         if m.member.zone != self.post.zone {
@@ -374,12 +386,26 @@
         let from = self.chance.below(size.max(1));
         let fits = |m: &Machine| m.up() && fits(&m.member) && self.credit(m, now).1;
         let all = (0..size).map(|i| (from + i) % size);
-        let fit: Vec<usize> = all.filter(|&i| fits(&self.machines[i])).collect();
+        let mut fit: Vec<usize> = all.filter(|&i| fits(&self.machines[i])).collect();
         // Chance stands for the load that other fronts bring: quiet ones choose by size alone, as the least
         // of draws over sizes does, else all would crowd on the machines that look best.
+        let drawn = |lot: f64| -4.0 * size as f64 * lot.ln();
+        // A new connection costs machines work, so it keeps to few, by such a draw over lots. Were it those
+        // that hold a connection, all would stay with a stage's first machines while others come up.
+        let part = fit.len() as f64 / self.up().count().max(1) as f64;
+        let near = (NEAR[0] * self.rate(now) * part).max(NEAR[1]) as usize;
+        let keeps = self.quiet && self.post.handshake_price > 0.0;
+        // Times swing from pick to pick: by them it chooses among these few alone.
+        let slow = |m: &Machine| m.slow.max(0.1).powf(1.5);
+        if keeps {
+            let cost = |m: &Machine| self.cost(m, now, drawn(m.lot)) / slow(m);
+            fit.sort_by_cached_key(|&i| cost(&self.machines[i]).to_bits());
+            fit.truncate(near);
+        }
         let each = fit.into_iter().map(|i| {
-            let more = if self.quiet { -4.0 * size as f64 * self.chance.part().ln() } else { 1.0 };
-            (self.cost(&self.machines[i], now, more), i)
+            let more = if self.quiet { drawn(self.chance.part()) } else { 1.0 };
+            let m = &self.machines[i];
+            (if keeps { more * slow(m) * (1.0 + 40.0 * m.ill * m.ill) } else { self.cost(m, now, more) }, i)
         });
         each.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, i)| i)
     }
@@ -419,13 +445,18 @@
         f64::from(self.open.last(now, 12).sum::<u32>()) / limit.max(self.up().count() as f64)
     }
 
-    /// The part of a quiet front's first picks for `build`: by size and `FILL`, without it in a full fleet.
+    /// The part of a quiet front's first picks for `build`: beside earlier machines what each of these bears,
+    /// as after the release; by size in a full fleet.
     fn kept(&self, build: u32, now: Ns) -> f64 {
-        let size = |m: &Machine| m.size(now, &self.post.guard);
-        let sizes: f64 = self.up().map(size).sum();
-        let ours: f64 = self.up().filter(|m| m.member.build == build).map(size).sum();
-        let fill = if self.base < 1.0 { 1.0 } else { FILL };
-        fill * ours / (sizes + (fill - 1.0) * ours).max(1e-6)
+        // Fronts are held back from cold ones, and those that were up before must not bear their share.
+        let size = |m: &Machine| m.size(now, &self.post.guard) * m.age(now, &self.post.guard);
+        let [ours, others] = [true, false]
+            .map(|on| self.up().filter(|m| (m.member.build == build) == on).map(size).sum::<f64>());
+        match (self.base < 1.0, self.post.rollout.parallel) {
+            (true, _) => ours / (ours + others).max(1e-6),
+            (_, true) => ours / others.max(1e-6),
+            _ => ours / (ours + others / FILL).max(1e-6),
+        }
     }
 
     /// The first pick: the build on trial while cap and machines have room, else the earlier.
@@ -670,7 +701,7 @@
         }
         // Two failures in a row make it a last resort, for a quiet front too; time-outs are slowness.
         if ok {
-            (m.reached, m.answered, m.ill) = (now, Some(now), 0.8 * m.ill);
+            (m.reached, m.ill) = (now, 0.8 * m.ill);
         } else if failed {
             (m.reached, m.ill) = (i64::MIN / 2, m.ill + 0.4 * (1.0 - m.ill));
         }
@@ -788,7 +819,11 @@
         self.notes.retain(|_, n| n.1 == told.build && now - n.0 < 6 * INTERVAL); // older ones say nothing
         self.notes.values().for_each(|n| tally.add(&n.2));
         let pooled = [0, 1].map(|side| self.counted(&tally, side));
-        // The fullest count of the earlier build stays the reference when its machines go.
+        // The fullest counts of the earlier build stay the reference when its machines go.
+        let tallied = self.tallies(now, 1, LATELY);
+        if tallied[ALL][0] > self.standard[ALL][0] {
+            self.standard = tallied;
+        }
         if pooled[1][ALL][0] > self.before[ALL][0] {
             self.before = pooled[1];
         }
@@ -797,7 +832,8 @@
             self.condemned = told.build;
             ctl.note(&format!("back {}: {why}", told.build));
         }
-        let tallied = sum(self.platform[0].last(now, KEPT).map(|counts| &counts[ALL]))[0];
+        // Of this stage alone: what was clean at a tenth of the fleet may fail once most of it is full.
+        let tallied = self.tallies(now, 0, ((now - told.since) / INTERVAL).min(KEPT))[ALL][0];
         let baked = trial && self.baked(now, told, pooled[0][ALL][0] + tallied, hears);
         let verdict = match self.post.rollout.control {
             _ if self.condemned == told.build => Verdict::Back,
@@ -809,6 +845,10 @@
         self.cast(ctl, told, verdict);
     }
 
+    fn tallies(&self, now: Ns, side: usize, over: i64) -> Counts {
+        self.platform[side].last(now, over).fold(Counts::default(), merge)
+    }
+
     /// A harmful deviation of the watched build, in words.
     fn harm(&mut self, now: Ns, trial: bool, counts: [[Counts; 2]; 2], times: [Ranks; 3]) -> Option<String> {
         let rows = self.post.methods.len();
@@ -816,17 +856,12 @@
         // it takes k of n fronts, each may err as often as k seldom do together: (e n p / k)^k bounds that.
         let (n, k) = (f64::from(self.post.fronts.max(1)), f64::from(self.post.rollout.back_votes.max(1)));
         let odds = k / (n * std::f64::consts::E) * 1e-3f64.powf(1.0 / k) / (rows + 1) as f64;
-        let seen = [0, 1].map(|side| self.platform[side].last(now, KEPT).fold(Counts::default(), merge));
-        let erred = |m: &Machine| {
-            self.side(m.member.build) == 0 && sum(m.counts.last(now, KEPT).map(|c| &c[ALL]))[1] > 0
-        };
-        // The platform counts time-outs of a jam too: so a wide margin, and an error seen by this front.
-        let wide = |&r: &usize| {
-            let odd = share(seen[0][r]) > 3.0 * share(seen[1][r]) + 0.03 && seen[1][ALL][0] >= 100;
-            odd && deviates(seen[0][r], seen[1][r], 1e-6)
-        };
-        if let Some(row) = (0..ROWS).find(wide).filter(|_| trial && self.machines.iter().any(erred)) {
-            return Some(format!("tallied, row {row}: {:?} against {:?}", seen[0][row], seen[1][row]));
+        let ours = self.machines.iter().filter(|m| self.side(m.member.build) == 0);
+        let erred = sum(ours.flat_map(|m| m.counts.last(now, KEPT)).map(|c| &c[ALL]))[1] > 0;
+        // The platform counts time-outs of a jam or a bad net too: so an error seen by this front as well.
+        let seen = [0, 1].map(|side| self.tallies(now, side, KEPT));
+        if let Some(why) = wide(seen, 0.01, 1e-6).filter(|_| trial && erred) {
+            return Some(format!("tallied, {why}"));
         }
         for (source, [new, old]) in ["own", "pooled"].into_iter().zip(counts) {
             let old = if old[ALL][0] < self.before[ALL][0] { merge(old, &self.before) } else { old };
@@ -870,8 +905,8 @@
         let bar = if self.post.rollout.back_votes > 1 { VOTED } else { 7.0 };
         let moved = less.z() > if self.lasts[1] > 0 { -2.6 } else { 2.6 };
         let harm = past.0[2] >= 400.0 && past.z() > bar && past.lead() > 0.06 && moved;
-        let [z, lead, moves] = [past.z(), past.lead(), less.z()];
-        harm.then(|| format!("earlier build's times: z {z:.1}, lead {lead:.2}, moving {moves:.1}"))
+        let told = [past.z(), past.lead(), less.z()];
+        harm.then(|| format!("earlier build's times: z, lead and moving {told:.2?}"))
     }
 
     /// The rank test of new against earlier times, by method, time and load: z 3.4 for a dozen tests, but
@@ -895,20 +930,23 @@
         let ours = self.up().filter(|m| m.member.build == told.build);
         let newest = ours.filter_map(|m| m.member.started).max().unwrap_or(i64::MIN / 2);
         let fresh = newest > told.since || now - told.since > 8 * SEC; // machines start after their stage
-        let waited = now - newest.max(told.since);
         let more = if hears { 0 } else { 10 * SEC }; // the first word is theirs who hear others
-        let enough = if hears && seen >= 20 { bake } else { 2 * bake + more };
-        fresh && self.lasts == [0, 0] && waited >= enough
+        let [new, old] = [0, 1].map(|side| self.tallies(now, side, LATELY));
+        let old = if old[ALL][0] < 100 { self.standard } else { old };
+        // In the last stage, which has all first picks, waiting costs least, and what fails late shows at its
+        // oldest machines alone: a doubt too small to send it back is one too many to send it on.
+        let last = new[ALL][0] > 0 && told.cap >= 1.0;
+        let enough = if hears && seen >= 20 && !last { bake } else { 2 * bake + more };
+        let [margin, odds] = if last { [0.0, 1e-3] } else { [0.01, 1e-6] };
+        // New machines need new connections, which a bad net refuses: then tallies say nothing.
+        let sure = self.scarce > 0.01 || wide([new, old], margin, odds).is_none();
+        fresh && sure && self.lasts == [0, 0] && now - newest.max(told.since) >= enough
     }
 
     /// How long the platform takes to hear all fronts once.
     fn round(&self) -> Ns {
-        let calls = self.post.rollout.calls;
-        if calls > 0.0 {
-            (f64::from(self.post.fronts) / calls * SEC as f64) as Ns
-        } else {
-            0
-        }
+        let calls = Some(self.post.rollout.calls).filter(|calls| *calls > 0.0).unwrap_or(f64::INFINITY);
+        (f64::from(self.post.fronts) / calls * SEC as f64) as Ns
     }
 
     /// The platform takes no more calls now. Waits double, each drawn from half to whole: a back vote's up to
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -368,7 +368,7 @@
 #[test]
 fn a_quiet_front_prefers_machines_that_it_holds_a_connection_to() {
     let mut post = post();
-    (post.fronts, post.seed, post.handshake_price, post.idle) = (100, 7, 0.08, 30 * SEC);
+    (post.fronts, post.seed, post.handshake_price) = (100, 7, 0.08);
     let machines: Vec<Member> = (0..40).map(|i| member(i, 1, None)).collect();
     let fresh = |price: f64| {
         let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
@@ -390,6 +390,55 @@
     assert!(kept * 8 < plain && all == 40 && met > 2, "{kept} {plain} {all} {met}");
 }
 
+/// Guards against all fronts staying with a stage's first machines, as they hold connections to those, while the rest
+/// of the stage come up: thirty picks a second at each of the first, two at the others.
+#[test]
+fn quiet_fronts_spread_to_machines_that_come_up_later() {
+    let mut post = post();
+    (post.fronts, post.handshake_price, post.rollout.caps) = (100, 0.08, vec![1.0]);
+    let mut machines: Vec<Member> = (0..40).map(|i| member(i, if i < 30 { 1 } else { 2 }, None)).collect();
+    machines.iter_mut().filter(|m| m.machine >= 32).for_each(|m| m.state = State::Gone);
+    let mut met = [0; 40];
+    for seed in 1..=30 {
+        let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
+        let mut front = front(Post { seed: 77 * seed, ..post.clone() }, &machines, &mut desk);
+        front.told(&mut desk, Reply::News, standing(2, 0, Phase::OnTrial, 1.0, 90 * SEC));
+        for rpc in 0..400 {
+            desk.now += SEC / 10;
+            if rpc == 200 {
+                let up = |m: &Member| Member { state: State::Up, ..m.clone() };
+                front.members(&mut desk, Roll::Changes, &machines[32..].iter().map(up).collect::<Vec<_>>());
+            }
+            take(&mut front, &mut desk, rpc, 0);
+            let at = desk.picks.last().expect("a pick").1;
+            met[at] += usize::from(rpc >= 200);
+            front.ended(&mut desk, rpc, 0, Outcome::Ok, 10 * MS, true);
+        }
+    }
+    let [first, later] = [&met[30..32], &met[32..]].map(|m| m.iter().sum::<usize>() / m.len());
+    assert!(later * 3 > first * 2 && first * 3 > later * 2, "{met:?}");
+}
+
+/// A build bears before its release what it will bear after it, while the earlier machines still stand.
+#[test]
+fn the_last_stage_takes_all_first_picks_beside_the_earlier_build() {
+    let last = |parallel| {
+        let mut post = quiet();
+        (post.rollout.caps, post.rollout.parallel) = (vec![1.0], parallel);
+        let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
+        let mut front = front(post, &fleet(40), &mut desk);
+        front.told(&mut desk, Reply::News, standing(2, 0, Phase::OnTrial, 1.0, 90 * SEC));
+        for rpc in 0..200 {
+            desk.now += 50 * MS;
+            take(&mut front, &mut desk, rpc, 0);
+            front.ended(&mut desk, rpc, 0, Outcome::Ok, 10 * MS, true);
+        }
+        desk.picks.iter().filter(|p| p.1 >= 20).count()
+    };
+    assert!(last(true) >= 195);
+    assert!((100..150).contains(&last(false)));
+}
+
 /// Runs 240 RPCs; those at machine `bad` end as `how` tells. Gives the last vote.
 fn vote_after(machines: &[Member], took: Ns, bad: impl Fn(usize) -> bool, how: Outcome) -> Option<Verdict> {
     let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
@@ -637,24 +686,45 @@
     assert!(Tally::read(&note[..20]).is_none());
 }
 
+/// What a front makes of tallies of both builds, with four machines each, when its only pick at the trial ended so.
+fn votes_on_tallies(how: Outcome, cap: f64, new: Count, old: Count) -> Vec<Verdict> {
+    let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
+    let mut front = front(post(), &fleet(8), &mut desk);
+    front.told(&mut desk, Reply::News, standing(2, 1, Phase::OnTrial, cap, 80 * SEC));
+    let mut rpc = 0;
+    while desk.picks.last().is_none_or(|p| p.1 < 4) {
+        take(&mut front, &mut desk, rpc, 2);
+        rpc += 1;
+    }
+    front.ended(&mut desk, rpc - 1, 0, how, 30 * MS, true);
+    front.tallied(&mut desk, 2, 0, new[0], new[1]);
+    front.tallied(&mut desk, 1, 0, old[0], old[1]);
+    front.woke(&mut desk, 0);
+    desk.votes.iter().map(|v| v.2).collect()
+}
+
 /// Guards against time-outs of a jam, which the platform counts too, sending a good build back.
 #[test]
 fn tallies_judge_only_beside_an_error_of_ones_own() {
-    for (how, expected) in [(Outcome::Ok, false), (Outcome::Error, true)] {
-        let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
-        let mut front = front(post(), &fleet(8), &mut desk);
-        front.told(&mut desk, Reply::News, standing(2, 1, Phase::OnTrial, 0.5, 100 * SEC));
-        let mut rpc = 0;
-        while desk.picks.last().is_none_or(|p| p.1 < 4) {
-            take(&mut front, &mut desk, rpc, 2);
-            rpc += 1;
-        }
-        front.ended(&mut desk, rpc - 1, 0, how, 30 * MS, true);
-        front.tallied(&mut desk, 2, 0, 100, 20);
-        front.tallied(&mut desk, 1, 0, 900, 9);
-        front.woke(&mut desk, 0);
-        assert_eq!(desk.votes.iter().any(|v| v.2 == Verdict::Back), expected);
+    assert_eq!(votes_on_tallies(Outcome::Ok, 0.5, [100, 20], [900, 9]), []);
+    assert_eq!(votes_on_tallies(Outcome::Error, 0.5, [100, 20], [900, 9]), [Verdict::Back]);
+}
+
+/// Guards against a build that fails late, at its oldest machines alone: all fronts voted it on while the platform told
+/// them of failures too few to send it back.
+#[test]
+fn no_on_vote_while_tallies_leave_a_doubt() {
+    for (cap, new, votes) in [
+        (0.5, [1000, 1], &[Verdict::On][..]),
+        (0.5, [1000, 8], &[Verdict::On]),
+        (0.5, [1000, 25], &[]),
+        // In the last stage, where waiting costs least, less is enough; a bad net's lost connections say nothing.
+        (1.0, [1000, 1], &[Verdict::On]),
+        (1.0, [1000, 8], &[]),
+    ] {
+        assert_eq!(votes_on_tallies(Outcome::Ok, cap, new, [1000, 1]), votes, "{cap} {new:?}");
     }
+    assert_eq!(votes_on_tallies(Outcome::Unreachable, 1.0, [1000, 25], [1000, 1]), [Verdict::On]);
 }
 
 /// Guards against a net that resets connections being read as a failing build.
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -167,7 +167,6 @@
         step: terms.time("stepMs")?,
         cross_zone_price: terms.num("charges.crossZone")?,
         handshake_price: terms.num("charges.handshake")?,
-        idle: terms.time("permissions.idleCloseMs")?,
         methods: methods.collect::<Result<_, Wrong>>()?,
         rollout: Rollout {
             control: terms.get("extra.control", Control::FirstVoice, |word| match word {
