--- a/ledger/src/ledger.rs
+++ b/ledger/src/ledger.rs
@@ -210,7 +210,7 @@
             role: self.role,
             term: self.term,
             leader: self.leader,
-            keepers: self.keepers(),
+            keepers: self.log.keepers().0.to_vec(),
             last: self.log.last(),
             agreed: self.agreed,
             applied: self.applied,
@@ -247,7 +247,7 @@
             Event::Keepers { ticket, keepers } => self.change(ticket, keepers, act),
         }
         self.count();
-        self.apply(act);
+        self.apply(now, act);
         self.flush(now, act);
     }
 
@@ -257,10 +257,6 @@
         }
     }
 
-    fn keepers(&self) -> Vec<u32> {
-        self.log.keepers().0.to_vec()
-    }
-
     fn majority(&self) -> usize {
         self.log.keepers().0.len() / 2 + 1
     }
@@ -435,9 +431,7 @@
         }
         self.leader = leader;
         if self.role != Role::Unsure {
-            if self.role != Role::Follower {
-                self.role = Role::Follower;
-            }
+            self.role = Role::Follower;
             self.wait(now, act);
         }
     }
@@ -660,7 +654,7 @@
         }
     }
 
-    fn apply(&mut self, act: &mut impl Act) {
+    fn apply(&mut self, now: Ns, act: &mut impl Act) {
         while self.applied < self.agreed {
             let index = self.applied + 1;
             let Some(entry) = self.log.get(index).cloned() else { break };
@@ -691,12 +685,9 @@
             }
         }
         // One that is no keeper by what is agreed leads no more.
-        if self.role == Role::Leader && self.log.keepers().1 <= self.agreed {
-            let gone = !self.log.keepers().0.contains(&self.me);
-            if gone {
-                self.role = Role::Follower;
-                self.leader = None;
-            }
+        let (keepers, since) = self.log.keepers();
+        if self.role == Role::Leader && since <= self.agreed && !keepers.contains(&self.me) {
+            self.fall(now, self.term, None, act);
         }
         if self.log.len() > self.pace.entries || self.log.bytes > self.pace.bytes {
             self.pack(act);
@@ -791,9 +782,6 @@
             (keep.term, keep.vote) = (self.term, self.vote);
             self.number += 1;
             self.ends.push_back((self.number, self.log.last().index, now));
-            for (number, ..) in self.waiting.iter_mut().filter(|(number, ..)| *number == u64::MAX) {
-                *number = self.number;
-            }
             act.keep(self.number, keep);
         }
         for (number, ..) in self.waiting.iter_mut().filter(|(number, ..)| *number == u64::MAX) {
--- a/ledger/src/log.rs
+++ b/ledger/src/log.rs
@@ -52,13 +52,16 @@
 pub struct Log {
     pub snapshot: Snapshot,
     entries: VecDeque<Entry>,
+    /// Entries that say who keeps the log, and their indices: asked for at each event, and few.
+    circles: Vec<(u64, Vec<u32>)>,
     pub bytes: usize,
 }
 
 impl Log {
     pub fn new(snapshot: Snapshot, entries: Vec<Entry>) -> Log {
-        let bytes = entries.iter().map(Entry::room).sum();
-        Log { snapshot, entries: entries.into(), bytes }
+        let mut log = Log { snapshot, entries: VecDeque::new(), circles: Vec::new(), bytes: 0 };
+        entries.into_iter().for_each(|entry| log.push(entry));
+        log
     }
 
     pub fn last(&self) -> Mark {
@@ -85,6 +88,9 @@
 
     pub fn push(&mut self, entry: Entry) {
         self.bytes += entry.room();
+        if let What::Keepers(keepers) = &entry.what {
+            self.circles.push((self.last().index + 1, keepers.clone()));
+        }
         self.entries.push_back(entry);
     }
 
@@ -104,6 +110,7 @@
     /// Entries from an index on go.
     pub fn cut(&mut self, from: u64) {
         let keep = from.saturating_sub(self.snapshot.at.index + 1) as usize;
+        self.circles.retain(|(index, _)| *index < from);
         while self.entries.len() > keep {
             let gone = self.entries.pop_back();
             self.bytes -= gone.map_or(0, |entry| entry.room());
@@ -120,28 +127,22 @@
             }
         } else {
             self.entries.clear();
+            self.circles.clear();
             self.bytes = 0;
         }
+        self.circles.retain(|(index, _)| *index > snapshot.at.index);
         self.snapshot = snapshot;
     }
 
     /// Who keeps the log: by the newest entry that says so, agreed or not; and its index.
     pub fn keepers(&self) -> (&[u32], u64) {
-        let first = self.snapshot.at.index + 1;
-        let said = self.entries.iter().enumerate().rev().find_map(|(i, entry)| match &entry.what {
-            What::Keepers(keepers) => Some((&keepers[..], first + i as u64)),
-            _ => None,
-        });
-        said.unwrap_or((&self.snapshot.keepers, self.snapshot.at.index))
+        let newest = self.circles.last().map(|(index, keepers)| (&keepers[..], *index));
+        newest.unwrap_or((&self.snapshot.keepers, self.snapshot.at.index))
     }
 
     /// Those as of an index.
     pub fn keepers_at(&self, index: u64) -> Vec<u32> {
-        let behind = index.saturating_sub(self.snapshot.at.index) as usize;
-        let said = self.entries.iter().take(behind).rev().find_map(|entry| match &entry.what {
-            What::Keepers(keepers) => Some(keepers.clone()),
-            _ => None,
-        });
-        said.unwrap_or_else(|| self.snapshot.keepers.clone())
+        let said = self.circles.iter().rev().find(|(since, _)| *since <= index);
+        said.map_or_else(|| self.snapshot.keepers.clone(), |(_, keepers)| keepers.clone())
     }
 }
