Last words on their way outlive the bound of closing streams; streams tell what is unread

Observed by reading, then by a test: Net::finish dropped the 17th stream that closes at once, whatever of its answer was still to be written, and a stream that closes with words unsent was cut off after 1 s, however slowly its peer reads. Guilty: net/src/streams.rs `if many && !again { return self.drop_sock(conn) }`, and `until = now + LINGER` for both cases. Excluded: the peer's side (the same reader gets all of it below the bound), MAX_BACKLOG (4 MiB, not reached). Changed: at the bound a closing stream that has said all gives way to one that has not; unsent last words are waited for 3 s. Net::unread tells what came and was not read yet, Net::last_words how many closing streams still have some to say, most_closing is a field, so that a stop may raise it. `ids` goes by sockets, used for all its callers.

--- a/cli/tests/peers/platform.rs
+++ b/cli/tests/peers/platform.rs
@@ -1,4 +1,5 @@
 //! Scripted peers on the platform's protocol: machines, discovery, the desk, clients.
+#![allow(dead_code)]
 use super::peers::{start_with, until, Proc, PATIENCE};
 use rockpick_pg as pg;
 use serde_json::{json, Value};
@@ -6,7 +7,8 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::Stdio;
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
 
 /// What a machine does with a query.
@@ -66,6 +68,71 @@
     machine
 }
 
+/// A machine whose every connection the test serves, told its number.
+pub fn served(by: impl Fn(usize, Line) -> Option<()> + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    let by = Arc::new(by);
+    std::thread::spawn(move || {
+        for (number, io) in listener.incoming().flatten().enumerate() {
+            let by = by.clone();
+            std::thread::spawn(move || by(number, Line { io, came: Vec::new() }));
+        }
+    });
+    at
+}
+
+/// A connection from the node, as a machine has it.
+pub struct Line {
+    pub io: TcpStream,
+    came: Vec<u8>,
+}
+
+impl Line {
+    /// Reads the startup message.
+    pub fn hello(&mut self) -> Option<()> {
+        let used = loop {
+            match pg::startup(&self.came) {
+                Ok(pg::Start::Begin { used }) => break used,
+                _ => more(&mut self.io, &mut self.came)?,
+            }
+        };
+        self.came.drain(..used);
+        Some(())
+    }
+
+    pub fn welcome(&mut self) -> Option<()> {
+        let mut out = Vec::new();
+        pg::put_welcome(&mut out);
+        self.io.write_all(&out).ok()
+    }
+
+    /// The next query's text.
+    pub fn query(&mut self) -> Option<String> {
+        let (_, body) = message(&mut self.io, &mut self.came)?;
+        Some(pg::text(&body)?.to_string())
+    }
+
+    pub fn answers(&mut self, value: &[u8]) -> Option<()> {
+        self.io.write_all(&row(value)).ok()
+    }
+}
+
+/// Holds whoever passes until it is opened.
+#[derive(Clone, Default)]
+pub struct Gate(Arc<(Mutex<bool>, Condvar)>);
+
+impl Gate {
+    pub fn open(&self) {
+        *self.0 .0.lock().unwrap() = true;
+        self.0 .1.notify_all();
+    }
+
+    pub fn pass(&self) {
+        drop(self.0 .1.wait_while(self.0 .0.lock().unwrap(), |open| !*open).unwrap());
+    }
+}
+
 /// One message, whole; none: the connection is over.
 fn message(io: &mut TcpStream, came: &mut Vec<u8>) -> Option<(u8, Vec<u8>)> {
     loop {
@@ -158,6 +225,10 @@
     pub answer: Arc<Mutex<Option<String>>>,
     /// Watches, and connections for news, that were asked for.
     pub asked: Arc<Mutex<[usize; 2]>>,
+    /// Watches say nothing any more, those that are asked for neither.
+    pub mute: Arc<AtomicBool>,
+    /// What is answered to who asks for the list.
+    pub whole: Arc<Mutex<String>>,
 }
 
 impl Platform {
@@ -172,6 +243,8 @@
             votes: Arc::default(),
             answer: Arc::new(Mutex::new(Some("OK 1 0 stable 1 0".into()))),
             asked: Arc::default(),
+            mute: Arc::default(),
+            whole: Arc::default(),
         };
         for (listener, desk) in [(discovery, false), (desk, true)] {
             let platform = platform.clone();
@@ -192,6 +265,18 @@
         lists.push(list(seq, whole, machines).to_string());
     }
 
+    /// The same over many lines, as it may also come.
+    pub fn list_indented(&self, machines: &[(&str, SocketAddr, u32, &str)]) {
+        let mut lists = self.lists.lock().unwrap();
+        let seq = lists.len() as u64 + 1;
+        lists.push(serde_json::to_string_pretty(&list(seq, false, machines)).unwrap());
+    }
+
+    /// What is answered to who asks for the list.
+    pub fn answer_list(&self, seq: u64, machines: &[(&str, SocketAddr, u32, &str)]) {
+        *self.whole.lock().unwrap() = list(seq, true, machines).to_string();
+    }
+
     /// A line of the desk.
     pub fn news(&self, line: &str) {
         self.news.lock().unwrap().push(line.to_string());
@@ -207,6 +292,11 @@
             let answer = self.answer.lock().unwrap().clone()?;
             return io.write_all(format!("{answer}\r\n").as_bytes()).ok();
         }
+        if !desk && !line.contains("watch=1") {
+            let whole = self.whole.lock().unwrap().clone();
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", whole.len());
+            return io.write_all(format!("{head}{whole}").as_bytes()).ok();
+        }
         let told = if desk { &self.news } else { &self.lists };
         self.asked.lock().unwrap()[usize::from(desk)] += 1;
         if desk {
@@ -219,7 +309,8 @@
             .split_once("after=")
             .map_or(0, |(_, n)| n.split(' ').next().and_then(|n| n.parse::<usize>().ok()).unwrap_or(0));
         let mut told_so_far = 0;
-        if !desk && told.lock().unwrap().len() > 1 {
+        let mute = || !desk && self.mute.load(Ordering::SeqCst);
+        if !mute() && !desk && told.lock().unwrap().len() > 1 {
             let lines = told.lock().unwrap().clone();
             told_so_far = lines.len();
             let net = net_change(&lines[after.min(lines.len())..], lines.len());
@@ -227,6 +318,9 @@
         }
         for turn in 0.. {
             std::thread::sleep(Duration::from_millis(2));
+            if mute() {
+                continue;
+            }
             let lines: Vec<String> = told.lock().unwrap()[told_so_far..].to_vec();
             told_so_far += lines.len();
             let alive = (turn % 100 == 0).then(|| if desk { "*".to_string() } else { String::new() });
@@ -322,10 +416,7 @@
 
     pub fn client(&self) -> Client {
         let mut client = self.stranger();
-        let mut hello = Vec::new();
-        pg::put_startup(&mut hello, "api", "ledger");
-        client.io.write_all(&hello).unwrap();
-        while client.message().expect("a welcome").0 != b'Z' {}
+        client.startup();
         client
     }
 
@@ -353,6 +444,14 @@
 }
 
 impl Client {
+    /// Says its first words, and reads the welcome.
+    pub fn startup(&mut self) {
+        let mut hello = Vec::new();
+        pg::put_startup(&mut hello, "api", "ledger");
+        self.io.write_all(&hello).unwrap();
+        while self.message().expect("a welcome").0 != b'Z' {}
+    }
+
     pub fn message(&mut self) -> Option<(u8, Vec<u8>)> {
         message(&mut self.io, &mut self.came)
     }
--- a/net/src/net.rs
+++ b/net/src/net.rs
@@ -258,6 +258,8 @@
     pub(crate) closing: usize,
     /// Most streams; one more is not dialled, or closed as it comes.
     pub most_streams: usize,
+    /// Most streams that are closing.
+    pub most_closing: usize,
     /// Connections whose answer is out, and whose next request may be waiting.
     answered: Vec<Id>,
     /// Most client connections; one more is answered 503 at once.
@@ -337,6 +339,7 @@
             streams: 0,
             closing: 0,
             most_streams: crate::MAX_STREAMS,
+            most_closing: crate::MOST_CLOSING,
             answered: Vec::new(),
             most_clients,
             head_time: HEAD_TIME,
@@ -367,7 +370,7 @@
 
     /// Connections on which an answer is still on its way out.
     pub fn unsent(&self) -> usize {
-        self.socks.iter().filter(|(_, s)| matches!(&s.sock, Sock::Client(c) if c.owes())).count()
+        self.ids_of(|s| matches!(s, Sock::Client(c) if c.owes())).count()
     }
 
     /// Client connections now open, and calls now open.
@@ -450,7 +453,7 @@
 
     /// Takes no more connections, and closes those that owe nothing.
     pub fn stop_listening(&mut self) {
-        let idle = |slot: &Slot| match &slot.sock {
+        let idle = |sock: &Sock| match sock {
             Sock::Listener(_) => true,
             Sock::Client(c) => matches!(c.serve, Serve::Head) && c.buf.is_empty() && c.out.is_empty(),
             _ => false,
@@ -464,9 +467,13 @@
         }
     }
 
-    fn ids(&self, which: impl Fn(&Slot) -> bool) -> Vec<Id> {
+    pub(crate) fn ids_of<'a>(&'a self, which: impl Fn(&Sock) -> bool + 'a) -> impl Iterator<Item = Id> + 'a {
         let id = |(i, s): (usize, &Slot)| u64::from(s.generation) << 32 | i as u64;
-        self.socks.iter().filter(|(_, s)| which(s)).map(id).collect()
+        self.socks.iter().filter(move |(_, s)| which(&s.sock)).map(id)
+    }
+
+    fn ids(&self, which: impl Fn(&Sock) -> bool) -> Vec<Id> {
+        self.ids_of(which).collect()
     }
 
     /// Datagrams to and from this address.
@@ -1076,11 +1083,12 @@
 
     fn sweep_calls(&mut self, events: &mut Vec<Event>) {
         let now = self.now;
-        let late = |s: &Slot| matches!(&s.sock, Sock::Server(c) if matches!(c.step, Step::Connecting) && c.until <= now);
+        let late =
+            |s: &Sock| matches!(s, Sock::Server(c) if matches!(c.step, Step::Connecting) && c.until <= now);
         for id in self.ids(late) {
             self.lost(events, id, "");
         }
-        for id in self.ids(|s| matches!(&s.sock, Sock::Stream(s) if s.late(now))) {
+        for id in self.ids(|s| matches!(s, Sock::Stream(s) if s.late(now))) {
             self.stream_gone(events, id);
         }
     }
@@ -1089,10 +1097,9 @@
         let now = self.now;
         self.swept = now;
         self.sweep_calls(events);
-        let idle =
-            |s: &Slot| matches!(&s.sock, Sock::Server(c) if matches!(c.step, Step::Idle) && c.until <= now);
+        let idle = |s: &Sock| matches!(s, Sock::Server(c) if matches!(c.step, Step::Idle) && c.until <= now);
         self.ids(idle).into_iter().for_each(|id| self.drop_sock(id));
-        for id in self.ids(|s| matches!(&s.sock, Sock::Client(c) if c.until <= now)) {
+        for id in self.ids(|s| matches!(s, Sock::Client(c) if c.until <= now)) {
             let Some(client) = self.client(id) else { continue };
             let slow = match client.serve {
                 Serve::Head => !client.buf.is_empty() && client.out.is_empty(),
--- a/net/src/streams.rs
+++ b/net/src/streams.rs
@@ -2,7 +2,7 @@
 //! their own. What crosses them is the caller's; bounds, back-pressure and closing are here.
 use crate::net::{bind, connecting, spare, would_block, Event, Id, Net, Sock, Stream};
 use crate::net::{ACCEPTS, LINGER, MAX_BACKLOG};
-use crate::Ns;
+use crate::{Ns, SEC};
 use rustix::event::epoll::EventFlags;
 use rustix::io::Errno;
 use std::io::{self, ErrorKind, Read, Write};
@@ -15,8 +15,11 @@
 /// What a closing stream's peer may still send before it is closed for good: reading on for longer would let it
 /// hold the loop, and closing at once would reset the connection and lose the last words on it.
 const MOST_DROPPED: usize = 512 * 1_024;
-/// Streams that are closing at once; one more is closed for good: a flood of them must not hold descriptors.
+/// Streams that are closing at once, unless told otherwise; one more is closed for good: a flood of them must not hold
+/// descriptors.
 pub const MOST_CLOSING: usize = 16;
+/// Last words on their way to a slow reader are waited for so long: after it few clients still wait for an answer.
+const LAST_WORDS: Ns = 3 * SEC;
 
 impl Net {
     /// Listens for streams; each that comes is told as [`Event::Came`].
@@ -81,14 +84,17 @@
     /// Closes a stream once all is sent and its peer has closed too, or after a bound of time and bytes; no
     /// event follows.
     pub fn finish(&mut self, conn: Id) {
-        let (until, many) = (self.now() + LINGER, self.closing >= MOST_CLOSING);
+        let (now, many) = (self.now(), self.closing >= self.most_closing);
         let Some(stream) = self.stream_of(conn) else { return };
-        let again = stream.closing;
+        let (again, over) = (stream.closing, stream.sent == stream.out.len());
         if many && !again {
-            return self.drop_sock(conn);
+            // One whose words are all out gives way to one that still has some to say.
+            let spare = if over { conn } else { self.said_all().unwrap_or(conn) };
+            self.drop_sock(spare);
         }
+        let Some(stream) = self.stream_of(conn) else { return };
+        let until = now + if over { LINGER } else { LAST_WORDS };
         (stream.closing, stream.paused, stream.until) = (true, false, until);
-        let over = stream.sent == stream.out.len();
         let shut = !over || stream.io.shutdown(Shutdown::Write).is_ok();
         self.closing += usize::from(!again);
         if !shut {
@@ -98,6 +104,29 @@
         self.want_stream(conn);
     }
 
+    fn ids_closing(&self, said_all: bool) -> impl Iterator<Item = Id> + '_ {
+        self.ids_of(move |sock| match sock {
+            Sock::Stream(s) => s.closing && (s.sent == s.out.len()) == said_all,
+            _ => false,
+        })
+    }
+
+    /// A closing stream all of whose words are out.
+    fn said_all(&self) -> Option<Id> {
+        self.ids_closing(true).next()
+    }
+
+    /// Closing streams whose last words are not all out.
+    pub fn last_words(&self) -> usize {
+        self.ids_closing(false).count()
+    }
+
+    /// Has something come on a stream that was not read, and will be in the next turn?
+    pub fn unread(&mut self, conn: Id) -> bool {
+        let Some(stream) = self.stream_of(conn) else { return false };
+        stream.up && !stream.paused && !matches!(stream.io.peek(&mut [0]), Err(err) if would_block(&err))
+    }
+
     /// Is a stream open, with nothing come that was not read?
     pub fn quiet(&mut self, conn: Id) -> bool {
         let Some(stream) = self.stream_of(conn) else { return false };
--- a/node/src/clients.rs
+++ b/node/src/clients.rs
@@ -3,7 +3,7 @@
 use crate::pool::RESERVE;
 use crate::wire::Wire;
 use rockpick::Ns;
-use rockpick_net::{Event, Id, MS, SEC};
+use rockpick_net::{Event, Id, Net, MS, SEC};
 use rockpick_pg::{self as pg, Cut, Start};
 use std::collections::{BTreeSet, HashMap};
 
@@ -13,6 +13,11 @@
 const HALF: Ns = 2 * SEC;
 /// A connection between two RPCs is kept for so long; clients open new ones at will.
 const IDLE: Ns = 20 * SEC;
+/// Bytes that have come are read in the next turn: until then a connection whose time is up is left alone.
+const SOON: Ns = 10 * MS;
+/// Once the door is closed, a connection that came last may still bring its first RPC for so long: clients send it with
+/// their first words.
+const FIRST_WORDS: Ns = SEC / 2;
 /// Bytes kept of a client whose RPC is open; more is not read until it is answered.
 const MOST_AHEAD: usize = 16 * 1024;
 /// Commands of one connection in one turn, so that hundreds at once hold nobody.
@@ -40,6 +45,14 @@
     odd: u32,
 }
 
+impl Client {
+    /// Has a command come whole, or what is none, that was not read yet?
+    fn holds_whole(&self) -> bool {
+        let next = || pg::frame(&self.came, pg::MOST_QUERY);
+        self.step == Step::Ready && matches!(next(), Ok(Cut::Whole { .. }) | Err(_))
+    }
+}
+
 pub struct Clients {
     all: HashMap<Id, Client>,
     /// Those that may be closed for a new one: silent ones before those between RPCs, longest first.
@@ -47,8 +60,6 @@
     most: usize,
     kept: usize,
     pub turned_away: u64,
-    /// Set once no connection is to stay open after its answer.
-    pub closing: bool,
 }
 
 impl Clients {
@@ -59,7 +70,6 @@
             most: sockets - RESERVE - (sockets - RESERVE) / 2,
             kept: 0,
             turned_away: 0,
-            closing: false,
         }
     }
 
@@ -71,11 +81,6 @@
         self.all.len()
     }
 
-    /// Is an RPC of a client open?
-    pub fn owed(&self) -> bool {
-        self.all.values().any(|c| matches!(c.step, Step::Open(_)))
-    }
-
     fn hush(&mut self, id: Id) {
         if let Some(client) = self.all.get(&id) {
             self.quiet.remove(&(client.spoke, client.since, id));
@@ -93,17 +98,12 @@
 impl Wire {
     pub fn client_came(&mut self, id: Id) {
         let now = self.net.now();
-        if self.clients.all.len() >= self.clients.most {
-            match self.clients.quiet.first().copied() {
-                Some((_, _, old)) => self.close_client(old),
-                None => {
-                    self.clients.turned_away += 1;
-                    let mut out = Vec::new();
-                    pg::put_error(&mut out, true, pg::TOO_MANY, "too many connections", None);
-                    self.net.send(id, &out);
-                    return self.net.finish(id);
-                }
-            }
+        if self.clients.all.len() >= self.clients.most && !self.make_room() {
+            self.clients.turned_away += 1;
+            let mut out = Vec::new();
+            pg::put_error(&mut out, true, pg::TOO_MANY, "too many connections", None);
+            self.net.send(id, &out);
+            return self.net.finish(id);
         }
         let client = Client { step: Step::Startup, came: Vec::new(), since: now, spoke: false, odd: 0 };
         self.clients.all.insert(id, client);
@@ -111,6 +111,24 @@
         self.due(id, now + SILENT);
     }
 
+    /// Closes the longest silent connection for a new one, else that which has been longest between two RPCs, else one that
+    /// has sent half a command; none whose next RPC is here already.
+    fn make_room(&mut self) -> bool {
+        let (net, all) = (&mut self.net, &self.clients.all);
+        let rests = |net: &mut Net, id: &Id| all.get(id).is_some_and(|c| c.came.is_empty()) && net.quiet(*id);
+        let found = self.clients.quiet.iter().map(|(.., id)| *id).find(|id| rests(net, id));
+        if let Some(old) = found {
+            self.close_client(old);
+            return true;
+        }
+        let half = |id: &Id| all.get(id).is_some_and(|c| !c.came.is_empty() && !c.holds_whole());
+        let found = self.clients.quiet.iter().map(|(.., id)| *id).find(|id| half(id) && net.quiet(*id));
+        if let Some(old) = found {
+            self.end_client(old, pg::NOT_NOW, "too many connections");
+        }
+        found.is_some()
+    }
+
     fn forget_client(&mut self, id: Id) -> Option<Client> {
         self.clients.hush(id);
         self.dues.clear(id);
@@ -150,6 +168,10 @@
 
     /// The time of a client's connection is up.
     pub fn client_due(&mut self, id: Id) {
+        // What has come since this turn's bytes were read is heard first.
+        if self.net.unread(id) {
+            return self.due(id, self.net.now() + SOON);
+        }
         let Some(client) = self.clients.all.get(&id) else { return };
         match client.step {
             Step::Open(_) => {}
@@ -160,11 +182,11 @@
     }
 
     pub fn client_bytes(&mut self, id: Id, bytes: &[u8]) {
-        if let Some(client) = self.clients.all.get_mut(&id) {
-            client.came.extend_from_slice(bytes);
-            self.clients.kept += bytes.len();
-        }
-        if self.clients.kept > MOST_KEPT {
+        let Some(client) = self.clients.all.get_mut(&id) else { return };
+        client.came.extend_from_slice(bytes);
+        self.clients.kept += bytes.len();
+        // Against a flood: who sends little may go on, as it fills nothing.
+        if self.clients.kept > MOST_KEPT && client.came.len() > MOST_AHEAD {
             self.end_client(id, pg::TOO_MANY, "too much at once");
         }
     }
@@ -267,9 +289,7 @@
     fn client_rests(&mut self, id: Id) {
         let now = self.net.now();
         let Some(client) = self.clients.all.get_mut(&id) else { return };
-        let whole = client.step == Step::Ready
-            && matches!(pg::frame(&client.came, pg::MOST_QUERY), Ok(Cut::Whole { .. }) | Err(_));
-        if whole {
+        if client.holds_whole() {
             self.made.push(Event::Flushed { conn: id });
         }
         let at = match (client.spoke, client.came.is_empty()) {
@@ -311,9 +331,9 @@
         let Some(client) = self.clients.all.get_mut(&id) else { return };
         (client.step, client.since) = (Step::Ready, now);
         let more = !client.came.is_empty();
-        let sent = self.net.send(id, bytes);
-        if !sent || self.clients.closing {
-            return self.close_client(id);
+        if !self.net.send(id, bytes) {
+            self.forget_client(id);
+            return;
         }
         self.clients.quiet.insert((true, now, id));
         self.due(id, now + IDLE);
@@ -322,16 +342,15 @@
         }
     }
 
-    /// From now on connections end between RPCs.
-    pub fn close_clients(&mut self) {
-        self.clients.closing = true;
-        let rest: Vec<Id> = self
-            .clients
-            .all
-            .iter()
-            .filter(|(_, c)| !matches!(c.step, Step::Open(_)))
-            .map(|(id, _)| *id)
-            .collect();
+    /// In a stop: ends each connection between two RPCs, unless more of it is here, or its first RPC may be on its way.
+    pub fn close_clients(&mut self, door_closed: Ns) {
+        let first_over = self.net.now() - door_closed >= FIRST_WORDS;
+        let net = &mut self.net;
+        let rests = |(id, c): (&Id, &Client)| {
+            let none = !matches!(c.step, Step::Open(_)) && c.came.is_empty();
+            (none && (c.spoke || first_over) && !net.unread(*id)).then_some(*id)
+        };
+        let rest: Vec<Id> = self.clients.all.iter().filter_map(rests).collect();
         rest.into_iter().for_each(|id| self.close_client(id));
     }
 }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -10,3 +10,6 @@
 
 pub use node::run;
 pub use opening::Opening;
+
+#[cfg(test)]
+mod tests;
--- a/node/src/links.rs
+++ b/node/src/links.rs
@@ -10,8 +10,11 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 
-/// A link that gives no sign for so long is taken for dead: signs come every second or two.
+/// A link that gives no sign for so long is taken for dead: the desk's come every second, and a first word may wait its turn.
 const SILENCE: Ns = 3 * SEC + SEC / 2;
+/// The same for a watch that has spoken: its signs come every two seconds, and what it misses counts 6 s after it fell
+/// silent, in which another one must be had, at the second try.
+const WATCH_SILENCE: Ns = 2 * SEC + SEC / 2;
 const CONNECT: Ns = SEC;
 /// Longest line of a watch: ten thousand machines.
 const MOST_LINE: usize = 2 * 1024 * 1024;
@@ -23,13 +26,45 @@
 struct Watch {
     call: Id,
     came: Vec<u8>,
-    /// It has told something.
+    /// Lines of a telling that is not whole yet.
+    begun: Vec<u8>,
+    /// It has said anything at all, if only that it lives; it has told something.
+    spoke: bool,
     serves: bool,
 }
 
+impl Watch {
+    /// Takes a line: a telling that is whole with it, if one is; tellings may come indented, over many lines.
+    ///
+    /// # Errors
+    /// The watch makes no sense.
+    fn telling(&mut self, line: &[u8]) -> Result<Option<Value>, ()> {
+        let blank = line.trim_ascii().is_empty();
+        if blank || self.begun.is_empty() && !line.trim_ascii_start().starts_with(b"{") {
+            // A sign of life comes between two tellings, never within one.
+            return if blank && self.begun.is_empty() { Ok(None) } else { Err(()) };
+        }
+        self.begun.extend_from_slice(line);
+        // Read where it may be whole alone: at each of its lines it would take the square of its length.
+        if !line.trim_ascii_end().ends_with(b"}") {
+            return Ok(None);
+        }
+        match serde_json::from_slice(&self.begun) {
+            Ok(told) => {
+                self.begun = Vec::new();
+                Ok(Some(told))
+            }
+            Err(err) if err.is_eof() => Ok(None),
+            Err(_) => Err(()),
+        }
+    }
+}
+
 pub struct Discovery {
     pub at: SocketAddr,
     watches: Vec<Watch>,
+    /// The last watch never spoke: the list is asked for beside the next.
+    mute: bool,
     fetch: Option<Id>,
     pub seq: u64,
     pub tellings: u64,
@@ -37,7 +72,7 @@
 
 impl Discovery {
     pub fn new(at: SocketAddr) -> Discovery {
-        Discovery { at, watches: Vec::new(), fetch: None, seq: 0, tellings: 0 }
+        Discovery { at, watches: Vec::new(), mute: false, fetch: None, seq: 0, tellings: 0 }
     }
 
     pub fn owns(&self, id: Id) -> bool {
@@ -103,6 +138,8 @@
 impl Wire {
     fn ask_discovery(&mut self, target: &str, stream: bool) -> Id {
         let to = self.discovery.at;
+        // A kept connection may be closing at the other end, and the question would be lost on it.
+        self.net.close_idle(to);
         let request = http::ask("GET", target, &to.to_string(), &[], b"");
         let call = Call { to, request: &request, connect_within: CONNECT, stream, head_only: false };
         let id = self.net.call(&mut self.made, call);
@@ -122,7 +159,16 @@
         if on {
             let target = format!("/v1/endpoints?watch=1&after={}", self.discovery.seq);
             let call = self.ask_discovery(&target, true);
-            self.discovery.watches.push(Watch { call, came: Vec::new(), serves: false });
+            self.discovery.watches.push(Watch {
+                call,
+                came: Vec::new(),
+                begun: Vec::new(),
+                spoke: false,
+                serves: false,
+            });
+            if self.discovery.mute {
+                self.fetch_roster();
+            }
         }
     }
 
@@ -143,22 +189,30 @@
         let mut tells = Vec::new();
         let now = self.net.now();
         let Some(at) = self.discovery.watches.iter().position(|w| w.call == call) else { return tells };
-        self.due(call, now + SILENCE);
+        self.due(call, now + WATCH_SILENCE);
+        self.discovery.mute = false;
         let watch = &mut self.discovery.watches[at];
+        watch.spoke = true;
         watch.came.extend_from_slice(bytes);
-        let mut bad = status != 200 || watch.came.len() > MOST_LINE;
-        while let Some(line) = take_line(&mut self.discovery.watches[at].came).filter(|_| !bad) {
-            if line.trim_ascii().is_empty() {
-                continue;
+        let mut bad = status != 200 || watch.came.len() + watch.begun.len() > MOST_LINE;
+        let came = std::mem::take(&mut watch.came);
+        let whole = came.iter().rposition(|b| *b == b'\n').map_or(0, |end| end + 1);
+        self.discovery.watches[at].came = came[whole..].to_vec();
+        for line in came[..whole].split_inclusive(|b| *b == b'\n') {
+            if bad {
+                break;
             }
-            let told = serde_json::from_slice(&line).ok();
-            match told.as_ref().and_then(|t: &Value| roster::read(t, &self.opening.zones)) {
-                Some(telling) => {
-                    self.discovery.watches[at].serves = true;
-                    let roll = if telling.whole { Roll::Whole } else { Roll::Changes };
-                    tells.push(self.listed(roll, telling));
-                }
-                None => bad = true,
+            match self.discovery.watches[at].telling(line) {
+                Ok(None) => {}
+                Ok(Some(told)) => match roster::read(&told, &mut self.opening.zones) {
+                    Some(telling) => {
+                        self.discovery.watches[at].serves = true;
+                        let roll = if telling.whole { Roll::Whole } else { Roll::Changes };
+                        tells.push(self.listed(roll, telling));
+                    }
+                    None => bad = true,
+                },
+                Err(()) => bad = true,
             }
         }
         if bad {
@@ -178,6 +232,8 @@
     /// A call to discovery has ended, or its time is up.
     pub fn discovery_over(&mut self, call: Id, end: Option<End>) -> Vec<Tell> {
         if self.discovery.fetch != Some(call) {
+            let mute = self.discovery.watches.iter().any(|w| w.call == call && !w.spoke);
+            self.discovery.mute |= mute && end.is_none();
             return self.watch_over(call).into_iter().collect();
         }
         self.discovery.fetch = None;
@@ -186,11 +242,10 @@
             Some(End::Answer(answer)) if answer.status == 200 => serde_json::from_slice(&answer.body).ok(),
             _ => None,
         };
-        let telling = told.as_ref().and_then(|t: &Value| roster::read(t, &self.opening.zones));
-        match telling.filter(|t| t.whole) {
-            Some(telling) => vec![self.listed(Roll::Whole, telling)],
-            None => vec![Tell::Members(Roll::Failed, Vec::new())],
-        }
+        let telling = told.as_ref().and_then(|t: &Value| roster::read(t, &mut self.opening.zones));
+        // One that was overtaken by a watch must not take its news back; a watch is still being made, and is heard of.
+        let telling = telling.filter(|t| t.whole && t.seq >= self.discovery.seq);
+        telling.map(|telling| self.listed(Roll::Whole, telling)).into_iter().collect()
     }
 
     fn watch_over(&mut self, call: Id) -> Option<Tell> {
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -1,7 +1,7 @@
 //! The loop: events in, calls to the module out.
 use crate::clients::{Asked, MARGIN};
 use crate::links::{standing, Tell, ENDS};
-use crate::wire::{Open, Wire, DESK, DUE, MODULE, PEERS, STOP, TICK};
+use crate::wire::{Open, Wire, DESK, DUE, MODULE, PEERS, RELOAD, STOP, TICK};
 use crate::Opening;
 use rockpick::{Front, Ns, Outcome, Reply, Roll};
 use rockpick_net::{Event, Id, Net, MS, SEC};
@@ -16,8 +16,16 @@
 const SIGTERM: i32 = 15;
 /// The platform goes on sending new connections for up to 0.4 s after SIGTERM: they are served.
 const GOES_ON: Ns = 450 * MS;
-/// After the last answer, so that it is read before the process ends.
+/// After the last answer, so that it is read before the process ends; and how often a stop looks who is done.
 const LAST: Ns = 100 * MS;
+/// From SIGTERM on the platform waits for the longest deadline, and for this at the least, and then for a little more.
+const LEAST_STOP: Ns = 3 * SEC;
+/// Of that little, what is made use of: a connection that never rests must not have the process killed.
+const BEYOND: Ns = 600 * MS;
+/// A method without a deadline is waited for no longer than this.
+const MOST_STOP: Ns = 30 * SEC;
+/// A configuration that can't be read may be being written: it is read again so soon, and so often.
+const READ_AGAIN: (Ns, u32) = (100 * MS, 20);
 /// Counts in the log, and forgetting.
 const TICK_EVERY: Ns = SEC;
 
@@ -25,9 +33,12 @@
     wire: Wire,
     front: Front,
     listener: Id,
-    stopping: bool,
-    /// Since when nothing is owed, in a stop.
+    /// When a stop began; when its door was closed; since when it owes nothing.
+    stopping: Option<Ns>,
+    door_closed: Option<Ns>,
     rested: Option<Ns>,
+    /// How often a configuration that can't be read is still to be read again.
+    again: u32,
     /// The other fronts, where it was told to join them.
     peers: Option<Peers>,
 }
@@ -53,8 +64,12 @@
     wire.net.turn(&mut events, 0).map_err(say)?;
     // The watch goes on from the list at start. Asked for all since the beginning, discovery has no word of a machine
     // that came and left in between, and a list that still has it up would never be put right.
-    let at_start = roster::read(&known, &wire.opening.zones);
+    let at_start = roster::read(&known, &mut wire.opening.zones);
     wire.discovery.seq = at_start.as_ref().map_or(0, |telling| telling.seq);
+    // Where lists are pushed the module asks for none; here a watch is what brings them.
+    if !post.ask_roster {
+        wire.watch_roster(true);
+    }
     let mut front = Front::start(post, &mut wire);
     let peers = match wire.opening.circle.clone() {
         Some(circle) => {
@@ -66,7 +81,8 @@
     if let Some(peers) = &peers {
         peers.tell_all(&mut front);
     }
-    let mut node = Node { wire, front, listener, stopping: false, rested: None, peers };
+    let mut node =
+        Node { wire, front, listener, stopping: None, door_closed: None, rested: None, again: 0, peers };
     if let Some(telling) = at_start {
         let told = node.wire.listed(Roll::Saved, telling);
         node.tell(told);
@@ -87,9 +103,8 @@
         loop {
             events.append(&mut self.wire.made);
             self.wire.net.turn(&mut events, SEC).map_err(|err| err.to_string())?;
-            // What the platform tells counts from when it wrote it: before any pick of this turn.
-            let (news, rest): (Vec<Event>, Vec<Event>) = events.drain(..).partition(|e| self.is_news(e));
-            for event in news.into_iter().chain(rest) {
+            events.sort_by_cached_key(|event| self.rank(event));
+            for event in events.drain(..) {
                 self.event(event);
                 self.settle();
             }
@@ -100,12 +115,16 @@
         }
     }
 
-    fn is_news(&self, event: &Event) -> bool {
-        match event {
+    /// The order of a turn's events. What the platform tells counts from when it wrote it: before any pick of this turn. A
+    /// new client may have another give way, so what has come from those who are here is heard before.
+    fn rank(&self, event: &Event) -> u8 {
+        let news = match event {
             Event::Piece { call, .. } | Event::Ended { call, .. } => self.wire.discovery.owns(*call),
             Event::Bytes { conn, .. } => self.wire.desk.owns(*conn),
+            Event::Came { conn } if !self.wire.desk.owns(*conn) && !self.wire.pool.owns(*conn) => return 2,
             _ => false,
-        }
+        };
+        u8::from(!news)
     }
 
     /// Tells the module of ends that came while it was at work.
@@ -209,7 +228,11 @@
             Event::Woke { tag: TICK } => self.tick(),
             Event::Woke { tag: DESK } => self.wire.follow_desk(),
             Event::Woke { tag: STOP } => self.close_door(),
-            Event::Signal { number: SIGHUP } => self.reload(),
+            Event::Signal { number: SIGHUP } => {
+                self.again = READ_AGAIN.1;
+                self.reload();
+            }
+            Event::Woke { tag: RELOAD } => self.reload(),
             Event::Signal { number } => self.stop(number),
             _ => {}
         }
@@ -263,7 +286,8 @@
         if self.wire.open.len() <= rpc {
             self.wire.open.resize_with(rpc + 1, || None);
         }
-        self.wire.open[rpc] = Some(Open { conn, text, wait, gives_up: now + left, picks: Vec::new() });
+        self.wire.open[rpc] =
+            Some(Open { conn, method, text, wait, gives_up: now + left, picks: Vec::new() });
         self.wire.tolls.taken += 1;
         self.wire.client_opens(conn, rpc);
         if left <= MARGIN {
@@ -325,7 +349,8 @@
         );
     }
 
-    /// Reads the file anew; one that can't be read changes nothing.
+    /// Reads the file anew; one that can't be read changes nothing, and is read again a few times: the signal may have come
+    /// while it was written.
     fn reload(&mut self) {
         let file = self.wire.opening.file.clone();
         let var = |name: &str| match name {
@@ -335,24 +360,40 @@
         match Opening::read(var) {
             Ok(fresh) => {
                 tracing::info!(event = "reload", discovery = %fresh.discovery, desk = ?fresh.desk);
+                self.again = 0;
                 self.wire.moved(fresh.discovery, fresh.desk);
             }
-            Err(why) => tracing::error!(event = "reload", why),
+            Err(why) => {
+                tracing::error!(event = "reload", why, again = self.again);
+                if let Some(left) = self.again.checked_sub(1) {
+                    self.again = left;
+                    self.wire.net.wake_at(self.wire.net.now() + READ_AGAIN.0, RELOAD);
+                }
+            }
         }
     }
 
     fn stop(&mut self, number: i32) {
-        if !std::mem::replace(&mut self.stopping, true) {
-            tracing::info!(event = "stopping", number);
-            self.wire.net.wake_at(self.wire.net.now() + GOES_ON, STOP);
-            if let Some(peers) = &mut self.peers {
-                peers.leave(&mut self.wire.net);
-            }
+        if self.stopping.is_some() {
+            return;
+        }
+        tracing::info!(event = "stopping", number);
+        let now = self.wire.net.now();
+        self.stopping = Some(now);
+        self.wire.net.wake_at(now + GOES_ON, STOP);
+        if let Some(peers) = &mut self.peers {
+            peers.leave(&mut self.wire.net);
         }
     }
 
-    /// Takes what has come to the listener, closes it, and then each connection between two RPCs.
+    /// Takes what has come to the listener, and closes it; from now on connections end between two RPCs.
     fn close_door(&mut self) {
+        let now = self.wire.net.now();
+        self.wire.net.wake_at(now + LAST, STOP);
+        if self.door_closed.is_some() {
+            return;
+        }
+        self.door_closed = Some(now);
         let mut events = Vec::new();
         loop {
             let before = events.len();
@@ -363,25 +404,23 @@
         }
         self.wire.net.close(self.listener);
         self.wire.made.append(&mut events);
-        self.wire.close_clients();
-        self.rested = Some(Ns::MAX);
-        self.wire.net.wake_at(self.wire.net.now() + LAST, STOP + 1);
+        // Nobody comes any more for whom descriptors are to be kept.
+        self.wire.net.most_closing = self.wire.net.most_streams;
     }
 
-    /// In a stop: is everything answered, and read? Connections that say nothing are waited for no longer.
+    /// In a stop: is everything answered, and on its way to whoever reads slowly?
     fn ended(&mut self) -> bool {
+        let Some((began, door_closed)) = self.stopping.zip(self.door_closed) else { return false };
         let now = self.wire.net.now();
-        let Some(rested) = self.rested else { return false };
-        if self.wire.clients.owed() {
-            self.rested = Some(Ns::MAX);
-            return false;
-        }
-        if rested == Ns::MAX {
-            self.rested = Some(now);
-            self.wire.net.wake_at(now + LAST, STOP + 1);
+        self.wire.close_clients(door_closed);
+        let owes =
+            self.wire.clients.count() > 0 || self.wire.net.last_words() > 0 || !self.wire.made.is_empty();
+        let longest = self.wire.opening.methods.iter().map(|(_, longest)| *longest).max().unwrap_or(0);
+        if owes && now - began < longest.clamp(LEAST_STOP, MOST_STOP) + BEYOND {
+            self.rested = None;
             return false;
         }
-        now - rested >= LAST
+        now - *self.rested.get_or_insert(now) >= LAST
     }
 }
 
--- a/node/src/opening.rs
+++ b/node/src/opening.rs
@@ -25,6 +25,8 @@
     /// Names of methods, and the longest that a client waits for each.
     pub methods: Vec<(String, Ns)>,
     pub zones: Vec<String>,
+    /// Longest that a connection to a machine may take: never beyond the grace of a drain, as a pick that was decided before
+    /// a drain was told leaves when its connection is there.
     pub connect_within: Ns,
     /// Machines close a connection that was idle for this.
     pub idle: Ns,
@@ -68,6 +70,8 @@
             Value::String(word) => Some(address("platform.address", word)?),
             _ => return Err("platform.address: no text".into()),
         };
+        let dial = terms.get("permissions.dialTimeoutMs", 250 * MS, rockpick_terms::nanos).map_err(of)?;
+        let grace = terms.get("invariants.drainGraceMs", Ns::MAX, rockpick_terms::nanos).map_err(of)?;
         Ok(Opening {
             name: said("name", "PROXY_NAME")?,
             listen: address("listen", &said("listen", "PROXY_LISTEN")?)?,
@@ -79,9 +83,7 @@
             post: post(seed, &terms).map_err(of)?,
             methods: names.into_iter().zip(longest.iter().map(most)).collect(),
             zones: terms.words("zones"),
-            connect_within: terms
-                .get("permissions.dialTimeoutMs", 250 * MS, rockpick_terms::nanos)
-                .map_err(of)?,
+            connect_within: if grace > 0 { dial.min(grace) } else { dial },
             idle: terms.get("permissions.idleCloseMs", 10_000 * MS, rockpick_terms::nanos).map_err(of)?,
             file,
             circle: None,
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -1,6 +1,6 @@
 //! Connections to machines: kept, dialled, given up, within a bound. Which machine is never chosen here.
 use crate::wire::{Pick, Wire};
-use rockpick::{Ns, Outcome};
+use rockpick::{Ns, Outcome, Repeat};
 use rockpick_net::{Id, MS, SEC};
 use rockpick_pg::{self as pg, Answer, Heard};
 use rockpick_platform::statement;
@@ -11,6 +11,9 @@
 /// (two each at a reload, a vote, a fetch), the log, the file of a reload, and the spare; and streams that are closing.
 pub const RESERVE: usize = OURS + rockpick_net::MOST_CLOSING;
 pub const OURS: usize = 28;
+/// A connection is used again so long after its answer, as a second copy of that may still come and would be taken for the
+/// next one's. Copies were seen up to REST_SEEN later.
+const REST: Ns = 20 * MS;
 /// An answer's connection must be ready again within this: machines say so with the answer.
 const TAIL: Ns = SEC;
 /// Bytes of answers that are not whole yet, of all machines together: at it the connection that brings more is given
@@ -93,6 +96,17 @@
         (self.conns.len(), self.idle.len())
     }
 
+    /// Takes a machine's connection that was idle for long enough, the last one first: the others may grow old.
+    fn rested(&mut self, machine: usize, now: Ns) -> Option<Id> {
+        let rested = |id: &Id| {
+            let step = self.conns.get(id).map(|c| c.step);
+            !matches!(step, Some(Step::Idle(since)) if now - since < REST)
+        };
+        let idle = &mut self.places[machine].idle;
+        let at = idle.iter().rposition(rested)?;
+        Some(idle.remove(at))
+    }
+
     pub fn came_back(&mut self, machine: usize) {
         let place = &mut self.places[machine];
         place.out = place.out.saturating_sub(1);
@@ -152,7 +166,20 @@
         let done = self.door.finished(rpc);
         let Some(open) = self.open.get_mut(rpc).and_then(Option::as_mut) else { return };
         let number = open.picks.len();
-        open.picks.push(Pick { machine, sent: now, until: now + time_out, out: true, conn: None });
+        open.picks.push(Pick {
+            machine,
+            sent: now,
+            until: now + time_out,
+            out: true,
+            ran: false,
+            conn: None,
+        });
+        // The module's word that a repeat is harmless holds for now: it must also leave in that time.
+        let method = &self.opening.post.methods[open.method];
+        let first = open.picks.iter().filter(|p| p.ran).map(|p| p.sent).min();
+        let known = first.filter(|_| method.repeat == Repeat::Tokened);
+        let within = known.map_or(Ns::MAX, |at| at + method.remembered - 2 * self.opening.post.step - now);
+        let within = within.min(self.opening.connect_within).min(time_out);
         self.door.sent(rpc);
         self.tolls.picks += 1;
         let place = &mut self.pool.places[machine];
@@ -161,7 +188,7 @@
             let none = if time_out > 0 && !done { Outcome::Unreachable } else { Outcome::Void };
             return self.owed.push_back((rpc, number, none));
         };
-        while let Some(id) = self.pool.places[machine].idle.pop() {
+        while let Some(id) = self.pool.rested(machine, now) {
             // Found closed, or holding bytes that nobody asked for: replaced, and no pick that ran.
             let fit = self.net.quiet(id) && self.pool.conns.get(&id).is_some_and(|c| c.answer.clean());
             if fit && self.ask_machine(id, rpc, number) {
@@ -178,7 +205,6 @@
                 }
             }
         }
-        let within = self.opening.connect_within.min(time_out);
         let Ok(id) = self.net.dial(to, within) else {
             self.pool.scarce += 1;
             return self.owed.push_back((rpc, number, Outcome::Unreachable));
@@ -280,9 +306,18 @@
                 Ok(Heard::Ready) => {
                     if step == Step::Opening {
                         let job = conn.job;
+                        let place = &self.pool.places[conn.machine];
+                        let there = conn.life == place.life && place.gone.is_none();
                         if let Some((rpc, n)) = job {
-                            let wanted = self.open[rpc].as_ref().is_some_and(|o| o.picks[n].until > now);
-                            if wanted && !self.door.finished(rpc) {
+                            let wanted = self.open[rpc].as_ref().is_some_and(|o| o.picks[n].until > now)
+                                && !self.door.finished(rpc);
+                            if wanted && !there {
+                                // Another process has this name by now, or none: what was picked is no more.
+                                self.drop_machine_conn(id);
+                                ends.push((rpc, n, Outcome::Unreachable, None));
+                                break;
+                            }
+                            if wanted {
                                 if !self.ask_machine(id, rpc, n) {
                                     self.drop_machine_conn(id);
                                     ends.push((rpc, n, Outcome::Unreachable, None));
--- /dev/null
+++ b/node/src/tests.rs
@@ -0,0 +1,109 @@
+//! Moments between two lines of one turn: bytes that come once the turn's own have been read.
+use crate::wire::Wire;
+use crate::Opening;
+use rockpick_net::{Event, Id, Net, SEC};
+use rockpick_pg as pg;
+use serde_json::json;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+struct Place {
+    wire: Wire,
+    at: std::net::SocketAddr,
+}
+
+/// A node's tables and sockets without its loop, so that a test says what comes when.
+fn place(sockets: usize) -> Place {
+    let told = json!({ "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "limits": { "sockets": sockets },
+        "settings": { "lanes": [{ "name": "lookup", "deadlineMs": 2000.0 }] } });
+    let file = tempfile::NamedTempFile::new().unwrap();
+    std::fs::write(file.path(), told.to_string()).unwrap();
+    let file = file.path().display().to_string();
+    let opening = Opening::read(|name| (name == "PROXY_CONFIG").then(|| file.clone())).unwrap();
+    let mut net = Net::new(0).unwrap();
+    let (_, at) = net.listen_streams("127.0.0.1:0".parse().unwrap()).unwrap();
+    Place { wire: Wire::new(net, opening, 0), at }
+}
+
+impl Place {
+    /// A client that has said its first words, and been welcomed.
+    fn client(&mut self) -> (TcpStream, Id) {
+        let mut io = TcpStream::connect(self.at).unwrap();
+        io.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+        let mut hello = Vec::new();
+        pg::put_startup(&mut hello, "api", "ledger");
+        io.write_all(&hello).unwrap();
+        let (mut events, mut id) = (Vec::new(), None);
+        while self.wire.net.streams() == 0 || id.is_none_or(|id| !self.welcomed(id, &mut events)) {
+            self.wire.net.turn(&mut events, SEC).unwrap();
+            for event in &events {
+                if let Event::Came { conn } = event {
+                    id = Some(*conn);
+                    self.wire.client_came(*conn);
+                }
+            }
+        }
+        let mut welcome = [0; 1024];
+        assert!(io.read(&mut welcome).unwrap() > 0);
+        (io, id.unwrap())
+    }
+
+    fn welcomed(&mut self, id: Id, events: &mut Vec<Event>) -> bool {
+        events.drain(..).any(|event| match event {
+            Event::Bytes { conn, bytes } if conn == id => {
+                self.wire.client_bytes(conn, &bytes);
+                self.wire.client_reads(conn);
+                true
+            }
+            _ => false,
+        })
+    }
+}
+
+/// Sends an empty query, and waits until it is here, unread.
+fn speaks(place: &mut Place, io: &mut TcpStream, id: Id) {
+    let mut out = Vec::new();
+    pg::put_query(&mut out, "");
+    io.write_all(&out).unwrap();
+    while !place.wire.net.unread(id) {
+        std::thread::yield_now();
+    }
+}
+
+#[test]
+fn a_connection_whose_time_is_up_is_read_once_more() {
+    let mut place = place(64);
+    let (mut io, id) = place.client();
+    speaks(&mut place, &mut io, id);
+    place.wire.client_due(id);
+    assert!(place.wire.clients.owns(id));
+}
+
+#[test]
+fn a_stop_reads_once_more_from_whom_it_closes() {
+    let mut place = place(64);
+    let ((mut io, id), (_other, quiet)) = (place.client(), place.client());
+    speaks(&mut place, &mut io, id);
+    // The door was closed long ago: nobody's first words are waited for.
+    place.wire.close_clients(-10 * SEC);
+    assert!(place.wire.clients.owns(id) && !place.wire.clients.owns(quiet));
+}
+
+#[test]
+fn who_has_just_spoken_does_not_give_way() {
+    let mut place = place(64);
+    let mut all: Vec<(TcpStream, Id)> = (0..10).map(|_| place.client()).collect();
+    let _new = TcpStream::connect(place.at).unwrap();
+    let mut events = Vec::new();
+    while events.is_empty() {
+        place.wire.net.turn(&mut events, SEC).unwrap();
+    }
+    // The turn's bytes have been read; only now the one that would give way speaks.
+    let (io, id) = &mut all[0];
+    speaks(&mut place, io, *id);
+    let Event::Came { conn } = events[0] else { panic!("{events:?}") };
+    place.wire.client_came(conn);
+    let owns: Vec<bool> = all.iter().map(|(_, id)| place.wire.clients.owns(*id)).collect();
+    assert_eq!((owns[0], owns[1], place.wire.clients.owns(conn)), (true, false, true));
+}
--- a/node/src/wire.rs
+++ b/node/src/wire.rs
@@ -18,6 +18,7 @@
 pub const TICK: u64 = 2;
 pub const DESK: u64 = 3;
 pub const STOP: u64 = 4;
+pub const RELOAD: u64 = 5;
 pub const PEERS: u64 = 7;
 
 /// Builds whose ends are counted apart.
@@ -29,6 +30,7 @@
 pub struct Open {
     /// Its client's connection.
     pub conn: Id,
+    pub method: usize,
     pub text: String,
     pub wait: Range<usize>,
     /// When the client gives up.
@@ -42,6 +44,8 @@
     /// The machine is waited for until then.
     pub until: Ns,
     pub out: bool,
+    /// It has ended, and may have run.
+    pub ran: bool,
     pub conn: Option<Id>,
 }
 
@@ -121,8 +125,8 @@
         let now = self.net.now();
         let open = self.open.get_mut(rpc)?.as_mut()?;
         let p = open.picks.get_mut(pick).filter(|p| p.out)?;
-        p.out = false;
-        p.conn = None;
+        (p.out, p.conn) = (false, None);
+        p.ran = !matches!(how, Outcome::Full | Outcome::Unreachable | Outcome::Void);
         let took = now - p.sent;
         self.pool.came_back(p.machine);
         self.door.came_back(rpc);
