Lost answers bind their keys, late picks are asked for anew, small doubts wait longer

With each pick and end in the log: no key went back whose answer had come; four went back seconds after a pick at 554 had ended Broken, the answer lost on its way. Guilty: logic.rs pick, `answered = outcome == Ok`. Guilty: logic.rs baked, which asked tallies a doubt of a point alone. By reading: a pick that waited for its connection left whatever was told meanwhile (cap 0, drain, a key answered): the node asks Front::stands before it writes; answers of a turn are learned before its new RPCs are decided. Tests: src/tests.rs three, cli/tests/moments.rs two; the second of these and the stands test fail with their lines taken out.

--- a/cli/tests/moments.rs
+++ b/cli/tests/moments.rs
@@ -129,6 +129,62 @@
     assert_eq!(client.rpc(&save(2, 900)), value());
 }
 
+/// It was decided for a build on trial, which is sent back before the connection is there.
+#[test]
+fn a_pick_whose_build_is_sent_back_while_its_connection_comes_up_is_not_sent() {
+    let (gate, met, queries) =
+        (Gate::default(), Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+    let (theirs, came, count, old) = (gate.clone(), met.clone(), queries.clone(), machine(&[Does::Answers]));
+    let new = served(move |_, mut line| {
+        line.hello()?;
+        came.fetch_add(1, Ordering::SeqCst);
+        theirs.pass();
+        line.welcome()?;
+        line.query()?;
+        count.fetch_add(1, Ordering::SeqCst);
+        line.answers(b"new")
+    });
+    let platform = Platform::begin();
+    let mut told = configuration(&platform, &[("a", old.at, 1, "active"), ("b", new, 2, "active")]);
+    told["settings"]["permissions"]["dialTimeoutMs"] = 1_800.into();
+    told["settings"]["invariants"]["drainGraceMs"] = 10_000.into();
+    let node = Node::begin(&told);
+    followed(&platform);
+    platform.news("* progress 2 0 canary 1 20000");
+    let mut waits = node.client();
+    waits.ask(&save(1, 1_900));
+    until("its connection comes up", || met.load(Ordering::SeqCst) > 0);
+    platform.news("* progress 2 0 reverting 0 0");
+    until("it is told", || node.logged("phase=GoingBack"));
+    gate.open();
+    assert_eq!(waits.hear(), value(), "by the earlier build");
+    assert_eq!(queries.load(Ordering::SeqCst), 0);
+}
+
+/// The new build has answered a one-way key, and the answer is lost: no earlier build gets that key.
+#[test]
+fn a_key_whose_answer_is_lost_goes_to_no_earlier_build() {
+    let (old, new) = (machine(&[Does::Answers]), machine(&[Does::Closes]));
+    let platform = Platform::begin();
+    let mut told = configuration(&platform, &[("a", old.at, 1, "active"), ("b", new.at, 2, "active")]);
+    told["settings"]["extra"]["oneWay"] = true.into();
+    let node = Node::begin(&told);
+    followed(&platform);
+    platform.news("* progress 2 0 canary 1 20000");
+    let mut client = node.client();
+    let mut id = 0;
+    until("the new build has it", || {
+        id += 1;
+        client.rpc(&lookup(id, 900));
+        new.queries() > 0
+    });
+    let before = old.queries();
+    for id in 100..110 {
+        assert!(pushed_back(&client.rpc(&lookup(id, 900))));
+    }
+    assert_eq!(old.queries(), before);
+}
+
 #[test]
 fn a_repeat_whose_connection_comes_after_the_window_is_not_sent() {
     let (gate, met, queries) = (Gate::default(), Arc::new(AtomicUsize::new(0)), Arc::new(Mutex::new(0)));
--- a/cli/tests/peers/platform.rs
+++ b/cli/tests/peers/platform.rs
@@ -392,6 +392,7 @@
 pub struct Node {
     pub proc: Proc,
     file: tempfile::NamedTempFile,
+    log: tempfile::NamedTempFile,
 }
 
 impl Node {
@@ -404,7 +405,14 @@
         std::fs::write(file.path(), told.to_string()).unwrap();
         let prefix = format!("PROXY_CONFIG='{}'", file.path().display());
         let args = [&["node"], more].concat();
-        Node { proc: start_with(&prefix, &args, Stdio::null()), file }
+        let log = tempfile::NamedTempFile::new().unwrap();
+        let errors = Stdio::from(log.reopen().unwrap());
+        Node { proc: start_with(&prefix, &args, errors), file, log }
+    }
+
+    /// Has a line of its log held these words?
+    pub fn logged(&self, words: &str) -> bool {
+        std::fs::read_to_string(self.log.path()).unwrap().contains(words)
     }
 
     pub fn rewrite(&self, told: &str) {
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -1,6 +1,7 @@
 //! The loop: events in, calls to the module out.
 use crate::clients::{Asked, MARGIN};
 use crate::links::{standing, Tell, ENDS};
+use crate::pool::Came;
 use crate::wire::{Open, Wire, DESK, DUE, MODULE, PEERS, RELOAD, STOP, TICK};
 use crate::Opening;
 use rockpick::{Front, Ns, Outcome, Reply, Roll};
@@ -143,6 +144,25 @@
         }
     }
 
+    fn machine_bytes(&mut self, conn: Id, bytes: &[u8]) {
+        for (rpc, pick, came) in self.wire.machine_bytes(conn, bytes) {
+            match came {
+                Came::Over(how, row) => self.pick_over(rpc, pick, how, row.as_deref()),
+                Came::Ready => {
+                    let machine = self.wire.open[rpc].as_ref().map(|open| open.picks[pick].machine);
+                    let stands = machine.is_some_and(|machine| self.front.stands(rpc, machine));
+                    if self.wire.ask_opened(conn, rpc, pick, stands) {
+                        // What it has said beyond its welcome.
+                        self.machine_bytes(conn, &[]);
+                    } else {
+                        let how = if stands { Outcome::Unreachable } else { Outcome::Void };
+                        self.pick_over(rpc, pick, how, None);
+                    }
+                }
+            }
+        }
+    }
+
     fn tell(&mut self, told: Tell) {
         let (front, wire) = (&mut self.front, &mut self.wire);
         match told {
@@ -178,9 +198,7 @@
                     self.wire.client_bytes(conn, &bytes);
                     self.read_client(conn);
                 } else if self.wire.pool.owns(conn) {
-                    for (rpc, pick, how, row) in self.wire.machine_bytes(conn, &bytes) {
-                        self.pick_over(rpc, pick, how, row.as_deref());
-                    }
+                    self.machine_bytes(conn, &bytes);
                 } else {
                     self.wire.desk_bytes(conn, &bytes).into_iter().for_each(|told| self.tell(told));
                 }
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -48,6 +48,14 @@
     Idle(Ns),
 }
 
+/// What a machine's bytes mean for a pick.
+pub enum Came {
+    /// The connection that it waited for is there.
+    Ready,
+    /// It has ended, with a row where it is ok.
+    Over(Outcome, Option<Vec<u8>>),
+}
+
 struct Conn {
     machine: usize,
     life: u32,
@@ -257,8 +265,19 @@
         self.net.close(id);
     }
 
-    /// Bytes of a machine: ends of picks, with the rows of those that are ok.
-    pub fn machine_bytes(&mut self, id: Id, bytes: &[u8]) -> Vec<(usize, usize, Outcome, Option<Vec<u8>>)> {
+    /// A pick's connection is there; it is asked for if the pick still stands. True: its statement is on its way.
+    pub fn ask_opened(&mut self, id: Id, rpc: usize, number: usize, stands: bool) -> bool {
+        let sent = stands && self.ask_machine(id, rpc, number);
+        if !stands {
+            self.park_machine(id);
+        } else if !sent {
+            self.drop_machine_conn(id);
+        }
+        sent
+    }
+
+    /// Bytes of a machine: what they mean for picks.
+    pub fn machine_bytes(&mut self, id: Id, bytes: &[u8]) -> Vec<(usize, usize, Came)> {
         let mut ends = Vec::new();
         let now = self.net.now();
         if let Some(conn) = self.pool.conns.get_mut(&id) {
@@ -291,7 +310,7 @@
                 }
                 Ok(Heard::Row(row)) => {
                     conn.step = Step::Tail;
-                    ends.extend(conn.job.take().map(|(rpc, n)| (rpc, n, Outcome::Ok, Some(row))));
+                    ends.extend(conn.job.take().map(|(rpc, n)| (rpc, n, Came::Over(Outcome::Ok, Some(row)))));
                     self.due(id, now + TAIL);
                 }
                 Ok(Heard::Error(code)) => {
@@ -302,7 +321,7 @@
                         Step::Opening => Outcome::Unreachable,
                         _ => Outcome::Error,
                     };
-                    ends.extend(conn.job.take().map(|(rpc, n)| (rpc, n, how, None)));
+                    ends.extend(conn.job.take().map(|(rpc, n)| (rpc, n, Came::Over(how, None))));
                     if step == Step::Opening {
                         self.drop_machine_conn(id);
                         break;
@@ -311,27 +330,16 @@
                 }
                 Ok(Heard::Ready) => {
                     if step == Step::Opening {
-                        let job = conn.job;
                         let place = &self.pool.places[conn.machine];
                         let there = conn.life == place.life && place.gone.is_none();
-                        if let Some((rpc, n)) = job {
-                            let wanted = self.open[rpc].as_ref().is_some_and(|o| o.picks[n].until > now)
-                                && !self.door.finished(rpc);
-                            if wanted && !there {
-                                // Another process has this name by now, or none: what was picked is no more.
-                                self.drop_machine_conn(id);
-                                ends.push((rpc, n, Outcome::Unreachable, None));
+                        if let Some((rpc, n)) = conn.job {
+                            let wanted = self.open[rpc].as_ref().is_some_and(|o| o.picks[n].until > now);
+                            if wanted && there && !self.door.finished(rpc) {
+                                ends.push((rpc, n, Came::Ready));
                                 break;
                             }
-                            if wanted {
-                                if !self.ask_machine(id, rpc, n) {
-                                    self.drop_machine_conn(id);
-                                    ends.push((rpc, n, Outcome::Unreachable, None));
-                                    break;
-                                }
-                                continue;
-                            }
-                            ends.push((rpc, n, Outcome::Void, None));
+                            // Over, or another process has this name by now: what was picked is no more.
+                            ends.push((rpc, n, Came::Over(Outcome::Void, None)));
                         }
                     }
                     if !self.park_machine(id) {
@@ -347,7 +355,7 @@
                     if let Some(left_out) = self.often.may(now) {
                         tracing::warn!(event = "odd machine", why = odd.0, tag = %char::from(tag), long, step = ?step, asked = job.is_some(), left_out);
                     }
-                    ends.extend(job.map(|(rpc, n)| (rpc, n, how, None)));
+                    ends.extend(job.map(|(rpc, n)| (rpc, n, Came::Over(how, None))));
                     self.drop_machine_conn(id);
                     break;
                 }
--- a/node/src/wire.rs
+++ b/node/src/wire.rs
@@ -110,23 +110,30 @@
         }
     }
 
-    /// The order of a turn's events. What the platform tells counts from when it wrote it: before any pick of this turn. A
-    /// new client may have another give way, so what has come from those who are here is heard before; what has come from
-    /// the new one, where it is here as well, after.
+    /// The order of a turn's events. What the platform tells counts from when it wrote it, and what a machine has answered
+    /// may bind the next pick: both come before any RPC of this turn. A new client may have another give way, so what has
+    /// come from those who are here is heard before; what has come from the new one, where it is here as well, after.
     pub fn rank(&self, event: &Event) -> u8 {
         match event {
             Event::Piece { call, .. } | Event::Ended { call, .. } if self.discovery.owns(*call) => 0,
             Event::Bytes { conn, .. } if self.desk.owns(*conn) => 0,
-            Event::Came { conn } if !self.desk.owns(*conn) && !self.pool.owns(*conn) => 2,
-            Event::Bytes { conn, .. } | Event::Gone { conn, .. } if !self.knows(*conn) => 3,
+            Event::Bytes { conn, .. } | Event::Gone { conn, .. } | Event::Came { conn }
+                if self.desk.owns(*conn) || self.pool.owns(*conn) =>
+            {
+                1
+            }
+            Event::Bytes { conn, .. } | Event::Gone { conn, .. } | Event::Flushed { conn } => {
+                if self.clients.owns(*conn) {
+                    2
+                } else {
+                    4
+                }
+            }
+            Event::Came { .. } => 3,
             _ => 1,
         }
     }
 
-    fn knows(&self, conn: Id) -> bool {
-        self.clients.owns(conn) || self.pool.owns(conn) || self.desk.owns(conn)
-    }
-
     /// Something is to become of a connection at a time, unless it is moved or cleared before.
     pub fn due(&mut self, id: Id, at: Ns) {
         if let Some(at) = self.dues.set(id, at) {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -306,14 +306,11 @@
     }
 
     pub fn told(&mut self, ctl: &mut dyn Ctl, reply: Reply, news: Option<Standing>) {
-        match (reply, &mut self.ballot) {
-            (Reply::Counted, Some(ballot)) => (ballot.2, self.refusals) = (true, 0),
-            (Reply::Refused, Some(((.., verdict), ..))) => {
-                let verdict = *verdict;
-                self.refused(ctl.now(), verdict);
-            }
+        match (reply, self.ballot) {
+            (Reply::Counted, Some(b)) => (self.ballot, self.refusals) = (Some((b.0, b.1, true)), 0),
+            (Reply::Refused, Some(((.., verdict), ..))) => self.refused(ctl.now(), verdict),
             // One that timed out may count: it is cast again all the same, which replaces it.
-            (Reply::TimedOut, ballot) => *ballot = None,
+            (Reply::TimedOut, _) => self.ballot = None,
             _ => {}
         }
         self.told = news.or(self.told);
@@ -490,7 +487,7 @@
     }
 
     /// Remembers who answered a key; true where that is news.
-    fn bind(&mut self, key: u64, build: u32) -> bool {
+    pub(crate) fn bind(&mut self, key: u64, build: u32) -> bool {
         let room = self.bound.len() < MOST_KEYS || self.bound.contains_key(&key);
         let news = room && self.bound.get(&key).is_none_or(|known| *known < build);
         if news {
@@ -513,6 +510,13 @@
         self.unsure = !known;
     }
 
+    /// May a pick that waited for its connection still leave, by what was told and answered meanwhile?
+    pub fn stands(&self, rpc: usize, machine: usize) -> bool {
+        let (m, key) = (&self.machines[machine], self.rpcs[rpc].key);
+        let open = self.on_trial(m.member.build).is_none_or(|(_, cap)| cap > 0.0);
+        m.up() && open && self.bound_to(key) <= m.member.build
+    }
+
     /// The best machine of earlier builds, also of one on trial within its cap where a newer one is listed.
     fn earlier(&mut self, rpc: usize, now: Ns, fits: impl Fn(&Member) -> bool) -> Option<usize> {
         let (method, least) = (self.rpcs[rpc].method, self.bound_to(self.rpcs[rpc].key));
@@ -548,7 +552,8 @@
             if !matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::Void) {
                 r.mark = r.mark.or(Some(mark));
             }
-            let answered = outcome == Outcome::Ok && front.post.rollout.one_way;
+            // An answer that was lost on its way counts for the key all the same.
+            let answered = matches!(outcome, Outcome::Ok | Outcome::Broken) && front.post.rollout.one_way;
             let open = r.open;
             if let Some(key) = r.key.filter(|_| answered) {
                 if front.bind(key, build) {
@@ -733,9 +738,8 @@
     }
 
     pub fn heard(&mut self, ctl: &mut dyn Ctl, from: usize, note: &[u8]) {
-        if let Some((build, tally)) = Tally::read(note) {
-            self.notes.insert(from, (ctl.now(), build, tally));
-        }
+        let told = Tally::read(note).map(|(build, tally)| (from, (ctl.now(), build, tally)));
+        self.notes.extend(told);
     }
 
     pub fn tallied(&mut self, ctl: &mut dyn Ctl, build: u32, method: usize, picks: u32, not_ok: u32) {
@@ -821,12 +825,9 @@
         let pooled = [0, 1].map(|side| self.counted(&tally, side));
         // The fullest counts of the earlier build stay the reference when its machines go.
         let tallied = self.tallies(now, 1, LATELY);
-        if tallied[ALL][0] > self.standard[ALL][0] {
-            self.standard = tallied;
-        }
-        if pooled[1][ALL][0] > self.before[ALL][0] {
-            self.before = pooled[1];
-        }
+        let fuller = |new: Counts, kept: Counts| std::cmp::max_by_key(new, kept, |c| c[ALL][0]);
+        self.standard = fuller(tallied, self.standard);
+        self.before = fuller(pooled[1], self.before);
         let why = self.harm(now, trial, [own, pooled], [0, 1, 2].map(|i| Ranks(tally.test(i))));
         if let Some(why) = why.filter(|_| self.condemned != told.build) {
             self.condemned = told.build;
@@ -936,10 +937,12 @@
         // In the last stage, which has all first picks, waiting costs least, and what fails late shows at its
         // oldest machines alone; a doubt too small to send a build back is one too many to send it on.
         let last = new[ALL][0] > 0 && told.cap >= 1.0;
-        let enough = if hears && seen >= 20 && !last { bake } else { 2 * bake + more };
         // New machines need new connections, which a bad net refuses: then tallies say nothing.
-        let sure = self.scarce > 0.01 || wide([new, old], 0.01).is_none();
-        fresh && sure && self.lasts == [0, 0] && now - newest.max(told.since) >= enough
+        let sure = |margin| self.scarce > 0.01 || wide([new, old], margin).is_none();
+        // A smaller doubt passes with a jam, or grows with the machines that fail late: twice as long tells.
+        let long = if last && !sure(0.003) { 4 * bake } else { 2 * bake };
+        let enough = if hears && seen >= 20 && !last { bake } else { long + more };
+        fresh && sure(0.01) && self.lasts == [0, 0] && now - newest.max(told.since) >= enough
     }
 
     /// How long the platform takes to hear all fronts once.
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -216,6 +216,43 @@
     assert!(!desk.pushed_back.is_empty());
 }
 
+/// A machine has answered though its answer is lost on the way: its key goes to no earlier build either.
+#[test]
+fn a_lost_answer_binds_its_key() {
+    for (outcome, binds) in [(Outcome::Broken, true), (Outcome::Unreachable, false), (Outcome::Full, false)] {
+        let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
+        let mut post = post();
+        post.rollout.one_way = true;
+        let mut front = front(post, &[member(0, 1, None), member(1, 2, None), member(2, 2, None)], &mut desk);
+        front.told(&mut desk, Reply::News, standing(2, 0, Phase::OnTrial, 1.0, 99 * SEC));
+        front.taken(&mut desk, 0, 0, Some(7), 101 * SEC);
+        front.ended(&mut desk, 0, 0, outcome, MS, false);
+        let again: Vec<bool> = desk.picks.iter().map(|p| p.1 == 0).collect();
+        assert_eq!(again, [false, !binds], "{outcome:?}");
+    }
+}
+
+/// A pick that waited for its connection leaves only where it would be decided so now.
+#[test]
+fn what_is_told_or_answered_meanwhile_holds_a_pick_back() {
+    let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
+    let mut post = post();
+    post.rollout.one_way = true;
+    let mut front = front(post, &[member(0, 1, None), member(1, 2, None)], &mut desk);
+    front.told(&mut desk, Reply::News, standing(2, 0, Phase::OnTrial, 1.0, 99 * SEC));
+    front.taken(&mut desk, 0, 0, Some(7), 101 * SEC);
+    front.taken(&mut desk, 1, 0, Some(8), 101 * SEC);
+    assert!(front.stands(0, 0) && front.stands(0, 1));
+    // The newer build answers its key: no earlier machine any more, for this key alone.
+    front.bind(7, 2);
+    assert!(!front.stands(0, 0) && front.stands(0, 1) && front.stands(1, 0));
+    // It is sent back, which frees the key and shuts the build.
+    front.told(&mut desk, Reply::News, standing(2, 0, Phase::GoingBack, 0.0, 100 * SEC));
+    assert!(front.stands(0, 0) && !front.stands(0, 1));
+    front.members(&mut desk, Roll::Changes, &[Member { state: State::Draining, ..member(0, 1, None) }]);
+    assert!(!front.stands(0, 0));
+}
+
 /// Rule 4: a machine that has just started gets no more than machines have been seen to carry.
 #[test]
 fn a_cold_machine_is_not_pushed_over() {
@@ -688,9 +725,16 @@
 
 /// What a front makes of tallies of both builds, with four machines each, when its only pick at the trial ended so.
 fn votes_on_tallies(how: Outcome, cap: f64, new: Count, old: Count) -> Vec<Verdict> {
+    votes_after(20 * SEC, how, cap, new, old)
+}
+
+/// So long after a stage began, where a build bakes for four seconds.
+fn votes_after(stood: Ns, how: Outcome, cap: f64, new: Count, old: Count) -> Vec<Verdict> {
     let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
-    let mut front = front(post(), &fleet(8), &mut desk);
-    front.told(&mut desk, Reply::News, standing(2, 1, Phase::OnTrial, cap, 80 * SEC));
+    let mut post = post();
+    post.rollout.dwell = 3 * SEC;
+    let mut front = front(post, &fleet(8), &mut desk);
+    front.told(&mut desk, Reply::News, standing(2, 1, Phase::OnTrial, cap, 100 * SEC - stood));
     let mut rpc = 0;
     while desk.picks.last().is_none_or(|p| p.1 < 4) {
         take(&mut front, &mut desk, rpc, 2);
@@ -729,6 +773,26 @@
     assert_eq!(votes_on_tallies(Outcome::Unreachable, 1.0, [1000, 25], [1000, 1]), [Verdict::On]);
 }
 
+/// Guards against a build that fails late being voted on by all who have seen no error of it, while those who have are too
+/// few: a small doubt makes the last stage wait twice as long, in which it grows or passes.
+#[test]
+fn a_small_doubt_makes_the_last_stage_wait_twice_as_long() {
+    for (stood, cap, failed, votes) in [
+        (9 * SEC, 1.0, 2, &[Verdict::On][..]),
+        (9 * SEC, 1.0, 12, &[]),
+        (15 * SEC, 1.0, 12, &[]),
+        (17 * SEC, 1.0, 12, &[Verdict::On]),
+        (17 * SEC, 1.0, 30, &[]),
+        (9 * SEC, 0.5, 12, &[Verdict::On]),
+    ] {
+        assert_eq!(
+            votes_after(stood, Outcome::Ok, cap, [1500, failed], [4000, 3]),
+            votes,
+            "{stood} {cap} {failed}"
+        );
+    }
+}
+
 /// Guards against a net that resets connections being read as a failing build.
 #[test]
 fn broken_connections_are_not_errors() {
