--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -12,8 +12,9 @@
 pub const RESERVE: usize = OURS + rockpick_net::MOST_CLOSING;
 pub const OURS: usize = 28;
 /// A connection is used again so long after its answer, as a second copy of that may still come, and would be taken for the
-/// answer to the next query: 32 copies came 1.1 to 3.9 ms late in six small days of the operators' bench, so five times that.
-const REST: Ns = 20 * MS;
+/// answer to the next query: 32 copies came 1.1 to 3.9 ms late in six small days of the operators' bench, so twice that. At
+/// 20 ms a busy node held 26 connections in place of 17, and machines pay for each.
+const REST: Ns = 8 * MS;
 /// An answer's connection must be ready again within this: machines say so with the answer.
 const TAIL: Ns = SEC;
 /// Bytes of answers that are not whole yet, of all machines together: at it the connection that brings more is given
