--- a/net/src/streams.rs
+++ b/net/src/streams.rs
@@ -123,8 +123,7 @@
 
     /// Has something come on a stream that was not read, and will be in the next turn?
     pub fn unread(&mut self, conn: Id) -> bool {
-        let Some(stream) = self.stream_of(conn) else { return false };
-        stream.up && !stream.paused && !matches!(stream.io.peek(&mut [0]), Err(err) if would_block(&err))
+        self.stream_of(conn).is_some_and(|s| s.up && !s.paused) && !self.quiet(conn)
     }
 
     /// Is a stream open, with nothing come that was not read?
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -31,8 +31,8 @@
     pub addr: Option<SocketAddr>,
     pub build: u32,
     pub started: Option<Ns>,
-    /// Counts its lives: connections of a former one are not used again.
-    life: u32,
+    /// Counts its processes: connections of a former one are not used again.
+    incarnation: u32,
     gone: Option<Ns>,
     /// Picks that are out there.
     out: u32,
@@ -59,7 +59,7 @@
 
 struct Conn {
     machine: usize,
-    life: u32,
+    incarnation: u32,
     step: Step,
     answer: Answer,
     /// The pick that it carries.
@@ -133,7 +133,7 @@
         }
         let place = &mut self.pool.places[machine];
         let moved = (place.addr, place.build, place.started) != (addr.or(place.addr), build, started);
-        place.life = place.life.wrapping_add(u32::from(moved));
+        place.incarnation = place.incarnation.wrapping_add(u32::from(moved));
         (place.addr, place.build, place.started) = (addr.or(place.addr), build, started);
         place.gone = if gone { place.gone.or(Some(now)) } else { None };
         if gone || moved {
@@ -164,8 +164,8 @@
         for (machine, place) in self.pool.places.iter_mut().enumerate() {
             if place.out == 0 && place.gone.is_some_and(|since| now - since >= FORGOTTEN) {
                 self.door.forget(machine);
-                let life = place.life.wrapping_add(1);
-                *place = Place { life, ..Place::default() };
+                let incarnation = place.incarnation.wrapping_add(1);
+                *place = Place { incarnation, ..Place::default() };
             }
         }
     }
@@ -219,9 +219,10 @@
             return self.owed.push_back((rpc, number, Outcome::Unreachable));
         };
         self.pool.dialled += 1;
-        let life = self.pool.places[machine].life;
+        let incarnation = self.pool.places[machine].incarnation;
         let job = Some((rpc, number));
-        let conn = Conn { machine, life, step: Step::Opening, answer: Answer::default(), job, held: 0 };
+        let conn =
+            Conn { machine, incarnation, step: Step::Opening, answer: Answer::default(), job, held: 0 };
         self.pool.conns.insert(id, conn);
         let mut hello = Vec::new();
         pg::put_startup(&mut hello, "api", "ledger");
@@ -332,7 +333,7 @@
                 Ok(Heard::Ready) => {
                     if step == Step::Opening {
                         let place = &self.pool.places[conn.machine];
-                        let there = conn.life == place.life && place.gone.is_none();
+                        let there = conn.incarnation == place.incarnation && place.gone.is_none();
                         if let Some((rpc, n)) = conn.job {
                             let wanted = self.open[rpc].as_ref().is_some_and(|o| o.picks[n].until > now);
                             if wanted && there && !self.door.finished(rpc) {
@@ -370,7 +371,7 @@
         let now = self.net.now();
         let Some(conn) = self.pool.conns.get_mut(&id) else { return false };
         let place = &mut self.pool.places[conn.machine];
-        if !conn.answer.clean() || conn.life != place.life || place.gone.is_some() {
+        if !conn.answer.clean() || conn.incarnation != place.incarnation || place.gone.is_some() {
             self.drop_machine_conn(id);
             return false;
         }
