A known red test: a released build that is late once it is full is sent back by nobody

A build that needs more work once its machines are full is voted on by enough before it shows, and released nothing but pushback answers it. Excluded: errors (one in a hundred picks or less), connections, the watch. Guilty: logic.rs harm, where times speak on trial alone.

--- a/src/tests.rs
+++ b/src/tests.rs
@@ -870,6 +870,28 @@
     assert_ne!(vote_after_earlier_slowed(5), Some(Verdict::Back));
 }
 
+/// Guards against a build that needs more work once its machines are full: released, it must be sent back by its times, as
+/// it fails nothing. Known red: nothing but failures judges a released build yet.
+#[test]
+fn a_released_build_that_is_late_once_it_is_full_is_sent_back() {
+    let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
+    let mut front = front(post(), &(0..3).map(|i| member(i, 1, None)).collect::<Vec<_>>(), &mut desk);
+    for rpc in 0..1800 {
+        if rpc == 600 {
+            let fresh: Vec<Member> = (3..6).map(|i| member(i, 2, None)).collect();
+            front.members(&mut desk, Roll::Whole, &fresh);
+            front.told(&mut desk, Reply::News, standing(2, 1, Phase::Released, 1.0, 112 * SEC));
+        }
+        desk.now += 20 * MS;
+        take(&mut front, &mut desk, rpc, 2);
+        front.ended(&mut desk, rpc, 0, Outcome::Ok, if rpc >= 600 { 900 * MS } else { 30 * MS }, true);
+        if rpc % 25 == 24 {
+            front.woke(&mut desk, 0);
+        }
+    }
+    assert_eq!(desk.votes.last().map(|v| v.2), Some(Verdict::Back));
+}
+
 /// Guards against heavy RPCs, or those on a lost machine, that hold all others out until they time out.
 #[test]
 fn rpcs_open_for_long_do_not_hold_others_out_and_young_ones_do() {
