--- a/cli/tests/moments.rs
+++ b/cli/tests/moments.rs
@@ -7,7 +7,7 @@
 use platform::*;
 use rustix::process::Signal;
 use std::io::Write;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -23,6 +23,22 @@
     until("the door is closed", || TcpStream::connect(node.proc.at).is_err());
 }
 
+/// A machine that welcomes nobody before its gate is open; connections that came to it, queries that it got.
+fn gated(value: &'static [u8]) -> (SocketAddr, Gate, [Arc<AtomicUsize>; 2]) {
+    let (gate, counts) = (Gate::default(), [(); 2].map(|()| Arc::new(AtomicUsize::new(0))));
+    let (held, [came, queries]) = (gate.clone(), counts.clone());
+    let at = served(move |_, mut line| {
+        line.hello()?;
+        came.fetch_add(1, Ordering::SeqCst);
+        held.pass();
+        line.welcome()?;
+        line.query()?;
+        queries.fetch_add(1, Ordering::SeqCst);
+        line.answers(value)
+    });
+    (at, gate, counts)
+}
+
 /// Asks until a machine has served.
 fn serves(client: &mut Client, machine: &Machine) {
     let mut id = 1 << 40;
@@ -74,16 +90,7 @@
 
 #[test]
 fn a_pick_whose_connection_comes_after_the_grace_of_a_drain_is_not_sent() {
-    let (gate, queries) = (Gate::default(), Arc::new(AtomicUsize::new(0)));
-    let (theirs, count) = (gate.clone(), queries.clone());
-    let at = served(move |_, mut line| {
-        line.hello()?;
-        theirs.pass();
-        line.welcome()?;
-        line.query()?;
-        count.fetch_add(1, Ordering::SeqCst);
-        line.answers(VALUE)
-    });
+    let (at, gate, [_, queries]) = gated(VALUE);
     let platform = Platform::begin();
     let mut told = configuration(&platform, &[("a", at, 1, "active")]);
     told["settings"]["permissions"]["dialTimeoutMs"] = 1_500.into();
@@ -104,16 +111,7 @@
 
 #[test]
 fn a_pick_whose_machine_is_another_by_the_time_its_connection_is_there_is_not_sent() {
-    let (gate, old, new) = (Gate::default(), Arc::new(AtomicUsize::new(0)), machine(&[Does::Answers]));
-    let (theirs, count) = (gate.clone(), old.clone());
-    let at = served(move |_, mut line| {
-        line.hello()?;
-        theirs.pass();
-        line.welcome()?;
-        line.query()?;
-        count.fetch_add(1, Ordering::SeqCst);
-        line.answers(b"old")
-    });
+    let ((at, gate, [_, old]), new) = (gated(b"old"), machine(&[Does::Answers]));
     let platform = Platform::begin();
     let mut told = configuration(&platform, &[("a", at, 1, "active")]);
     told["settings"]["permissions"]["dialTimeoutMs"] = 1_500.into();
@@ -132,18 +130,7 @@
 /// It was decided for a build on trial, which is sent back before the connection is there.
 #[test]
 fn a_pick_whose_build_is_sent_back_while_its_connection_comes_up_is_not_sent() {
-    let (gate, met, queries) =
-        (Gate::default(), Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
-    let (theirs, came, count, old) = (gate.clone(), met.clone(), queries.clone(), machine(&[Does::Answers]));
-    let new = served(move |_, mut line| {
-        line.hello()?;
-        came.fetch_add(1, Ordering::SeqCst);
-        theirs.pass();
-        line.welcome()?;
-        line.query()?;
-        count.fetch_add(1, Ordering::SeqCst);
-        line.answers(b"new")
-    });
+    let ((new, gate, [met, queries]), old) = (gated(b"new"), machine(&[Does::Answers]));
     let platform = Platform::begin();
     let mut told = configuration(&platform, &[("a", old.at, 1, "active"), ("b", new, 2, "active")]);
     told["settings"]["permissions"]["dialTimeoutMs"] = 1_800.into();
