--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -183,12 +183,6 @@
             ran: false,
             conn: None,
         });
-        // The module's word that a repeat is harmless holds for now: it must also leave in that time.
-        let method = &self.opening.post.methods[open.method];
-        let first = open.picks.iter().filter(|p| p.ran).map(|p| p.sent).min();
-        let known = first.filter(|_| method.repeat == Repeat::Tokened);
-        let within = known.map_or(Ns::MAX, |at| at + method.remembered - 2 * self.opening.post.step - now);
-        let within = within.min(self.opening.connect_within).min(time_out);
         self.door.sent(rpc);
         self.tolls.picks += 1;
         let place = &mut self.pool.places[machine];
@@ -214,6 +208,7 @@
                 }
             }
         }
+        let within = self.connect_within(rpc).min(time_out);
         let Ok(id) = self.net.dial(to, within) else {
             self.pool.scarce += 1;
             return self.owed.push_back((rpc, number, Outcome::Unreachable));
@@ -233,6 +228,18 @@
         }
     }
 
+    /// How long a new connection for an RPC may take. The module's word that a repeat is harmless holds for now: it must
+    /// also leave in that time.
+    fn connect_within(&self, rpc: usize) -> Ns {
+        let most = self.opening.connect_within;
+        let Some(open) = self.open[rpc].as_ref() else { return most };
+        let method = &self.opening.post.methods[open.method];
+        let first = open.picks.iter().filter(|p| p.ran).map(|p| p.sent).min();
+        let known = first.filter(|_| method.repeat == Repeat::Tokened);
+        let left = |at: Ns| at + method.remembered - 2 * self.opening.post.step - self.net.now();
+        known.map_or(most, |at| left(at).min(most))
+    }
+
     /// Writes a pick's statement on a connection that is ready; false: the connection is gone, nothing ran.
     fn ask_machine(&mut self, id: Id, rpc: usize, number: usize) -> bool {
         let now = self.net.now();
--- a/node/src/wire.rs
+++ b/node/src/wire.rs
@@ -122,14 +122,13 @@
             {
                 1
             }
-            Event::Bytes { conn, .. } | Event::Gone { conn, .. } | Event::Flushed { conn } => {
-                if self.clients.owns(*conn) {
-                    2
-                } else {
-                    4
-                }
+            Event::Bytes { conn, .. } | Event::Gone { conn, .. } | Event::Flushed { conn }
+                if self.clients.owns(*conn) =>
+            {
+                2
             }
             Event::Came { .. } => 3,
+            Event::Bytes { .. } | Event::Gone { .. } | Event::Flushed { .. } => 4,
             _ => 1,
         }
     }
@@ -150,7 +149,7 @@
         let open = self.open.get_mut(rpc)?.as_mut()?;
         let p = open.picks.get_mut(pick).filter(|p| p.out)?;
         (p.out, p.conn) = (false, None);
-        p.ran = !matches!(how, Outcome::Full | Outcome::Unreachable | Outcome::Void);
+        p.ran = how.may_have_run();
         let took = now - p.sent;
         self.pool.came_back(p.machine);
         self.door.came_back(rpc);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -150,6 +150,13 @@
     Void,
 }
 
+impl Outcome {
+    /// Whether the machine may have run what it was sent; all others provably never ran.
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, Outcome::Full | Outcome::Unreachable | Outcome::Void)
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
     OnTrial,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -549,7 +549,7 @@
         self.rpcs[rpc].then.push(Some(Box::new(move |front, ctl, outcome, took, last| {
             front.learn(ctl.now(), machine, run, cell, outcome, took);
             let r = &mut front.rpcs[rpc];
-            if !matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::Void) {
+            if outcome.may_have_run() {
                 r.mark = r.mark.or(Some(mark));
             }
             // An answer that was lost on its way counts for the key all the same.
