Pipelined commands are taken as they come and answered in order, within their own time

Cause: node/src/clients.rs `client_reads` took one statement of a connection at a time; what was behind it waited, and node/src/node.rs `take` counted its `d` from when it was taken, not from when it came, so that its picks and its answer went beyond the client's time. Change: a connection keeps the replies that it is owed in order. A statement's time runs from its last byte.

--- a/node/src/links.rs
+++ b/node/src/links.rs
@@ -408,7 +408,7 @@
                     tells.push(Tell::Told(Reply::News, Some(standing(now, stood))))
                 }
                 Some(Line::Tally { build, method, picks, not_ok }) => {
-                    let method = self.opening.methods.iter().position(|(name, _)| name == method);
+                    let method = self.opening.method(method);
                     tells.extend(method.map(|method| Tell::Tallied { build, method, picks, not_ok }));
                 }
                 Some(Line::Dispute { machine, age }) => {
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -121,6 +121,9 @@
         while let Some((rpc, pick, how)) = self.wire.owed.pop_front() {
             self.pick_over(rpc, pick, how, None);
         }
+        while let Some(rpc) = self.wire.left.pop_front() {
+            self.client_left(rpc);
+        }
         self.share();
     }
 
@@ -206,7 +209,7 @@
             Event::Flushed { conn } => self.read_client(conn),
             Event::Gone { conn, unsent } => {
                 if self.wire.clients.owns(conn) {
-                    self.client_left(conn);
+                    self.wire.forget_client(conn);
                 } else if let Some((rpc, pick, how)) = self.wire.machine_gone(conn, unsent) {
                     self.pick_over(rpc, pick, how, None);
                 } else if self.wire.desk.owns(conn) {
@@ -266,17 +269,22 @@
     }
 
     fn read_client(&mut self, conn: Id) {
-        while let Asked::Statement(text) = self.wire.client_reads(conn) {
-            self.take(conn, text);
+        loop {
+            let (front, now) = (&self.front, self.wire.net.now());
+            let room = |opening: &Opening, text: &str| {
+                let method = statement::read(text).ok().and_then(|s| opening.method(s.method));
+                method.is_none_or(|method| front.has_room(now, method))
+            };
+            let Asked::Statement(text, came) = self.wire.client_reads(conn, room) else { return };
+            self.take(conn, text, came);
             self.settle();
         }
     }
 
     /// A client's statement: an RPC, if it is one.
-    fn take(&mut self, conn: Id, text: String) {
+    fn take(&mut self, conn: Id, text: String, came: Ns) {
         let read = statement::read(&text).map_err(str::to_string).and_then(|s| {
-            let method = self.wire.opening.methods.iter().position(|(name, _)| name == s.method);
-            let method = method.ok_or_else(|| "no such method".to_string())?;
+            let method = self.wire.opening.method(s.method).ok_or_else(|| "no such method".to_string())?;
             if self.wire.door.rpc(s.id).is_some() {
                 return Err("an RPC of this id is open".to_string());
             }
@@ -286,28 +294,27 @@
             Ok(read) => read,
             Err(why) => return self.wire.odd_command(conn, &format!("not taken: {why}")),
         };
-        let now = self.wire.net.now();
-        let left = ((wait_ms * MS as f64) as Ns).min(self.wire.opening.methods[method].1);
+        // The client's time runs from then on, also while the statement waited for others of its connection.
+        let gives_up = came + ((wait_ms * MS as f64) as Ns).min(self.wire.opening.methods[method].1);
         let rpc = self.wire.door.open(id);
         if self.wire.open.len() <= rpc {
             self.wire.open.resize_with(rpc + 1, || None);
         }
-        self.wire.open[rpc] =
-            Some(Open { conn, method, text, wait, gives_up: now + left, picks: Vec::new() });
+        let bytes = text.len();
+        self.wire.open[rpc] = Some(Open { conn, method, text, wait, gives_up, picks: Vec::new() });
         self.wire.tolls.taken += 1;
-        self.wire.client_opens(conn, rpc);
-        if left <= MARGIN {
+        self.wire.client_opens(conn, rpc, bytes);
+        if gives_up <= self.wire.net.now() + MARGIN {
             // No time for a pick and the way back: nothing was sent, so it may come again at will.
             rockpick::Ctl::push_back(&mut self.wire, rpc, 0);
         } else {
-            self.front.taken(&mut self.wire, rpc, method, Some(key), now + left - MARGIN);
+            self.front.taken(&mut self.wire, rpc, method, Some(key), gives_up - MARGIN);
             self.settle();
         }
         self.wire.sweep(rpc);
     }
 
-    fn client_left(&mut self, conn: Id) {
-        let Some(rpc) = self.wire.client_gone(conn) else { return };
+    fn client_left(&mut self, rpc: usize) {
         if !self.wire.door.finished(rpc) {
             self.wire.tolls.left += 1;
             self.wire.door.finish(rpc);
--- a/node/src/opening.rs
+++ b/node/src/opening.rs
@@ -35,6 +35,10 @@
 }
 
 impl Opening {
+    pub fn method(&self, name: &str) -> Option<usize> {
+        self.methods.iter().position(|(known, _)| known == name)
+    }
+
     /// Reads the variables and the file that one of them names.
     ///
     /// # Errors
--- a/node/src/tests.rs
+++ b/node/src/tests.rs
@@ -53,7 +53,7 @@
         events.drain(..).any(|event| match event {
             Event::Bytes { conn, bytes } if conn == id => {
                 self.wire.client_bytes(conn, &bytes);
-                self.wire.client_reads(conn);
+                self.wire.client_reads(conn, |_, _| true);
                 true
             }
             _ => false,
--- a/node/src/wire.rs
+++ b/node/src/wire.rs
@@ -77,6 +77,8 @@
     pub dues: Dues,
     /// Ends that came while the module was at work: told to it next.
     pub owed: VecDeque<(usize, usize, Outcome)>,
+    /// Open RPCs whose client's connection is gone: told to the module next.
+    pub left: VecDeque<usize>,
     /// Events for the next turn.
     pub made: Vec<Event>,
     pub chance: StdRng,
@@ -102,6 +104,7 @@
             open: Vec::new(),
             dues: Dues::default(),
             owed: VecDeque::new(),
+            left: VecDeque::new(),
             made: Vec::new(),
             tolls: Tolls::default(),
             often: Often::new(LOG_LINES),
@@ -178,8 +181,7 @@
         // A client that has given up closes its connection; one that has not is owed its answer, however late: a
         // close without one leaves it to guess what became of its RPC.
         self.tolls.late += u64::from(late);
-        self.answered(conn, bytes);
-        !late
+        self.answered(conn, rpc, bytes) && !late
     }
 
     /// Frees an RPC's slot once nothing more can come of it.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -165,6 +165,13 @@
     Withdrawn,
 }
 
+impl Phase {
+    /// Whether a build may stay, as far as is told: it is not being taken back.
+    pub fn stays(self) -> bool {
+        matches!(self, Phase::OnTrial | Phase::Released)
+    }
+}
+
 /// Where the newest build stands, as the platform last told.
 #[derive(Clone, Copy, Debug)]
 pub struct Standing {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -317,8 +317,7 @@
         self.watch_newest(ctl.now());
         if let Some(t) = news {
             // Only this word frees the keys of a build; that a newer one is listed does not.
-            let stays = matches!(t.phase, Phase::OnTrial | Phase::Released);
-            self.bound.retain(|_, build| *build > t.build || *build == t.build && stays);
+            self.bound.retain(|_, build| *build > t.build || *build == t.build && t.phase.stays());
         }
     }
 
@@ -418,7 +417,7 @@
             Rpc { method, key, taken: now, deadline, open: true, last: usize::MAX, ..Rpc::default() };
         *self.open.at(now) += 1;
         let admit = self.admit.powf(1.0 / self.yields(method));
-        if self.fullness(now, method) > 1.0 || self.chance.part() > admit {
+        if self.fullness(now, method, 0) > 1.0 || self.chance.part() > admit {
             return self.give_up(ctl, rpc);
         }
         self.first(ctl, rpc);
@@ -437,9 +436,14 @@
     /// Open RPCs against those served in four (least useful) to eight tenths of the shortest soft deadline.
     /// Those open for one and a half of it are left out: a heavy one, or one on a lost machine, says nothing
     /// of the queue. At one of it overload seemed over too early; at two, heavy ones still held others out.
-    fn fullness(&self, now: Ns, method: usize) -> f64 {
+    fn fullness(&self, now: Ns, method: usize, more: u32) -> f64 {
         let limit = self.rate(now) * self.soft as f64 / SEC as f64 * (0.4 + 0.4 * self.yields(method));
-        f64::from(self.open.last(now, 12).sum::<u32>()) / limit.max(self.up().count() as f64)
+        f64::from(self.open.last(now, 12).sum::<u32>() + more) / limit.max(self.up().count() as f64)
+    }
+
+    /// Would one more be taken on? An RPC behind an open one of its connection waits for that; no other can.
+    pub fn has_room(&self, now: Ns, method: usize) -> bool {
+        self.fullness(now, method, 1) <= 1.0
     }
 
     /// The part of a quiet front's first picks for `build`: beside earlier machines what each of these bears,
@@ -475,10 +479,9 @@
     /// The build that a one-way key is bound to; it goes to no earlier one. An unknown one counts as answered
     /// by the newest build where other fronts may know of more, by that last told of where there is no room.
     fn bound_to(&self, key: Option<u64>) -> u32 {
-        let freed = |t: Standing| matches!(t.phase, Phase::GoingBack | Phase::Withdrawn);
         let unknown = match self.told {
             // Nobody is bound to a build that is taken back.
-            Some(t) if self.unsure && t.build == self.watched && freed(t) => 0,
+            Some(t) if self.unsure && t.build == self.watched && !t.phase.stays() => 0,
             _ if self.unsure => self.watched,
             Some(t) if self.bound.len() >= MOST_KEYS => t.build,
             _ => 0,
@@ -498,8 +501,7 @@
 
     /// Another front knows who answered a key. It may make this one more careful, never less.
     pub fn bound_elsewhere(&mut self, key: u64, build: u32) {
-        let stays = |t: Standing| matches!(t.phase, Phase::OnTrial | Phase::Released);
-        let over = self.told.is_some_and(|t| build < t.build || build == t.build && !stays(t));
+        let over = self.told.is_some_and(|t| build < t.build || build == t.build && !t.phase.stays());
         if self.post.rollout.one_way && !over {
             self.bind(key, build);
         }
@@ -573,7 +575,7 @@
         let first = self.rpcs[rpc].then.len() == 1 && self.post.methods[row].repeat == Repeat::Idempotent;
         let known = self.means[row] > 0.0 && early < soft;
         let [all, late] = sum(self.queued.last(now - 2 * INTERVAL, 4));
-        let room = first && known && !self.quiet && 10 * late < all && self.fullness(now, row) < 0.5;
+        let room = first && known && !self.quiet && 10 * late < all && self.fullness(now, row, 0) < 0.5;
         ctl.pick(rpc, machine, if room { early.min(left) } else { left }.max(step));
     }
 
@@ -585,7 +587,7 @@
         let Method { repeat, group, remembered, .. } = self.post.methods[row];
         // A repeat that cannot end in time, or goes to a full fleet, only adds load.
         let ends = now + self.means[row] as Ns / 2 + self.post.step;
-        let useful = ends <= r.deadline && self.fullness(now, row) <= 1.0;
+        let useful = ends <= r.deadline && self.fullness(now, row, 0) <= 1.0;
         let left = r.then.len() < self.post.rights.most_picks as usize;
         // Rule 2: after a pick that may have run, only what the method allows.
         let harmless = match (mark, repeat) {
@@ -804,7 +806,7 @@
         }
         let Some(told) = self.told else { return };
         let trial = told.phase == Phase::OnTrial;
-        if told.build != self.watched || !trial && told.phase != Phase::Released {
+        if told.build != self.watched || !told.phase.stays() {
             self.ballot = None;
             return;
         }
