--- a/cli/tests/pipelining.rs
+++ b/cli/tests/pipelining.rs
@@ -5,7 +5,6 @@
 
 use peers::until;
 use platform::*;
-use rockpick_pg as pg;
 use rustix::process::Signal;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::Write;
