A client that closes while nothing more is read of it is heard to have gone

Found by reading, after pipelined commands were taken at once: a connection that has sent more than is kept is paused, and net/src/streams.rs `want_stream` asked for no RDHUP then, so its close was heard only once an answer of it was sent; commands of it that waited were taken after it had gone. Change: RDHUP is asked for while a stream is paused as well; a paused stream whose peer has closed is gone, with what was not read. A stream that is read has been treated so all along. Test: a client that leaves behind more than is read is gone (2,000 commands, one open).

--- a/cli/tests/pipelining.rs
+++ b/cli/tests/pipelining.rs
@@ -203,6 +203,21 @@
     assert_eq!(met.lock().unwrap()[1], 1, "the other's alone");
 }
 
+/// So much of it is here that nothing more is read: that it leaves is heard all the same.
+#[test]
+fn a_client_that_leaves_behind_more_than_is_read_is_gone() {
+    let (held, _platform, node) = node(1);
+    let (mut client, mut other) = (node.client(), node.client());
+    (1..=2_000).for_each(|id| client.ask(&save(id, 1_900)));
+    held.has([1]);
+    drop(client);
+    turns(&node);
+    held.with(|seen| seen.all = true);
+    until("it serves others", || matches!(other.rpc(&save(5_000, 900)), Said::Value(_)));
+    turns(&node);
+    assert_eq!(held.came(), [1, 5_000], "nothing of one that has gone");
+}
+
 #[test]
 fn commands_taken_at_once_are_bounded_and_the_rest_follow() {
     let (held, _platform, node) = node(64);
--- a/net/src/streams.rs
+++ b/net/src/streams.rs
@@ -73,7 +73,8 @@
         self.streams
     }
 
-    /// Reads no more of a stream, or reads on: its caller has as much as it keeps.
+    /// Reads no more of a stream, or reads on: its caller has as much as it keeps. One whose peer closes while it is paused
+    /// is gone, with what was not read.
     pub fn pause(&mut self, conn: Id, paused: bool) {
         if let Some(stream) = self.stream_of(conn) {
             stream.paused = paused;
@@ -160,9 +161,10 @@
 
     fn want_stream(&mut self, id: Id) {
         let Some(stream) = self.stream_of(id).filter(|s| s.up) else { return };
-        let mut flags = EventFlags::empty();
+        // That its peer has closed is heard also while nothing is read: what it has sent is nobody's any more.
+        let mut flags = EventFlags::RDHUP;
         if !stream.paused {
-            flags |= EventFlags::IN | EventFlags::RDHUP;
+            flags |= EventFlags::IN;
         }
         if stream.sent < stream.out.len() {
             flags |= EventFlags::OUT;
@@ -224,13 +226,13 @@
             }
             events.push(Event::Flushed { conn: id });
         }
-        let broken = flags.intersects(EventFlags::HUP | EventFlags::ERR);
+        let over = flags.intersects(EventFlags::HUP | EventFlags::ERR | EventFlags::RDHUP);
         let Some(stream) = self.stream_of(id) else { return };
-        if !broken && (stream.paused || !flags.intersects(EventFlags::IN | EventFlags::RDHUP)) {
+        if !over && (stream.paused || !flags.contains(EventFlags::IN)) {
             return;
         }
         if stream.paused {
-            // Broken off: it would wake the loop for ever.
+            // Closed or broken off: it would wake the loop for ever.
             return self.stream_gone(events, id);
         }
         let mut scratch = std::mem::take(&mut self.scratch);
