Quiet fronts weigh what a machine still holds; in a jam hurried clients go first

Lines that were wrong (src/logic.rs): `best` drew among a quiet front's few machines by `slow` alone, which moves only when answers come: what queues or stands still was drawn on. `taken` took RPCs whose client leaves before the answer can be there; `repeat` asks for that.

Now the draw weighs by the square of one and what the front holds there, and in a jam (base under 1) an RPC whose client won't wait as long as its method takes is pushed back first.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -286,9 +286,7 @@
             m.member.state = State::Gone;
         }
         for entry in entries {
-            if self.machines.len() <= entry.machine {
-                self.machines.resize_with(entry.machine + 1, Machine::default);
-            }
+            self.machines.resize_with(self.machines.len().max(entry.machine + 1), Machine::default);
             let known = &mut self.machines[entry.machine];
             // Chance sets when a quiet front may first pick a cold machine: hundreds must not at once.
             let credit = if self.quiet { self.chance.part() } else { 1.0 };
@@ -392,7 +390,8 @@
         let part = fit.len() as f64 / self.up().count().max(1) as f64;
         let near = (NEAR[0] * self.rate(now) * part).max(NEAR[1]) as usize;
         let keeps = self.quiet && self.post.handshake_price > 0.0;
-        // Times swing from pick to pick: by them it chooses among these few alone.
+        // Times swing from pick to pick: by them it chooses among these few alone, and by what each still
+        // holds of it: there a queue or a machine stands, and the kept connection is in use.
         let slow = |m: &Machine| m.slow.max(0.1).powf(1.5);
         if keeps {
             let cost = |m: &Machine| self.cost(m, now, drawn(m.lot)) / slow(m);
@@ -402,7 +401,8 @@
         let each = fit.into_iter().map(|i| {
             let more = if self.quiet { drawn(self.chance.part()) } else { 1.0 };
             let m = &self.machines[i];
-            (if keeps { more * slow(m) * (1.0 + 40.0 * m.ill * m.ill) } else { self.cost(m, now, more) }, i)
+            let near = more * slow(m) * (1.0 + 40.0 * m.ill * m.ill) * (1.0 + m.held).powi(2);
+            (if keeps { near } else { self.cost(m, now, more) }, i)
         });
         each.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, i)| i)
     }
@@ -411,14 +411,14 @@
         let now = ctl.now();
         let scope = self.scope(method);
         self.exposure[scope].at(now)[0] += 1;
-        if self.rpcs.len() <= rpc {
-            self.rpcs.resize_with(rpc + 1, Rpc::default);
-        }
+        self.rpcs.resize_with(self.rpcs.len().max(rpc + 1), Rpc::default);
         self.rpcs[rpc] =
             Rpc { method, key, taken: now, deadline, open: true, last: usize::MAX, ..Rpc::default() };
         *self.open.at(now) += 1;
         let admit = self.admit.powf(1.0 / self.yields(method));
-        if self.fullness(now, method) > 1.0 || self.chance.part() > admit {
+        // In a jam, whose client won't wait as long as its method takes goes first: the work would be lost.
+        let lost = self.base < 1.0 && now + self.means[method] as Ns > deadline;
+        if lost || self.fullness(now, method) > 1.0 || self.chance.part() > admit {
             return self.give_up(ctl, rpc);
         }
         self.first(ctl, rpc);
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -456,6 +456,24 @@
     assert!(later * 3 > first * 2 && first * 3 > later * 2, "{met:?}");
 }
 
+/// Guards against a few machines that queue, or stand still, while others are idle: answers that do not come tell nothing
+/// of how slow a machine is, but what it still holds does.
+#[test]
+fn a_quiet_front_leaves_machines_that_still_hold_its_rpcs() {
+    let post = Post { handshake_price: 0.08, ..quiet() };
+    let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
+    let mut front = front(post, &released(40), &mut desk);
+    for rpc in 0..200 {
+        desk.now += SEC / 4;
+        take(&mut front, &mut desk, rpc, 0);
+        if desk.picks[rpc].1 != desk.picks[0].1 {
+            front.ended(&mut desk, rpc, 0, Outcome::Ok, 10 * MS, true);
+        }
+    }
+    let at = |machine: usize| desk.picks.iter().filter(|p| p.1 == machine).count();
+    assert!((1..12).contains(&at(desk.picks[0].1)), "{}", at(desk.picks[0].1));
+}
+
 /// A build bears before its release what it will bear after it, while the earlier machines still stand.
 #[test]
 fn the_last_stage_takes_all_first_picks_beside_the_earlier_build() {
@@ -617,6 +635,44 @@
     assert!(in_time == 400 && late < 250, "{in_time} {late}");
 }
 
+/// Guards against a jam that is fed by clients who leave before their answer can come, and come again at once: while
+/// there is one, they are pushed back first; without one they are served as any other.
+#[test]
+fn in_a_jam_clients_with_too_little_time_are_pushed_back_first() {
+    let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
+    let post = Post { methods: vec![method(Repeat::Idempotent)], ..quiet() };
+    let mut front = front(post, &released(1), &mut desk);
+    let hurried = |front: &mut Front, desk: &mut Desk| {
+        let before = desk.picks.len();
+        for rpc in 0..100 {
+            let deadline = desk.now + 300 * MS;
+            front.taken(desk, rpc, 0, None, deadline);
+            front.left(rpc);
+        }
+        desk.picks.len() - before
+    };
+    let answers = |front: &mut Front, desk: &mut Desk, rounds: usize| {
+        for rpc in 0..rounds {
+            desk.now += 50 * MS;
+            let before = desk.picks.len();
+            take(front, desk, rpc, 0);
+            if desk.picks.len() > before {
+                front.ended(desk, rpc, 0, Outcome::Ok, 400 * MS, true);
+            }
+            if rpc % 10 == 9 {
+                front.woke(desk, 0);
+            }
+        }
+    };
+    answers(&mut front, &mut desk, 5);
+    assert_eq!(hurried(&mut front, &mut desk), 100);
+    answers(&mut front, &mut desk, 400);
+    let before = desk.picks.len();
+    assert_eq!(hurried(&mut front, &mut desk), 0);
+    answers(&mut front, &mut desk, 100);
+    assert!(desk.picks.len() > before);
+}
+
 /// Guards against a jam that no front of a large tier sees, as each has a pick a second or less: all would go on
 /// taking everything. Should also catch jams by night, when traffic is thin; may harm a front that met a
 /// few slow machines lately, which then pushes back for some seconds more.
