A build that was taken off gets no picks while the roster is not heard

The desk had told `Withdrawn` for 577 at each start. Cause: src/logic.rs `earlier` takes every build below the newest told. Once the desk told of 578, 577 counted as an earlier one, in a list that nobody could put right. Excluded: bindings, picks that waited for a connection (dial 250 ms, told 4 to 10 s ago), the watch's silence (each call is answered), calls given up by the node. Change: a build that was not released when the next is told is taken off; while the roster is not heard, it is no earlier build. A heard roster is believed, as a build taken off may serve until its machines drain.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -183,6 +183,7 @@
     zones: Vec<f64>,
     scarce: f64,
     told: Option<Standing>,
+    taken_off: u32, // the last build that was not released
     watching: bool,
     /// RPCs taken and picks at builds on trial: a row a method, or one where the cap is for all.
     exposure: Vec<Ring<Count>>,
@@ -283,9 +284,7 @@
             return ctl.wake_at(now + INTERVAL + spread, BEAT + 1);
         }
         self.watching |= roll != Roll::Saved;
-        for m in self.machines.iter_mut().filter(|_| roll != Roll::Changes) {
-            m.member.state = State::Gone;
-        }
+        self.machines.iter_mut().filter(|_| roll != Roll::Changes).for_each(|m| m.member.state = State::Gone);
         for entry in entries {
             self.machines.resize_with(self.machines.len().max(entry.machine + 1), Machine::default);
             let known = &mut self.machines[entry.machine];
@@ -311,6 +310,9 @@
             (Reply::TimedOut, _) => self.ballot = None,
             _ => {}
         }
+        // A build not released by the next one drains: a front that can't hear the roster knows it from here.
+        let off = |old: &Standing| old.phase != Phase::Released && news.is_some_and(|t| t.build > old.build);
+        self.taken_off = self.told.filter(off).map_or(self.taken_off, |old| old.build);
         self.told = news.or(self.told);
         self.watch_newest(ctl.now());
         if let Some(t) = news {
@@ -465,8 +467,7 @@
     fn first(&mut self, ctl: &mut dyn Ctl, rpc: usize) {
         let now = ctl.now();
         let (method, key, build) = (self.rpcs[rpc].method, self.rpcs[rpc].key, self.watched);
-        let bound = self.bound_to(key) == build;
-        let fills = bound || !self.quiet || self.kept(build, now) >= self.chance.part();
+        let fills = self.bound_to(key) == build || !self.quiet || self.kept(build, now) >= self.chance.part();
         let room = fills && self.room(build, method, now);
         let trial = if room { self.best(now, |m| m.build == build) } else { None };
         let earlier = self.earlier(rpc, now, |_| true);
@@ -524,8 +525,9 @@
     fn earlier(&mut self, rpc: usize, now: Ns, fits: impl Fn(&Member) -> bool) -> Option<usize> {
         let (method, least) = (self.rpcs[rpc].method, self.bound_to(self.rpcs[rpc].key));
         let (newest, told) = (self.watched, self.told.map_or(0, |t| t.build));
+        let off = if self.watching { 0 } else { self.taken_off };
         let most = if self.room(told, method, now) { told + 1 } else { told };
-        self.best(now, |m| (least..newest.min(most)).contains(&m.build) && fits(m))
+        self.best(now, |m| (least..newest.min(most)).contains(&m.build) && m.build != off && fits(m))
     }
 
     fn pick(&mut self, ctl: &mut dyn Ctl, rpc: usize, machine: Option<usize>) {
@@ -738,8 +740,7 @@
     }
 
     pub fn heard(&mut self, ctl: &mut dyn Ctl, from: usize, note: &[u8]) {
-        let told = Tally::read(note).map(|(build, tally)| (from, (ctl.now(), build, tally)));
-        self.notes.extend(told);
+        self.notes.extend(Tally::read(note).map(|(build, tally)| (from, (ctl.now(), build, tally))));
     }
 
     pub fn tallied(&mut self, ctl: &mut dyn Ctl, build: u32, method: usize, picks: u32, not_ok: u32) {
@@ -957,8 +958,7 @@
     /// The platform takes no more calls now. Waits double, each drawn from half to whole: a back vote's up to
     /// a quarter of its life, so that calls that come free are used; any other's up to a round of all fronts.
     fn refused(&mut self, now: Ns, verdict: Verdict) {
-        let back = verdict == Verdict::Back;
-        let most = if back { self.post.rollout.vote_life / 4 } else { self.round() };
+        let most = if verdict == Verdict::Back { self.post.rollout.vote_life / 4 } else { self.round() };
         let wait = (INTERVAL << self.refusals).min(most.max(INTERVAL));
         self.refusals = (self.refusals + 1).min(6);
         let drawn = self.chance.below((wait / 2) as usize) as Ns;
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -253,6 +253,27 @@
     assert!(!front.stands(0, 0));
 }
 
+/// Guards against drains that a front can't be told of, as one that has just started while the roster turns it away: what
+/// the desk tells says as much. A build that was released, and a roster that is heard, are believed.
+#[test]
+fn a_build_that_was_taken_off_gets_nothing_while_the_roster_is_not_heard() {
+    let picks_at_it = |phase: Phase, roll: Roll| {
+        let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
+        let mut front = Front::start(Post { ask_roster: true, ..post() }, &mut desk);
+        let known: Vec<Member> = (0..6).map(|i| member(i, 1 + i as u32 / 3, None)).collect();
+        front.members(&mut desk, roll, &known);
+        front.told(&mut desk, Reply::News, standing(2, 1, phase, 0.0, 90 * SEC));
+        front.told(&mut desk, Reply::News, standing(3, 0, Phase::OnTrial, 0.1, 100 * SEC));
+        (0..60).for_each(|rpc| take(&mut front, &mut desk, rpc, 0));
+        assert!(!desk.picks.is_empty());
+        desk.picks.iter().filter(|pick| pick.1 >= 3).count()
+    };
+    assert_eq!(picks_at_it(Phase::Withdrawn, Roll::Saved), 0);
+    assert_eq!(picks_at_it(Phase::OnTrial, Roll::Saved), 0);
+    assert!(picks_at_it(Phase::Released, Roll::Saved) > 0);
+    assert!(picks_at_it(Phase::Withdrawn, Roll::Whole) > 0);
+}
+
 /// Rule 4: a machine that has just started gets no more than machines have been seen to carry.
 #[test]
 fn a_cold_machine_is_not_pushed_over() {
