--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,20 +3,22 @@
 //! acts through [`Ctl`]; `interface` holds the types that cross the border, and nothing else.
 //!
 //! ```
-//! use rockpick::{Ranks, Sample};
+//! use rockpick::{RankSum, Sample};
 //! let (mut new, mut old) = (Sample::default(), Sample::default());
 //! for ms in 0..30 {
 //!     old.add(Some((50 + ms) * 1_000_000));
 //!     new.add(Some((90 + ms) * 1_000_000));
 //! }
-//! assert!(Ranks::of([(&new, &old)].into_iter()).z() > 2.6);
+//! assert!(RankSum::of([(&new, &old)].into_iter()).z() > 2.6);
 //! ```
 mod interface;
 mod logic;
+mod rank_sum;
 mod ring;
 mod tally;
 #[cfg(test)]
 mod tests;
 
 pub use interface::*;
-pub use logic::{deviates, Front, Ranks, Sample};
+pub use logic::{deviates, Front, Sample};
+pub use rank_sum::RankSum;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,6 +3,7 @@
 //! `ended`, `woke`, ...), in the order of events. Each call gets a [`Ctl`], through which the decisions act;
 //! types and `Ctl` are in `interface.rs`, chance and rings of time in `ring.rs`, counts in `tally.rs`.
 use crate::interface::*;
+use crate::rank_sum::RankSum;
 use crate::ring::{Chance, Ring};
 use crate::tally::*;
 use std::collections::BTreeMap;
@@ -27,6 +28,12 @@
 #[derive(Clone, Default)]
 pub struct Sample([u32; BINS]);
 
+impl AsRef<[u32]> for Sample {
+    fn as_ref(&self) -> &[u32] {
+        &self.0
+    }
+}
+
 impl Sample {
     pub fn add(&mut self, took: Option<Ns>) {
         self.0[took.map_or(BINS - 1, Self::bin)] += 1;
@@ -45,38 +52,6 @@
     }
 }
 
-/// A rank test: how far U lies beyond its middle, its variance, and the pairs compared. Tests of several
-/// methods, times or fronts add up, each ranked by itself, so that like is held against like.
-#[derive(Clone, Copy, Default)]
-pub struct Ranks([f64; 3]);
-
-impl Ranks {
-    /// Mann–Whitney of the new side's rank sum, ties at their middle rank.
-    pub fn of<'a>(pairs: impl Iterator<Item = (&'a Sample, &'a Sample)>) -> Ranks {
-        let both = pairs.filter(|(new, old)| new.n() > 0 && old.n() > 0);
-        Ranks(both.fold([0.0; 3], |[beyond, variance, compared], (new, old)| {
-            let (n, m) = (f64::from(new.n()), f64::from(old.n()));
-            let (mut below, mut ranks) = (0.0, 0.0);
-            for (a, b) in new.0.iter().zip(&old.0) {
-                let tied = f64::from(a + b);
-                ranks += f64::from(*a) * (below + (tied + 1.0) / 2.0);
-                below += tied;
-            }
-            let u = ranks - n * (n + 1.0) / 2.0;
-            [beyond + u - n * m / 2.0, variance + n * m * (n + m + 1.0) / 12.0, compared + n * m]
-        }))
-    }
-
-    pub fn z(self) -> f64 {
-        self.0[0] / self.0[1].max(1e-9).sqrt()
-    }
-
-    /// How much oftener than half the new side is the slower one.
-    fn lead(self) -> f64 {
-        self.0[0] / self.0[2].max(1.0)
-    }
-}
-
 /// Are `new`'s failures too many to be chance at `old`'s rate? `odds` is the chance allowed.
 pub fn deviates(new: Count, old: Count, odds: f64) -> bool {
     // The margin: one failure, or under a point of difference, is not worth a rollback's staleness.
@@ -822,7 +797,7 @@
         let hearers = [0, 1, 2].map(|i| (told.build + i * fronts / HEARERS) % fronts.max(1));
         let hears = !self.post.rights.notes || fronts <= HEARERS || hearers.contains(&rank);
         let mut tally = self.tally(now);
-        let tests = self.times(now, trial).into_iter().flat_map(|test| test.0);
+        let tests = self.times(now, trial).into_iter().flat_map(|test| test.figures());
         tally.words[2 * ROWS..].iter_mut().zip(tests).for_each(|(word, x)| *word = x as f32);
         let own = [0, 1].map(|side| self.counted(&tally, side));
         // After a release every fourth interval: a build that fails only when full shows then.
@@ -837,7 +812,7 @@
         let fuller = |new: Counts, kept: Counts| std::cmp::max_by_key(new, kept, |c| c[ALL][0]);
         self.standard = fuller(self.tallies(now, 1, LATELY), self.standard);
         self.before = fuller(pooled[1], self.before);
-        let why = self.harm(now, trial, [own, pooled], [0, 1, 2].map(|i| Ranks(tally.test(i))));
+        let why = self.harm(now, trial, [own, pooled], [0, 1, 2].map(|i| RankSum::from(tally.test(i))));
         if let Some(why) = why.filter(|_| self.condemned != told.build) {
             self.condemned = told.build;
             ctl.note(&format!("back {}: {why}", told.build));
@@ -860,7 +835,9 @@
     }
 
     /// A harmful deviation of the watched build, in words.
-    fn harm(&mut self, now: Ns, trial: bool, counts: [[Counts; 2]; 2], times: [Ranks; 3]) -> Option<String> {
+    fn harm(
+        &mut self, now: Ns, trial: bool, counts: [[Counts; 2]; 2], times: [RankSum; 3],
+    ) -> Option<String> {
         // The chance of a false alarm, one in a thousand for the tier, is shared by fronts and methods. Where
         // it takes k of n fronts, each may err as often as k seldom do together: (e n p / k)^k bounds that.
         let (n, k) = (f64::from(self.post.fronts.max(1)), f64::from(self.post.rollout.back_votes.max(1)));
@@ -897,11 +874,11 @@
         let sick = deviates(counts[1][1][ALL], counts[1][0][ALL], odds);
         // Three seconds a quarter slower (a lead of 0.06) that move at the onset and then do not ease.
         let moved = less.z() > if self.lasts[1] > 0 { -2.6 } else { 2.6 };
-        let worse = past.0[2] >= 400.0 && past.z() > bar(7.0) && past.lead() > 0.06 && moved;
+        let worse = past.pairs >= 400.0 && past.z() > bar(7.0) && past.lead() > 0.06 && moved;
         let worse = worse && trial && !sick && self.post.rollout.parallel;
         // A queue passes within four intervals, most shared slowness within twenty; on votes wait as long.
         self.lasts = [(slow, 0), (worse, 1)].map(|(harms, i)| if harms { self.lasts[i] + 1 } else { 0 });
-        let told = |whose: &str, t: Ranks| format!("{whose} times, z {:.1}, lead {:.2}", t.z(), t.lead());
+        let told = |whose: &str, t: RankSum| format!("{whose} times, z {:.1}, lead {:.2}", t.z(), t.lead());
         let slow = self.lasts[0] > if trial { 3 } else { PASSING };
         slow.then(|| told("its", times)).or((self.lasts[1] > 19).then(|| told("earlier build's", past)))
     }
@@ -909,7 +886,7 @@
     /// A build that slows every machine hides from a test against the earlier one: so the earlier one's times
     /// are ranked, at like load, against those before the trial, and against those of when the trial had less
     /// than half of its present share: a burst does not move with that. In place, capacity does; not there.
-    fn times(&self, now: Ns, trial: bool) -> [Ranks; 3] {
+    fn times(&self, now: Ns, trial: bool) -> [RankSum; 3] {
         const PRESENT: usize = KEPT as usize - 6; // the last six buckets
         let mut seen = [[0; 2]; KEPT as usize]; // all picks, those at the new build
         for (new, ring) in self.samples.iter().flat_map(|[new, old]| [(1, new), (0, old)]) {
@@ -922,11 +899,11 @@
         };
         let (olds, less) =
             (times(1, &|i| i >= PRESENT), times(1, &|i| i < PRESENT && share(seen[i]) < 0.5 * today));
-        let past = |times: &[Sample]| Ranks::of(times.iter().zip(&self.past));
+        let past = |times: &[Sample]| RankSum::of(times.iter().zip(&self.past));
         let both = self.samples.iter().flat_map(|[a, b]| a.last(now, KEPT).zip(b.last(now, KEPT)));
         // Released, it stands alone: its own times are held against those before its trial.
-        let first = if trial { Ranks::of(both) } else { past(&times(0, &|_| true)) };
-        [first, past(&olds), Ranks::of(olds.iter().zip(&less))]
+        let first = if trial { RankSum::of(both) } else { past(&times(0, &|_| true)) };
+        [first, past(&olds), RankSum::of(olds.iter().zip(&less))]
     }
 
     /// Clean long enough: the newest machine of this stage has run for the bake, and outcomes were seen.
--- /dev/null
+++ b/src/rank_sum.rs
@@ -0,0 +1,61 @@
+//! The Mann–Whitney U test over histograms: arithmetic, no decision.
+
+/// A rank-sum test. Tests of several methods, loads or fronts add up, each ranked by itself, so that like is held
+/// against like.
+#[derive(Clone, Copy, Default)]
+pub struct RankSum {
+    /// How far U lies beyond its middle: above 0 where the new side is the slower one.
+    pub beyond: f64,
+    pub variance: f64,
+    /// Pairs of a new and an earlier outcome that were compared.
+    pub pairs: f64,
+}
+
+impl RankSum {
+    /// Ranks pairs of histograms (new, earlier) whose buckets ascend; ties share their middle rank. A pair with an
+    /// empty side says nothing.
+    pub fn of<'a, H: AsRef<[u32]> + 'a>(pairs: impl Iterator<Item = (&'a H, &'a H)>) -> RankSum {
+        pairs.fold(RankSum::default(), |sum, (new, old)| sum.plus(new.as_ref(), old.as_ref()))
+    }
+
+    fn plus(self, new: &[u32], old: &[u32]) -> RankSum {
+        let total = |histogram: &[u32]| f64::from(histogram.iter().sum::<u32>());
+        let (n, m) = (total(new), total(old));
+        if n == 0.0 || m == 0.0 {
+            return self;
+        }
+        let (mut below, mut ranks) = (0.0, 0.0);
+        for (a, b) in new.iter().zip(old) {
+            let tied = f64::from(a + b);
+            ranks += f64::from(*a) * (below + (tied + 1.0) / 2.0);
+            below += tied;
+        }
+        let u = ranks - n * (n + 1.0) / 2.0;
+        RankSum {
+            beyond: self.beyond + u - n * m / 2.0,
+            variance: self.variance + n * m * (n + m + 1.0) / 12.0,
+            pairs: self.pairs + n * m,
+        }
+    }
+
+    /// Standard deviations beyond the middle.
+    pub fn z(self) -> f64 {
+        self.beyond / self.variance.max(1e-9).sqrt()
+    }
+
+    /// How much oftener than half the new side is the slower one, from -0.5 to 0.5.
+    pub fn lead(self) -> f64 {
+        self.beyond / self.pairs.max(1.0)
+    }
+
+    /// The figures in the order in which notes carry them.
+    pub fn figures(self) -> [f64; 3] {
+        [self.beyond, self.variance, self.pairs]
+    }
+}
+
+impl From<[f64; 3]> for RankSum {
+    fn from([beyond, variance, pairs]: [f64; 3]) -> RankSum {
+        RankSum { beyond, variance, pairs }
+    }
+}
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -1,5 +1,6 @@
 //! Each test builds the state it needs and calls one function.
 use crate::logic::*;
+use crate::rank_sum::RankSum;
 use crate::ring::Ring;
 use crate::tally::*;
 use crate::*;
@@ -117,7 +118,7 @@
 }
 
 fn z(new: &Sample, old: &Sample) -> f64 {
-    Ranks::of([(new, old)].into_iter()).z()
+    RankSum::of([(new, old)].into_iter()).z()
 }
 
 #[test]
@@ -142,7 +143,7 @@
 fn a_time_when_all_is_slow_says_nothing_of_the_new_build() {
     let (fast, slow) = (sample(&[Some(50 * MS); 20]), sample(&[Some(400 * MS); 20]));
     let (few_fast, few_slow) = (sample(&[Some(50 * MS); 2]), sample(&[Some(400 * MS); 2]));
-    assert!(Ranks::of([(&few_fast, &fast), (&slow, &few_slow)].into_iter()).z().abs() < 1e-9);
+    assert!(RankSum::of([(&few_fast, &fast), (&slow, &few_slow)].into_iter()).z().abs() < 1e-9);
 }
 
 #[test]
