Waits beyond 4.3 s are drawn from their whole span

Symptom: refused votes of large tiers were cast again sooner than meant (up to 9.4 s asked for at 300 fronts and 16 calls a second, 4.29 s at most drawn); a debug build panics. Cause: Chance::below multiplied 32 random bits by a span in nanoseconds within 64 bits, which run over from 4.29 s on. Mend: 128 bits. It holds as the span is at most 64 bits and the random part 32.

--- a/src/ring.rs
+++ b/src/ring.rs
@@ -8,7 +8,8 @@
 impl Chance {
     pub fn below(&mut self, n: usize) -> usize {
         self.0 = 4_294_957_665 * (self.0 & 0xffff_ffff) + (self.0 >> 32);
-        ((self.0 & 0xffff_ffff) as usize * n) >> 32
+        // Spans in nanoseconds go beyond 32 bits: 64 would run over, and long waits come out short.
+        ((u128::from(self.0 & 0xffff_ffff) * n as u128) >> 32) as usize
     }
 
     /// Above 0, at most 1.
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -1,7 +1,7 @@
 //! Each test builds the state it needs and calls one function.
 use crate::logic::*;
 use crate::rank_sum::RankSum;
-use crate::ring::Ring;
+use crate::ring::{Chance, Ring};
 use crate::tally::*;
 use crate::*;
 
@@ -138,6 +138,16 @@
     assert_eq!(z(&Sample::default(), &failed), 0.0);
 }
 
+/// Waits are drawn in nanoseconds: beyond 4.3 s the product ran over 64 bits (a panic here, a short wait in a release build).
+#[test]
+fn waits_beyond_four_seconds_are_drawn_from_their_whole_span() {
+    let mut chance = Chance(7);
+    let drawn: Vec<usize> = (0..1_000).map(|_| chance.below(30 * SEC as usize)).collect();
+    assert!(drawn.iter().all(|wait| *wait < 30 * SEC as usize));
+    let late = drawn.iter().filter(|wait| **wait > 15 * SEC as usize).count();
+    assert!((400..600).contains(&late), "{late}");
+}
+
 /// Guards against load that moves while the mix of builds moves: each time is ranked by itself.
 #[test]
 fn a_time_when_all_is_slow_says_nothing_of_the_new_build() {
