While the roster is not heard, picks go only to builds that surely stay

Cause: a restarted front is told of the newest build alone and knows an old roster that has the build before, called back meanwhile, still up; the former mend left out only a build that the front had itself seen replaced. Lines at fault: Front::earlier and taken_off. Change: unheard, earlier builds get picks only if last told as released, or, where that is not known, if the old roster has more than twice the machines of it; a release closes the build before it likewise. Why it holds: such a build can't be the one that drains, but for a list so old that the other was brought in whole since.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -158,7 +158,8 @@
     zones: Vec<f64>,
     scarce: f64,
     told: Option<Standing>,
-    taken_off: u32, // the last build that was not released
+    released: u32,  // the last build that was told to be released
+    taken_off: u32, // the last one that was not, when the next was told of
     watching: bool,
     /// RPCs taken and picks at builds on trial: a row a method, or one where the cap is for all.
     exposure: Vec<Ring<Count>>,
@@ -285,9 +286,9 @@
             (Reply::TimedOut, _) => self.ballot = None,
             _ => {}
         }
-        // A build not released by the next one drains: a front that can't hear the roster knows it from here.
         let off = |old: &Standing| old.phase != Phase::Released && news.is_some_and(|t| t.build > old.build);
         self.taken_off = self.told.filter(off).map_or(self.taken_off, |old| old.build);
+        self.released = news.filter(|t| t.phase == Phase::Released).map_or(self.released, |t| t.build);
         self.told = news.or(self.told);
         self.watch_newest(ctl.now());
         if let Some(t) = news {
@@ -500,9 +501,22 @@
     fn earlier(&mut self, rpc: usize, now: Ns, fits: impl Fn(&Member) -> bool) -> Option<usize> {
         let (method, least) = (self.rpcs[rpc].method, self.bound_to(self.rpcs[rpc].key));
         let (newest, told) = (self.watched, self.told.map_or(0, |t| t.build));
-        let off = if self.watching { 0 } else { self.taken_off };
         let most = if self.room(told, method, now) { told + 1 } else { told };
-        self.best(now, |m| (least..newest.min(most)).contains(&m.build) && m.build != off && fits(m))
+        let stays = (!self.watching).then(|| self.surely_stays());
+        let known = |build: u32| build >= told || stays.is_none_or(|stays| stays == Some(build));
+        self.best(now, |m| (least..newest.min(most)).contains(&m.build) && known(m.build) && fits(m))
+    }
+
+    /// Which build before the one told of surely stays, where drains can't be heard: the last that was released.
+    /// A front that was not up then goes by its old roster, where one build there has most machines.
+    fn surely_stays(&self) -> Option<u32> {
+        let newest = self.told.map_or(0, |t| t.build);
+        let mut machines = BTreeMap::<u32, usize>::new();
+        let earlier = self.up().map(|m| m.member.build).filter(|b| *b < newest && *b != self.taken_off);
+        earlier.for_each(|build| *machines.entry(build).or_default() += 1);
+        let most = |n: usize| machines.values().filter(|other| 2 * **other > n).count() == 1;
+        let listed = || machines.iter().find(|(_, n)| most(**n)).map(|(build, _)| *build);
+        Some(self.released).filter(|build| *build > 0).or_else(listed)
     }
 
     fn pick(&mut self, ctl: &mut dyn Ctl, rpc: usize, machine: Option<usize>) {
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -289,7 +289,9 @@
 
 /// Symptom: herd+mass 207 with 30 nodes, drain broken 5 to 37 times in each of five plays. Build 2 is called back, build
 /// 3 is offered, and fronts are killed; those that start anew are told of build 3 alone, know an old roster with builds 1 and
-/// 2 in it, and go on picking the machines of 2 while the roster turns them away.
+/// 2 in it, and go on picking the machines of 2 while the roster turns them away. Cause: what the desk says of build 3 tells nothing of build
+/// 2, and an old roster has both up (a node's counts by build show picks at 2 until the day ends). Which one stays is told by a
+/// release, or by how many machines each has.
 #[test]
 fn a_front_that_starts_on_an_old_roster_keeps_to_the_build_that_surely_stays() {
     let picks = |machines: [usize; 2], roll: Roll| {
