Refused calls to discovery wait longer, so that a crowd of fronts gets through

Cause, from a log line at each call and its end: discovery serves in turn, gives a call up after 2 s and does its work all the same; every front asked again after 0.5 to 1.75 s whatever it heard, about as many calls as can be served. Lines at fault: Front::members, Roll::Failed. Change: after a refusal the wait is drawn from up to three, then six eighths of the asking time; a lost watch as before.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -161,6 +161,7 @@
     released: u32,  // the last build that was told to be released
     taken_off: u32, // the last one that was not, when the next was told of
     watching: bool,
+    refused: usize, // calls to discovery that failed since the roster was last heard
     /// RPCs taken and picks at builds on trial: a row a method, or one where the cap is for all.
     exposure: Vec<Ring<Count>>,
     pub(crate) bound: BTreeMap<u64, u32>, // one-way keys and the newest build that answered them
@@ -212,6 +213,10 @@
 /// build last told of, so that none goes back: it waits for room within the cap instead.
 pub const MOST_KEYS: usize = 1 << 18;
 
+/// Eighths of the time within which the roster is to be asked, from which waits are drawn: after a watch is lost, and
+/// after one refusal and more. Then what most fleets ask in a round takes discovery less time than the round.
+const ASK_AGAIN: [Ns; 3] = [1, 3, 6];
+
 const BEAT: u64 = 0; // the timer of the beat; any other asks for the roster
 
 impl Front {
@@ -254,10 +259,13 @@
     pub fn members(&mut self, ctl: &mut dyn Ctl, roll: Roll, entries: &[Member]) {
         let now = ctl.now();
         if roll == Roll::Failed {
-            // A lost watch makes the list count as known all the same: ask again, spread over a while.
+            // A list that is not heard counts as known all the same: ask again, spread over a while. A call that
+            // is given up costs discovery its work too: at one pace a crowd keeps itself up, and nobody is served.
+            self.refused = if self.watching { 0 } else { self.refused + 1 };
             self.watching = false;
-            let spread = self.chance.below((self.post.guard.ask_within / 8).max(1) as usize) as Ns;
-            return ctl.wake_at(now + INTERVAL + spread, BEAT + 1);
+            let spread = self.post.guard.ask_within / 8 * ASK_AGAIN[self.refused.min(2)];
+            let drawn = self.chance.below(spread.max(1) as usize) as Ns;
+            return ctl.wake_at(now + INTERVAL + drawn, BEAT + 1);
         }
         self.watching |= roll != Roll::Saved;
         self.machines.iter_mut().filter(|_| roll != Roll::Changes).for_each(|m| m.member.state = State::Gone);
