What a turn has read of a client is heard before its connection's time is up

Callers saw: a command that arrives as its connection's time is up (20 s of rest, 2.25 s of silence) is read and never answered, its connection closed. Cause: Wire::rank gave timers a place before clients' bytes; client_due looks for unread bytes, but those of this turn are in its events already, and go to nobody once the connection is forgotten. Why it holds: all that a turn has read comes first, and what comes after is still unread, which is looked for. Elsewhere: machines' answers and the platform's lines came before timers already; the HTTP front handles events in the order of net, sockets before timers.

--- a/node/src/wire.rs
+++ b/node/src/wire.rs
@@ -115,7 +115,8 @@
 
     /// The order of a turn's events. What the platform tells counts from when it wrote it, and what a machine has answered
     /// may bind the next pick: both come before any RPC of this turn. A new client may have another give way, so what has
-    /// come from those who are here is heard before; what has come from the new one, where it is here as well, after.
+    /// come from those who are here is heard before; what has come from the new one, where it is here as well, after. Time
+    /// that is up comes last: what this turn has read of a connection is no longer unread, and would go to nobody.
     pub fn rank(&self, event: &Event) -> u8 {
         match event {
             Event::Piece { call, .. } | Event::Ended { call, .. } if self.discovery.owns(*call) => 0,
@@ -132,6 +133,7 @@
             }
             Event::Came { .. } => 3,
             Event::Bytes { .. } | Event::Gone { .. } | Event::Flushed { .. } => 4,
+            Event::Woke { tag: DUE } => 5,
             _ => 1,
         }
     }
