--- a/src/tests.rs
+++ b/src/tests.rs
@@ -388,6 +388,28 @@
     }
 }
 
+/// Symptom, by reading: a method that was never met counted as one whose RPCs take a millisecond, which no other yields as
+/// much as; so a front that had met one method alone kept room for half of its RPCs, and in a jam turned nearly all away.
+#[test]
+fn a_method_never_met_takes_no_room_from_those_that_are() {
+    let room_beside = |methods: usize| {
+        let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
+        let post = Post { methods: vec![method(Repeat::Idempotent); methods], ..post() };
+        let mut front = front(post, &[member(0, 1, None)], &mut desk);
+        (0..400).for_each(|rpc| {
+            desk.now += 5 * MS;
+            take(&mut front, &mut desk, rpc, 0);
+            front.ended(&mut desk, rpc, 0, Outcome::Ok, 100 * MS, true);
+        });
+        let open = desk.picks.len();
+        (400..600).for_each(|rpc| take(&mut front, &mut desk, rpc, 0));
+        desk.picks.len() - open
+    };
+    let alone = room_beside(1);
+    assert!(alone > 20, "{alone}");
+    assert_eq!(room_beside(3), alone);
+}
+
 /// Rule 4: a machine that has just started gets no more than machines have been seen to carry.
 #[test]
 fn a_cold_machine_is_not_pushed_over() {
