A method never met takes no room from those that are

Callers saw: RPCs rejected earlier than need be while a front has met only some of its methods (40 open where 80 are kept with one method; in a jam nearly all). Cause: Front::yields took a method without a mean time for one of a millisecond, whose worth for its time no other comes near. Change: only methods that were met are compared. Why it holds: an unknown time no longer enters the comparison.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -213,8 +213,7 @@
 /// build last told of, so that none goes back: it waits for room within the cap instead.
 pub const MOST_KEYS: usize = 1 << 18;
 
-/// Eighths of the time within which the roster is to be asked, from which waits are drawn: after a watch is lost, and
-/// after one refusal and more. Then what most fleets ask in a round takes discovery less time than the round.
+/// The longest waits for the roster, in eighths of its time: after a loss, a refusal, and more of them.
 const ASK_AGAIN: [Ns; 3] = [1, 3, 6];
 
 const BEAT: u64 = 0; // the timer of the beat; any other asks for the roster
@@ -259,8 +258,8 @@
     pub fn members(&mut self, ctl: &mut dyn Ctl, roll: Roll, entries: &[Member]) {
         let now = ctl.now();
         if roll == Roll::Failed {
-            // A list that is not heard counts as known all the same: ask again, spread over a while. A call that
-            // is given up costs discovery its work too: at one pace a crowd keeps itself up, and nobody is served.
+            // A list not heard counts as known all the same: ask again, spread over a while. A call given up
+            // costs discovery its work too: at one pace a crowd would keep itself up, and none be served.
             self.refused = if self.watching { 0 } else { self.refused + 1 };
             self.watching = false;
             let spread = self.post.guard.ask_within / 8 * ASK_AGAIN[self.refused.min(2)];
@@ -415,14 +414,16 @@
         [0, 1, 2].map(|i| f64::from(self.load.last(now, SPAN / INTERVAL).map(|l| l[i]).sum::<u32>()) / span)
     }
 
+    /// What a method is worth for its time, against the most of all; one never met tells of no time yet.
     fn yields(&self, method: usize) -> f64 {
+        let met = |row: &usize| self.means[*row] > 0.0;
         let worth = |row: usize| self.post.methods[row].utility / self.means[row].max(MS as f64);
-        worth(method) / (0..self.means.len()).map(worth).fold(0.0, f64::max)
+        let most = (0..self.means.len()).filter(met).map(worth).fold(0.0, f64::max);
+        Some(method).filter(met).map_or(1.0, |method| worth(method) / most)
     }
 
     /// Open RPCs against those served in four (least useful) to eight tenths of the shortest soft deadline.
-    /// Those open for one and a half of it are left out: a heavy one, or one on a lost machine, says nothing
-    /// of the queue. At one of it overload seemed over too early; at two, heavy ones still held others out.
+    /// Those open for one and a half of it, heavy or on a lost machine, say nothing of the queue: left out.
     fn fullness(&self, now: Ns, method: usize, more: u32) -> f64 {
         let limit = self.rates(now)[1] * self.soft as f64 / SEC as f64 * (0.4 + 0.4 * self.yields(method));
         f64::from(self.open.last(now, 12).sum::<u32>() + more) / limit.max(self.up().count() as f64)
@@ -515,8 +516,7 @@
         self.best(now, |m| (least..newest.min(most)).contains(&m.build) && known(m.build) && fits(m))
     }
 
-    /// Which build before the one told of surely stays, where drains can't be heard: the last that was released.
-    /// A front that was not up then goes by its old roster, where one build there has most machines.
+    /// The earlier build that stays while no drain is heard: that last released, else most of an old roster.
     fn surely_stays(&self) -> Option<u32> {
         let newest = self.told.map_or(0, |t| t.build);
         let mut machines = BTreeMap::<u32, usize>::new();
