Node modules and their types bear the field's names

Change: startup, control_links, connection_pool, effects; the types Opening and Wire are Startup and Effects. No change of behaviour. The circle of imports between clients, connection_pool, control_links and effects stays: tables and the methods on Effects would have to part. Result: the node's tests pass.

--- a/node/src/clients.rs
+++ b/node/src/clients.rs
@@ -1,8 +1,8 @@
 //! Clients' connections: commands may come many at once (pipelined). They are taken as they come, up to a bound, and
 //! answered in their order. What can't be read is owed an error or a close, soon, and must not slow the others.
-use crate::pool::RESERVE;
-use crate::wire::Wire;
-use crate::Opening;
+use crate::connection_pool::RESERVE;
+use crate::effects::Effects;
+use crate::Startup;
 use rockpick::Ns;
 use rockpick_net::{Event, Id, Net, MS, SEC};
 use rockpick_pg::{self as pg, Cut, Start};
@@ -150,7 +150,7 @@
     Statement(String, Ns),
 }
 
-impl Wire {
+impl Effects {
     pub fn client_came(&mut self, id: Id) {
         let now = self.net.now();
         if self.clients.all.len() >= self.clients.most && !self.make_room() {
@@ -274,7 +274,7 @@
 
     /// Reads on where a client's bytes have come to; a statement among them is the caller's to take. One behind an RPC that
     /// is open waits while there is no `room` for it.
-    pub fn client_reads(&mut self, id: Id, room: impl Fn(&Opening, &str) -> bool) -> Asked {
+    pub fn client_reads(&mut self, id: Id, room: impl Fn(&Startup, &str) -> bool) -> Asked {
         for _ in 0..MOST_AT_ONCE {
             let backlog = self.net.backlog(id).unwrap_or(0);
             let Some(client) = self.clients.all.get_mut(&id).filter(|c| !c.ends) else {
@@ -316,7 +316,7 @@
                     Ok(Cut::Whole { tag: b'Q', body, used }) => {
                         match pg::text(body) {
                             Some(text) if text.trim().is_empty() => pg::put_empty(&mut out),
-                            Some(text) if !client.owed.is_empty() && !room(&self.opening, text) => {
+                            Some(text) if !client.owed.is_empty() && !room(&self.startup, text) => {
                                 return self.client_waits(id);
                             }
                             Some(text) => asked = Some(text.to_string()),
--- a/node/src/pool.rs
+++ b/node/src/connection_pool.rs
@@ -1,5 +1,5 @@
 //! Connections to machines: kept, dialled, given up, within a bound. Which machine is never chosen here.
-use crate::wire::{Pick, Wire};
+use crate::effects::{Effects, Pick};
 use rockpick::{Ns, Outcome, Repeat};
 use rockpick_net::{Id, MS, SEC};
 use rockpick_pg::{self as pg, Answer, Heard};
@@ -122,7 +122,7 @@
     }
 }
 
-impl Wire {
+impl Effects {
     /// A machine's record: another address, build or start is another process, whose connections are new.
     pub fn place(
         &mut self, machine: usize, addr: Option<SocketAddr>, build: u32, started: Option<Ns>, gone: bool,
@@ -231,12 +231,12 @@
     /// How long a new connection for an RPC may take. The module's word that a repeat is harmless holds for now: it must
     /// also leave in that time.
     fn connect_within(&self, rpc: usize) -> Ns {
-        let most = self.opening.connect_within;
+        let most = self.startup.connect_within;
         let Some(open) = self.open[rpc].as_ref() else { return most };
-        let method = &self.opening.post.methods[open.method];
+        let method = &self.startup.post.methods[open.method];
         let first = open.picks.iter().filter(|p| p.ran).map(|p| p.sent).min();
         let known = first.filter(|_| method.repeat == Repeat::Tokened);
-        let left = |at: Ns| at + method.remembered - 2 * self.opening.post.step - self.net.now();
+        let left = |at: Ns| at + method.remembered - 2 * self.startup.post.step - self.net.now();
         known.map_or(most, |at| left(at).min(most))
     }
 
@@ -386,7 +386,7 @@
         place.idle.push(id);
         self.pool.idle.insert((now, id));
         // Well before the machine closes it: a pick written to a closed one would be a reset.
-        self.due(id, now + self.opening.idle / 3 * 2);
+        self.due(id, now + self.startup.idle / 3 * 2);
         true
     }
 
--- a/node/src/links.rs
+++ b/node/src/control_links.rs
@@ -1,6 +1,6 @@
 //! Links to the platform: discovery's watch and list, the desk's news and votes. At a reload the new ones are made
 //! while the old ones still serve.
-use crate::wire::{Wire, DESK};
+use crate::effects::{Effects, DESK};
 use rand::Rng;
 use rockpick::{Member, Ns, Outcome, Reply, Roll, Standing, State, Verdict};
 use rockpick_net::http;
@@ -135,7 +135,7 @@
     Standing { build, stage, phase, cap, since: now - age }
 }
 
-impl Wire {
+impl Effects {
     fn ask_discovery(&mut self, target: &str, stream: bool) -> Id {
         let to = self.discovery.at;
         // A kept connection may be closing at the other end, and the question would be lost on it.
@@ -204,7 +204,7 @@
             }
             match self.discovery.watches[at].telling(line) {
                 Ok(None) => {}
-                Ok(Some(told)) => match roster::read(&told, &mut self.opening.zones) {
+                Ok(Some(told)) => match roster::read(&told, &mut self.startup.zones) {
                     Some(telling) => {
                         self.discovery.watches[at].serves = true;
                         let roll = if telling.whole { Roll::Whole } else { Roll::Changes };
@@ -242,7 +242,7 @@
             Some(End::Answer(answer)) if answer.status == 200 => serde_json::from_slice(&answer.body).ok(),
             _ => None,
         };
-        let telling = told.as_ref().and_then(|t: &Value| roster::read(t, &mut self.opening.zones));
+        let telling = told.as_ref().and_then(|t: &Value| roster::read(t, &mut self.startup.zones));
         // One that was overtaken by a watch must not take its news back; a watch is still being made, and is heard of.
         let telling = telling.filter(|t| t.whole && t.seq >= self.discovery.seq);
         telling.map(|telling| self.listed(Roll::Whole, telling)).into_iter().collect()
@@ -345,7 +345,7 @@
         if let Some(old) = self.desk.vote.take() {
             self.close_desk(old.conn);
         }
-        let within = self.opening.post.rollout.call_timeout.max(100 * MS);
+        let within = self.startup.post.rollout.call_timeout.max(100 * MS);
         tracing::info!(event = "vote", build, stage, verdict = ?verdict);
         // A connection of its own: one that was kept may be closing, and a vote lost on it may count.
         let dialled = self.desk.at.and_then(|at| self.net.dial(at, within).ok());
@@ -408,7 +408,7 @@
                     tells.push(Tell::Told(Reply::News, Some(standing(now, stood))))
                 }
                 Some(Line::Tally { build, method, picks, not_ok }) => {
-                    let method = self.opening.method(method);
+                    let method = self.startup.method(method);
                     tells.extend(method.map(|method| Tell::Tallied { build, method, picks, not_ok }));
                 }
                 Some(Line::Dispute { machine, age }) => {
--- a/node/src/wire.rs
+++ b/node/src/effects.rs
@@ -1,8 +1,8 @@
 //! What the module's actions do, and the tables that they need.
 use crate::clients::Clients;
-use crate::links::{Desk, Discovery};
-use crate::pool::Pool;
-use crate::Opening;
+use crate::connection_pool::Pool;
+use crate::control_links::{Desk, Discovery};
+use crate::Startup;
 use rand::rngs::StdRng;
 use rand::SeedableRng;
 use rockpick::{Ctl, Ns, Outcome, Verdict};
@@ -65,10 +65,10 @@
     pub by_build: BTreeMap<u32, [u64; 8]>,
 }
 
-pub struct Wire {
+pub struct Effects {
     pub net: Net,
     pub door: Door,
-    pub opening: Opening,
+    pub startup: Startup,
     pub open: Vec<Option<Open>>,
     pub clients: Clients,
     pub pool: Pool,
@@ -90,17 +90,17 @@
     pub wall: i128,
 }
 
-impl Wire {
-    pub fn new(net: Net, opening: Opening, wall: i128) -> Wire {
-        Wire {
-            clients: Clients::new(opening.sockets),
-            pool: Pool::new(opening.sockets),
-            discovery: Discovery::new(opening.discovery),
-            desk: Desk::new(opening.desk),
-            chance: StdRng::seed_from_u64(opening.post.seed),
+impl Effects {
+    pub fn new(net: Net, startup: Startup, wall: i128) -> Effects {
+        Effects {
+            clients: Clients::new(startup.sockets),
+            pool: Pool::new(startup.sockets),
+            discovery: Discovery::new(startup.discovery),
+            desk: Desk::new(startup.desk),
+            chance: StdRng::seed_from_u64(startup.post.seed),
             net,
             door: Door::default(),
-            opening,
+            startup,
             open: Vec::new(),
             dues: Dues::default(),
             owed: VecDeque::new(),
@@ -194,7 +194,7 @@
     }
 }
 
-impl Ctl for Wire {
+impl Ctl for Effects {
     fn now(&self) -> Ns {
         self.net.now()
     }
@@ -252,7 +252,7 @@
     }
 
     fn bound(&mut self, key: u64, build: u32) {
-        if self.opening.circle.is_some() {
+        if self.startup.circle.is_some() {
             self.bound.push((key, build));
         }
     }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -2,14 +2,14 @@
 //! PostgreSQL's protocol, the desk lines, discovery HTTP. It reports every event to the module and carries out
 //! what the module says; it decides nothing itself. Design and operators' part: `docs/front-node.md`.
 mod clients;
-mod links;
+mod connection_pool;
+mod control_links;
+mod effects;
 mod node;
-mod opening;
-mod pool;
-mod wire;
+mod startup;
 
 pub use node::run;
-pub use opening::Opening;
+pub use startup::Startup;
 
 #[cfg(test)]
 mod tests;
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -1,9 +1,9 @@
 //! The loop: events in, calls to the module out.
 use crate::clients::{Asked, MARGIN};
-use crate::links::{standing, Tell, ENDS};
-use crate::pool::Came;
-use crate::wire::{Open, Wire, DESK, DUE, MODULE, PEERS, RELOAD, STOP, TICK};
-use crate::Opening;
+use crate::connection_pool::Came;
+use crate::control_links::{standing, Tell, ENDS};
+use crate::effects::{Effects, Open, DESK, DUE, MODULE, PEERS, RELOAD, STOP, TICK};
+use crate::Startup;
 use rockpick::{Front, Ns, Outcome, Reply, Roll};
 use rockpick_net::{Event, Id, Net, MS, SEC};
 use rockpick_peers::{Company, Peers};
@@ -31,7 +31,7 @@
 const TICK_EVERY: Ns = SEC;
 
 struct Node {
-    wire: Wire,
+    effects: Effects,
     front: Front,
     listener: Id,
     /// When a stop began; when its door was closed; since when it owes nothing.
@@ -48,34 +48,34 @@
 ///
 /// # Errors
 /// An address that can't be listened on, no signals, a loop that fails.
-pub fn run(opening: Opening, ready: impl FnOnce(SocketAddr)) -> Result<(), String> {
+pub fn run(startup: Startup, ready: impl FnOnce(SocketAddr)) -> Result<(), String> {
     let say = |err: std::io::Error| err.to_string();
     let mut net = Net::new(0).map_err(say)?;
-    net.most_streams = opening.sockets - crate::pool::OURS / 2;
+    net.most_streams = startup.sockets - crate::connection_pool::OURS / 2;
     for signal in [SIGHUP, SIGTERM, SIGINT] {
         net.on_signal(signal).map_err(say)?;
     }
     let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos() as i128);
     let wall = since_1970 - i128::from(net.clock());
     let (listener, at) =
-        net.listen_streams(opening.listen).map_err(|err| format!("{}: {err}", opening.listen))?;
-    let (post, known, stood) = (opening.post.clone(), opening.known.clone(), opening.stood);
-    let mut wire = Wire::new(net, opening, wall);
+        net.listen_streams(startup.listen).map_err(|err| format!("{}: {err}", startup.listen))?;
+    let (post, known, stood) = (startup.post.clone(), startup.known.clone(), startup.stood);
+    let mut effects = Effects::new(net, startup, wall);
     let mut events = Vec::new();
-    wire.net.turn(&mut events, 0).map_err(say)?;
+    effects.net.turn(&mut events, 0).map_err(say)?;
     // The watch goes on from the list at start. Asked for all since the beginning, discovery has no word of a machine
     // that came and left in between, and a list that still has it up would never be put right.
-    let at_start = roster::read(&known, &mut wire.opening.zones);
-    wire.discovery.seq = at_start.as_ref().map_or(0, |telling| telling.seq);
+    let at_start = roster::read(&known, &mut effects.startup.zones);
+    effects.discovery.seq = at_start.as_ref().map_or(0, |telling| telling.seq);
     // Where lists are pushed the module asks for none; here a watch is what brings them.
     if !post.ask_roster {
-        wire.watch_roster(true);
+        effects.watch_roster(true);
     }
-    let mut front = Front::start(post, &mut wire);
-    let peers = match wire.opening.circle.clone() {
+    let mut front = Front::start(post, &mut effects);
+    let peers = match effects.startup.circle.clone() {
         Some(circle) => {
-            let (name, told) = (wire.opening.name.clone(), wire.opening.post.fronts);
-            Some(Peers::begin(&mut wire.net, &name, told, &circle, PEERS)?)
+            let (name, told) = (effects.startup.name.clone(), effects.startup.post.fronts);
+            Some(Peers::begin(&mut effects.net, &name, told, &circle, PEERS)?)
         }
         None => None,
     };
@@ -83,28 +83,28 @@
         peers.tell_all(&mut front);
     }
     let mut node =
-        Node { wire, front, listener, stopping: None, door_closed: None, rested: None, again: 0, peers };
+        Node { effects, front, listener, stopping: None, door_closed: None, rested: None, again: 0, peers };
     if let Some(telling) = at_start {
-        let told = node.wire.listed(Roll::Saved, telling);
+        let told = node.effects.listed(Roll::Saved, telling);
         node.tell(told);
     }
     if let Some(stood) = stood {
-        let news = standing(node.wire.net.now(), stood);
+        let news = standing(node.effects.net.now(), stood);
         node.tell(Tell::Told(Reply::News, Some(news)));
     }
-    node.wire.follow_desk();
-    node.wire.net.wake_at(node.wire.net.now() + TICK_EVERY, TICK);
+    node.effects.follow_desk();
+    node.effects.net.wake_at(node.effects.net.now() + TICK_EVERY, TICK);
     ready(at);
-    tracing::info!(event = "node up", at = %at, sockets = node.wire.opening.sockets, machines = node.wire.door.machines());
+    tracing::info!(event = "node up", at = %at, sockets = node.effects.startup.sockets, machines = node.effects.door.machines());
     node.work(events)
 }
 
 impl Node {
     fn work(mut self, mut events: Vec<Event>) -> Result<(), String> {
         loop {
-            events.append(&mut self.wire.made);
-            self.wire.net.turn(&mut events, SEC).map_err(|err| err.to_string())?;
-            events.sort_by_cached_key(|event| self.wire.rank(event));
+            events.append(&mut self.effects.made);
+            self.effects.net.turn(&mut events, SEC).map_err(|err| err.to_string())?;
+            events.sort_by_cached_key(|event| self.effects.rank(event));
             for event in events.drain(..) {
                 self.event(event);
                 self.settle();
@@ -118,10 +118,10 @@
 
     /// Tells the module of ends that came while it was at work.
     fn settle(&mut self) {
-        while let Some((rpc, pick, how)) = self.wire.owed.pop_front() {
+        while let Some((rpc, pick, how)) = self.effects.owed.pop_front() {
             self.pick_over(rpc, pick, how, None);
         }
-        while let Some(rpc) = self.wire.left.pop_front() {
+        while let Some(rpc) = self.effects.left.pop_front() {
             self.client_left(rpc);
         }
         self.share();
@@ -130,7 +130,7 @@
     /// What this front's RPCs have bound goes to the others, and what they know comes here.
     fn share(&mut self) {
         let Some(peers) = &mut self.peers else { return };
-        self.wire.bound.drain(..).for_each(|(key, build)| peers.bind(key, build));
+        self.effects.bound.drain(..).for_each(|(key, build)| peers.bind(key, build));
         let Some(news) = peers.news() else { return };
         news.tell(&mut self.front);
         // Its own desk may be silent, or cut off: more careful at once.
@@ -141,20 +141,20 @@
     }
 
     fn pick_over(&mut self, rpc: usize, pick: usize, how: Outcome, row: Option<&[u8]>) {
-        if let Some((took, last)) = self.wire.pick_ended(rpc, pick, how, row) {
-            self.front.ended(&mut self.wire, rpc, pick, how, took, last);
-            self.wire.sweep(rpc);
+        if let Some((took, last)) = self.effects.pick_ended(rpc, pick, how, row) {
+            self.front.ended(&mut self.effects, rpc, pick, how, took, last);
+            self.effects.sweep(rpc);
         }
     }
 
     fn machine_bytes(&mut self, conn: Id, bytes: &[u8]) {
-        for (rpc, pick, came) in self.wire.machine_bytes(conn, bytes) {
+        for (rpc, pick, came) in self.effects.machine_bytes(conn, bytes) {
             match came {
                 Came::Over(how, row) => self.pick_over(rpc, pick, how, row.as_deref()),
                 Came::Ready => {
-                    let machine = self.wire.open[rpc].as_ref().map(|open| open.picks[pick].machine);
+                    let machine = self.effects.open[rpc].as_ref().map(|open| open.picks[pick].machine);
                     let stands = machine.is_some_and(|machine| self.front.stands(rpc, machine));
-                    if self.wire.ask_opened(conn, rpc, pick, stands) {
+                    if self.effects.ask_opened(conn, rpc, pick, stands) {
                         // What it has said beyond its welcome.
                         self.machine_bytes(conn, &[]);
                     } else {
@@ -167,9 +167,9 @@
     }
 
     fn tell(&mut self, told: Tell) {
-        let (front, wire) = (&mut self.front, &mut self.wire);
+        let (front, effects) = (&mut self.front, &mut self.effects);
         match told {
-            Tell::Members(roll, members) => front.members(wire, roll, &members),
+            Tell::Members(roll, members) => front.members(effects, roll, &members),
             Tell::Told(reply, news) => {
                 let news = match &mut self.peers {
                     Some(peers) => news.map(|s| peers.stands(s)),
@@ -178,64 +178,64 @@
                 if let Some(s) = news {
                     tracing::info!(event = "standing", build = s.build, stage = s.stage, phase = ?s.phase, cap = s.cap, reply = ?reply);
                 }
-                front.told(wire, reply, news);
+                front.told(effects, reply, news);
             }
             Tell::Tallied { build, method, picks, not_ok } => {
-                front.tallied(wire, build, method, picks, not_ok)
+                front.tallied(effects, build, method, picks, not_ok)
             }
-            Tell::Disputed { machine, sent } => front.disputed(wire, machine, sent),
+            Tell::Disputed { machine, sent } => front.disputed(effects, machine, sent),
         }
     }
 
     fn event(&mut self, event: Event) {
         match event {
             Event::Came { conn } => {
-                if self.wire.desk.owns(conn) {
-                    self.wire.desk_came(conn);
-                } else if !self.wire.pool.owns(conn) {
-                    self.wire.client_came(conn);
+                if self.effects.desk.owns(conn) {
+                    self.effects.desk_came(conn);
+                } else if !self.effects.pool.owns(conn) {
+                    self.effects.client_came(conn);
                 }
             }
             Event::Bytes { conn, bytes } => {
-                if self.wire.clients.owns(conn) {
-                    self.wire.client_bytes(conn, &bytes);
+                if self.effects.clients.owns(conn) {
+                    self.effects.client_bytes(conn, &bytes);
                     self.read_client(conn);
-                } else if self.wire.pool.owns(conn) {
+                } else if self.effects.pool.owns(conn) {
                     self.machine_bytes(conn, &bytes);
                 } else {
-                    self.wire.desk_bytes(conn, &bytes).into_iter().for_each(|told| self.tell(told));
+                    self.effects.desk_bytes(conn, &bytes).into_iter().for_each(|told| self.tell(told));
                 }
             }
             Event::Flushed { conn } => self.read_client(conn),
             Event::Gone { conn, unsent } => {
-                if self.wire.clients.owns(conn) {
-                    self.wire.forget_client(conn);
-                } else if let Some((rpc, pick, how)) = self.wire.machine_gone(conn, unsent) {
+                if self.effects.clients.owns(conn) {
+                    self.effects.forget_client(conn);
+                } else if let Some((rpc, pick, how)) = self.effects.machine_gone(conn, unsent) {
                     self.pick_over(rpc, pick, how, None);
-                } else if self.wire.desk.owns(conn) {
-                    self.wire.desk_over(conn, unsent).into_iter().for_each(|told| self.tell(told));
+                } else if self.effects.desk.owns(conn) {
+                    self.effects.desk_over(conn, unsent).into_iter().for_each(|told| self.tell(told));
                 }
             }
             Event::Piece { call, status, bytes } => {
-                self.wire.watch_piece(call, status, &bytes).into_iter().for_each(|told| self.tell(told));
+                self.effects.watch_piece(call, status, &bytes).into_iter().for_each(|told| self.tell(told));
             }
             Event::Ended { call, end } => {
-                self.wire.discovery_over(call, Some(end)).into_iter().for_each(|told| self.tell(told));
+                self.effects.discovery_over(call, Some(end)).into_iter().for_each(|told| self.tell(told));
             }
-            Event::Woke { tag } if tag & MODULE != 0 => self.front.woke(&mut self.wire, tag & !MODULE),
+            Event::Woke { tag } if tag & MODULE != 0 => self.front.woke(&mut self.effects, tag & !MODULE),
             Event::Woke { tag: DUE } => self.dues(),
             Event::Woke { tag: PEERS } => {
                 if let Some(peers) = &mut self.peers {
-                    peers.woke(&mut self.wire.net);
+                    peers.woke(&mut self.effects.net);
                 }
             }
             Event::Datagram { from, bytes } => {
                 if let Some(peers) = &mut self.peers {
-                    peers.datagram(&mut self.wire.net, from, &bytes);
+                    peers.datagram(&mut self.effects.net, from, &bytes);
                 }
             }
             Event::Woke { tag: TICK } => self.tick(),
-            Event::Woke { tag: DESK } => self.wire.follow_desk(),
+            Event::Woke { tag: DESK } => self.effects.follow_desk(),
             Event::Woke { tag: STOP } => self.close_door(),
             Event::Signal { number: SIGHUP } => {
                 self.again = READ_AGAIN.1;
@@ -248,34 +248,34 @@
     }
 
     fn dues(&mut self) {
-        let now = self.wire.net.now();
-        while let Some(id) = self.wire.dues.over(now) {
-            if self.wire.clients.owns(id) {
-                self.wire.client_due(id);
-            } else if self.wire.pool.owns(id) {
-                if let Some((rpc, pick, how)) = self.wire.machine_due(id) {
+        let now = self.effects.net.now();
+        while let Some(id) = self.effects.dues.over(now) {
+            if self.effects.clients.owns(id) {
+                self.effects.client_due(id);
+            } else if self.effects.pool.owns(id) {
+                if let Some((rpc, pick, how)) = self.effects.machine_due(id) {
                     self.pick_over(rpc, pick, how, None);
                 }
-            } else if self.wire.desk.owns(id) {
-                self.wire.desk_over(id, false).into_iter().for_each(|told| self.tell(told));
+            } else if self.effects.desk.owns(id) {
+                self.effects.desk_over(id, false).into_iter().for_each(|told| self.tell(told));
             } else {
-                self.wire.discovery_over(id, None).into_iter().for_each(|told| self.tell(told));
+                self.effects.discovery_over(id, None).into_iter().for_each(|told| self.tell(told));
             }
             self.settle();
         }
-        if let Some(at) = self.wire.dues.woke(now) {
-            self.wire.net.wake_at(at, DUE);
+        if let Some(at) = self.effects.dues.woke(now) {
+            self.effects.net.wake_at(at, DUE);
         }
     }
 
     fn read_client(&mut self, conn: Id) {
         loop {
-            let (front, now) = (&self.front, self.wire.net.now());
-            let room = |opening: &Opening, text: &str| {
-                let method = statement::read(text).ok().and_then(|s| opening.method(s.method));
+            let (front, now) = (&self.front, self.effects.net.now());
+            let room = |startup: &Startup, text: &str| {
+                let method = statement::read(text).ok().and_then(|s| startup.method(s.method));
                 method.is_none_or(|method| front.has_room(now, method))
             };
-            let Asked::Statement(text, came) = self.wire.client_reads(conn, room) else { return };
+            let Asked::Statement(text, came) = self.effects.client_reads(conn, room) else { return };
             self.take(conn, text, came);
             self.settle();
         }
@@ -284,53 +284,53 @@
     /// A client's statement: an RPC, if it is one.
     fn take(&mut self, conn: Id, text: String, came: Ns) {
         let read = statement::read(&text).map_err(str::to_string).and_then(|s| {
-            let method = self.wire.opening.method(s.method).ok_or_else(|| "no such method".to_string())?;
-            if self.wire.door.rpc(s.id).is_some() {
+            let method = self.effects.startup.method(s.method).ok_or_else(|| "no such method".to_string())?;
+            if self.effects.door.rpc(s.id).is_some() {
                 return Err("an RPC of this id is open".to_string());
             }
             Ok((s.id, method, s.key_number(), s.wait_ms, s.wait.clone()))
         });
         let (id, method, key, wait_ms, wait) = match read {
             Ok(read) => read,
-            Err(why) => return self.wire.odd_command(conn, &format!("not taken: {why}")),
+            Err(why) => return self.effects.odd_command(conn, &format!("not taken: {why}")),
         };
         // The client's time runs from then on, also while the statement waited for others of its connection.
-        let gives_up = came + ((wait_ms * MS as f64) as Ns).min(self.wire.opening.methods[method].1);
-        let rpc = self.wire.door.open(id);
-        if self.wire.open.len() <= rpc {
-            self.wire.open.resize_with(rpc + 1, || None);
+        let gives_up = came + ((wait_ms * MS as f64) as Ns).min(self.effects.startup.methods[method].1);
+        let rpc = self.effects.door.open(id);
+        if self.effects.open.len() <= rpc {
+            self.effects.open.resize_with(rpc + 1, || None);
         }
         let bytes = text.len();
-        self.wire.open[rpc] = Some(Open { conn, method, text, wait, gives_up, picks: Vec::new() });
-        self.wire.tolls.taken += 1;
-        self.wire.client_opens(conn, rpc, bytes);
-        if gives_up <= self.wire.net.now() + MARGIN {
+        self.effects.open[rpc] = Some(Open { conn, method, text, wait, gives_up, picks: Vec::new() });
+        self.effects.tolls.taken += 1;
+        self.effects.client_opens(conn, rpc, bytes);
+        if gives_up <= self.effects.net.now() + MARGIN {
             // No time for a pick and the way back: nothing was sent, so it may come again at will.
-            rockpick::Ctl::push_back(&mut self.wire, rpc, 0);
+            rockpick::Ctl::push_back(&mut self.effects, rpc, 0);
         } else {
-            self.front.taken(&mut self.wire, rpc, method, Some(key), gives_up - MARGIN);
+            self.front.taken(&mut self.effects, rpc, method, Some(key), gives_up - MARGIN);
             self.settle();
         }
-        self.wire.sweep(rpc);
+        self.effects.sweep(rpc);
     }
 
     fn client_left(&mut self, rpc: usize) {
-        if !self.wire.door.finished(rpc) {
-            self.wire.tolls.left += 1;
-            self.wire.door.finish(rpc);
+        if !self.effects.door.finished(rpc) {
+            self.effects.tolls.left += 1;
+            self.effects.door.finish(rpc);
             self.front.left(rpc);
         }
-        self.wire.sweep(rpc);
+        self.effects.sweep(rpc);
     }
 
     fn tick(&mut self) {
-        let now = self.wire.net.now();
-        self.wire.net.wake_at(now + TICK_EVERY, TICK);
-        self.wire.forget_machines();
-        let t = &self.wire.tolls;
+        let now = self.effects.net.now();
+        self.effects.net.wake_at(now + TICK_EVERY, TICK);
+        self.effects.forget_machines();
+        let t = &self.effects.tolls;
         let by_build = format!("{:?}", t.by_build);
         let ends = ENDS.map(|(name, how)| format!("{name} {}", t.ends[how as usize])).join(", ");
-        let (conns, idle) = self.wire.pool.count();
+        let (conns, idle) = self.effects.pool.count();
         if let Some(peers) = &self.peers {
             tracing::info!(event = "peers", counts = %peers.counts());
         }
@@ -346,41 +346,41 @@
             picks = t.picks,
             ends,
             by_build,
-            open = self.wire.door.in_use(),
-            clients = self.wire.clients.count(),
-            turned_away = self.wire.clients.turned_away,
+            open = self.effects.door.in_use(),
+            clients = self.effects.clients.count(),
+            turned_away = self.effects.clients.turned_away,
             conns,
             idle,
-            dialled = self.wire.pool.dialled,
-            scarce = self.wire.pool.scarce,
-            spoilt = self.wire.pool.spoilt,
-            streams = self.wire.net.streams(),
-            watching = self.wire.discovery.watching(),
-            tellings = self.wire.discovery.tellings,
-            desk = self.wire.desk.served(),
-            heard = self.wire.desk.heard
+            dialled = self.effects.pool.dialled,
+            scarce = self.effects.pool.scarce,
+            spoilt = self.effects.pool.spoilt,
+            streams = self.effects.net.streams(),
+            watching = self.effects.discovery.watching(),
+            tellings = self.effects.discovery.tellings,
+            desk = self.effects.desk.served(),
+            heard = self.effects.desk.heard
         );
     }
 
     /// Reads the file anew; one that can't be read changes nothing, and is read again a few times: the signal may have come
     /// while it was written.
     fn reload(&mut self) {
-        let file = self.wire.opening.file.clone();
+        let file = self.effects.startup.file.clone();
         let var = |name: &str| match name {
             "PROXY_CONFIG" => file.as_ref().map(|f| f.display().to_string()),
             _ => std::env::var(name).ok(),
         };
-        match Opening::read(var) {
+        match Startup::read(var) {
             Ok(fresh) => {
                 tracing::info!(event = "reload", discovery = %fresh.discovery, desk = ?fresh.desk);
                 self.again = 0;
-                self.wire.moved(fresh.discovery, fresh.desk);
+                self.effects.moved(fresh.discovery, fresh.desk);
             }
             Err(why) => {
                 tracing::error!(event = "reload", why, again = self.again);
                 if let Some(left) = self.again.checked_sub(1) {
                     self.again = left;
-                    self.wire.net.wake_at(self.wire.net.now() + READ_AGAIN.0, RELOAD);
+                    self.effects.net.wake_at(self.effects.net.now() + READ_AGAIN.0, RELOAD);
                 }
             }
         }
@@ -391,18 +391,18 @@
             return;
         }
         tracing::info!(event = "stopping", number);
-        let now = self.wire.net.now();
+        let now = self.effects.net.now();
         self.stopping = Some(now);
-        self.wire.net.wake_at(now + GOES_ON, STOP);
+        self.effects.net.wake_at(now + GOES_ON, STOP);
         if let Some(peers) = &mut self.peers {
-            peers.leave(&mut self.wire.net);
+            peers.leave(&mut self.effects.net);
         }
     }
 
     /// Takes what has come to the listener, and closes it; from now on connections end between two RPCs.
     fn close_door(&mut self) {
-        let now = self.wire.net.now();
-        self.wire.net.wake_at(now + LAST, STOP);
+        let now = self.effects.net.now();
+        self.effects.net.wake_at(now + LAST, STOP);
         if self.door_closed.is_some() {
             return;
         }
@@ -410,25 +410,26 @@
         let mut events = Vec::new();
         loop {
             let before = events.len();
-            self.wire.net.accept_streams(&mut events, self.listener);
+            self.effects.net.accept_streams(&mut events, self.listener);
             if events.len() == before {
                 break;
             }
         }
-        self.wire.net.close(self.listener);
-        self.wire.made.append(&mut events);
+        self.effects.net.close(self.listener);
+        self.effects.made.append(&mut events);
         // Nobody comes any more for whom descriptors are to be kept.
-        self.wire.net.most_closing = self.wire.net.most_streams;
+        self.effects.net.most_closing = self.effects.net.most_streams;
     }
 
     /// In a stop: is everything answered, and on its way to whoever reads slowly?
     fn ended(&mut self) -> bool {
         let Some((began, door_closed)) = self.stopping.zip(self.door_closed) else { return false };
-        let now = self.wire.net.now();
-        self.wire.close_clients(door_closed);
-        let owes =
-            self.wire.clients.count() > 0 || self.wire.net.last_words() > 0 || !self.wire.made.is_empty();
-        let longest = self.wire.opening.methods.iter().map(|(_, longest)| *longest).max().unwrap_or(0);
+        let now = self.effects.net.now();
+        self.effects.close_clients(door_closed);
+        let owes = self.effects.clients.count() > 0
+            || self.effects.net.last_words() > 0
+            || !self.effects.made.is_empty();
+        let longest = self.effects.startup.methods.iter().map(|(_, longest)| *longest).max().unwrap_or(0);
         if owes && now - began < longest.clamp(LEAST_STOP, MOST_STOP) + BEYOND {
             self.rested = None;
             return false;
--- a/node/src/opening.rs
+++ b/node/src/startup.rs
@@ -12,7 +12,7 @@
 /// Fewest descriptors that a node can work with, and most that it makes use of.
 const SOCKETS: (usize, usize) = (64, 4_096);
 
-pub struct Opening {
+pub struct Startup {
     pub file: Option<PathBuf>,
     pub name: String,
     pub listen: SocketAddr,
@@ -34,7 +34,7 @@
     pub circle: Option<rockpick_peers::Circle>,
 }
 
-impl Opening {
+impl Startup {
     pub fn method(&self, name: &str) -> Option<usize> {
         self.methods.iter().position(|(known, _)| known == name)
     }
@@ -43,7 +43,7 @@
     ///
     /// # Errors
     /// The field that can't be read, and why.
-    pub fn read(var: impl Fn(&str) -> Option<String>) -> Result<Opening, String> {
+    pub fn read(var: impl Fn(&str) -> Option<String>) -> Result<Startup, String> {
         let file = var("PROXY_CONFIG").filter(|f| !f.is_empty()).map(PathBuf::from);
         let told = file.as_deref().map_or(Ok(Value::Null), load)?;
         let said = |field: &str, name: &str| match &told[field] {
@@ -76,7 +76,7 @@
         };
         let dial = terms.get("permissions.dialTimeoutMs", 250 * MS, rockpick_terms::nanos).map_err(of)?;
         let grace = terms.get("invariants.drainGraceMs", Ns::MAX, rockpick_terms::nanos).map_err(of)?;
-        Ok(Opening {
+        Ok(Startup {
             name: said("name", "PROXY_NAME")?,
             listen: address("listen", &said("listen", "PROXY_LISTEN")?)?,
             discovery: address("discovery", &said("discovery", "PROXY_DISCOVERY")?)?,
--- a/node/src/tests.rs
+++ b/node/src/tests.rs
@@ -1,6 +1,6 @@
 //! Moments between two lines of one turn: bytes that come once the turn's own have been read.
-use crate::wire::Wire;
-use crate::Opening;
+use crate::effects::Effects;
+use crate::Startup;
 use rockpick_net::{Event, Id, Net, SEC};
 use rockpick_pg as pg;
 use serde_json::json;
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 struct Place {
-    wire: Wire,
+    effects: Effects,
     at: std::net::SocketAddr,
 }
 
@@ -20,10 +20,10 @@
     let file = tempfile::NamedTempFile::new().unwrap();
     std::fs::write(file.path(), told.to_string()).unwrap();
     let file = file.path().display().to_string();
-    let opening = Opening::read(|name| (name == "PROXY_CONFIG").then(|| file.clone())).unwrap();
+    let startup = Startup::read(|name| (name == "PROXY_CONFIG").then(|| file.clone())).unwrap();
     let mut net = Net::new(0).unwrap();
     let (_, at) = net.listen_streams("127.0.0.1:0".parse().unwrap()).unwrap();
-    Place { wire: Wire::new(net, opening, 0), at }
+    Place { effects: Effects::new(net, startup, 0), at }
 }
 
 impl Place {
@@ -35,12 +35,12 @@
         pg::put_startup(&mut hello, "api", "ledger");
         io.write_all(&hello).unwrap();
         let (mut events, mut id) = (Vec::new(), None);
-        while self.wire.net.streams() == 0 || id.is_none_or(|id| !self.welcomed(id, &mut events)) {
-            self.wire.net.turn(&mut events, SEC).unwrap();
+        while self.effects.net.streams() == 0 || id.is_none_or(|id| !self.welcomed(id, &mut events)) {
+            self.effects.net.turn(&mut events, SEC).unwrap();
             for event in &events {
                 if let Event::Came { conn } = event {
                     id = Some(*conn);
-                    self.wire.client_came(*conn);
+                    self.effects.client_came(*conn);
                 }
             }
         }
@@ -52,8 +52,8 @@
     fn welcomed(&mut self, id: Id, events: &mut Vec<Event>) -> bool {
         events.drain(..).any(|event| match event {
             Event::Bytes { conn, bytes } if conn == id => {
-                self.wire.client_bytes(conn, &bytes);
-                self.wire.client_reads(conn, |_, _| true);
+                self.effects.client_bytes(conn, &bytes);
+                self.effects.client_reads(conn, |_, _| true);
                 true
             }
             _ => false,
@@ -66,7 +66,7 @@
     let mut out = Vec::new();
     pg::put_query(&mut out, "");
     io.write_all(&out).unwrap();
-    while !place.wire.net.unread(id) {
+    while !place.effects.net.unread(id) {
         std::thread::yield_now();
     }
 }
@@ -76,8 +76,8 @@
     let mut place = place(64);
     let (mut io, id) = place.client();
     speaks(&mut place, &mut io, id);
-    place.wire.client_due(id);
-    assert!(place.wire.clients.owns(id));
+    place.effects.client_due(id);
+    assert!(place.effects.clients.owns(id));
 }
 
 #[test]
@@ -86,8 +86,8 @@
     let ((mut io, id), (_other, quiet)) = (place.client(), place.client());
     speaks(&mut place, &mut io, id);
     // The door was closed long ago: nobody's first words are waited for.
-    place.wire.close_clients(-10 * SEC);
-    assert!(place.wire.clients.owns(id) && !place.wire.clients.owns(quiet));
+    place.effects.close_clients(-10 * SEC);
+    assert!(place.effects.clients.owns(id) && !place.effects.clients.owns(quiet));
 }
 
 #[test]
@@ -97,15 +97,15 @@
     let _new = TcpStream::connect(place.at).unwrap();
     let mut events = Vec::new();
     while events.is_empty() {
-        place.wire.net.turn(&mut events, SEC).unwrap();
+        place.effects.net.turn(&mut events, SEC).unwrap();
     }
     // The turn's bytes have been read; only now the one that would give way speaks.
     let (io, id) = &mut all[0];
     speaks(&mut place, io, *id);
     let Event::Came { conn } = events[0] else { panic!("{events:?}") };
-    place.wire.client_came(conn);
-    let owns: Vec<bool> = all.iter().map(|(_, id)| place.wire.clients.owns(*id)).collect();
-    assert_eq!((owns[0], owns[1], place.wire.clients.owns(conn)), (true, false, true));
+    place.effects.client_came(conn);
+    let owns: Vec<bool> = all.iter().map(|(_, id)| place.effects.clients.owns(*id)).collect();
+    assert_eq!((owns[0], owns[1], place.effects.clients.owns(conn)), (true, false, true));
 }
 
 /// At a start, and when a door closes, a new connection and its first words may be told in one turn.
@@ -117,11 +117,11 @@
     new.write_all(b"first words").unwrap();
     let mut events = Vec::new();
     while !events.iter().any(|event| matches!(event, Event::Bytes { conn, .. } if *conn != id)) {
-        place.wire.net.turn(&mut events, SEC).unwrap();
+        place.effects.net.turn(&mut events, SEC).unwrap();
     }
     speaks(&mut place, &mut old, id);
-    place.wire.net.turn(&mut events, SEC).unwrap();
-    events.sort_by_cached_key(|event| place.wire.rank(event));
+    place.effects.net.turn(&mut events, SEC).unwrap();
+    events.sort_by_cached_key(|event| place.effects.rank(event));
     let order: Vec<(bool, bool)> = events
         .iter()
         .filter_map(|event| match event {
@@ -142,13 +142,13 @@
     let mut place = place(64);
     let (mut io, id) = place.client();
     speaks(&mut place, &mut io, id);
-    let now = place.wire.net.clock();
-    place.wire.due(id, now);
+    let now = place.effects.net.clock();
+    place.effects.due(id, now);
     let mut events = Vec::new();
     while !events.iter().any(|event| matches!(event, Event::Woke { .. })) {
-        place.wire.net.turn(&mut events, SEC).unwrap();
+        place.effects.net.turn(&mut events, SEC).unwrap();
     }
     assert!(events.iter().any(|event| matches!(event, Event::Bytes { .. })), "{events:?}");
-    events.sort_by_cached_key(|event| place.wire.rank(event));
+    events.sort_by_cached_key(|event| place.effects.rank(event));
     assert!(matches!(events.last(), Some(Event::Woke { .. })), "{events:?}");
 }
