--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,7 +6,7 @@
 use crate::rank_sum::RankSum;
 use crate::ring::{Chance, Ring};
 use crate::tally::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 const MS: Ns = 1_000_000;
 const SEC: Ns = 1_000 * MS;
@@ -213,8 +213,8 @@
 /// build last told of, so that none goes back: it waits for room within the cap instead.
 pub const MOST_KEYS: usize = 1 << 18;
 
-/// The longest waits for the roster, in eighths of its time: after a loss, a refusal, and more of them.
-const ASK_AGAIN: [Ns; 3] = [1, 3, 6];
+/// The longest waits for the roster, in eighths of its time: after a loss, and after so many refusals.
+const ASK_AGAIN: [Ns; 4] = [1, 2, 4, 8];
 
 const BEAT: u64 = 0; // the timer of the beat; any other asks for the roster
 
@@ -262,7 +262,7 @@
             // costs discovery its work too: at one pace a crowd would keep itself up, and none be served.
             self.refused = if self.watching { 0 } else { self.refused + 1 };
             self.watching = false;
-            let spread = self.post.guard.ask_within / 8 * ASK_AGAIN[self.refused.min(2)];
+            let spread = self.post.guard.ask_within / 8 * ASK_AGAIN[self.refused.min(3)];
             let drawn = self.chance.below(spread.max(1) as usize) as Ns;
             return ctl.wake_at(now + INTERVAL + drawn, BEAT + 1);
         }
@@ -516,15 +516,14 @@
         self.best(now, |m| (least..newest.min(most)).contains(&m.build) && known(m.build) && fits(m))
     }
 
-    /// The earlier build that stays while no drain is heard: that last released, else most of an old roster.
+    /// The earlier build that surely stays while no drain is heard: that last released. A front that was not
+    /// up then knows it by its old roster only where no build but one taken off came between.
     fn surely_stays(&self) -> Option<u32> {
-        let newest = self.told.map_or(0, |t| t.build);
-        let mut machines = BTreeMap::<u32, usize>::new();
-        let earlier = self.up().map(|m| m.member.build).filter(|b| *b < newest && *b != self.taken_off);
-        earlier.for_each(|build| *machines.entry(build).or_default() += 1);
-        let most = |n: usize| machines.values().filter(|other| 2 * **other > n).count() == 1;
-        let listed = || machines.iter().find(|(_, n)| most(**n)).map(|(build, _)| *build);
-        Some(self.released).filter(|build| *build > 0).or_else(listed)
+        let before = self.told.map_or(0, |t| t.build).saturating_sub(1);
+        let earlier = self.up().map(|m| m.member.build).filter(|b| *b <= before && *b != self.taken_off);
+        let listed: BTreeSet<u32> = earlier.collect();
+        let alone = listed.first().filter(|b| listed.len() == 1 && [**b, self.taken_off].contains(&before));
+        Some(self.released).filter(|build| *build > 0).or(alone.copied())
     }
 
     fn pick(&mut self, ctl: &mut dyn Ctl, rpc: usize, machine: Option<usize>) {
