Latency histogram and the odds of failures have modules of their own

They move to latency_histogram.rs and failure_odds.rs with named constants; Sample is LatencyHistogram.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,15 +3,17 @@
 //! acts through [`Ctl`]; `interface` holds the types that cross the border, and nothing else.
 //!
 //! ```
-//! use rockpick::{RankSum, Sample};
-//! let (mut new, mut old) = (Sample::default(), Sample::default());
+//! use rockpick::{RankSum, LatencyHistogram};
+//! let (mut new, mut old) = (LatencyHistogram::default(), LatencyHistogram::default());
 //! for ms in 0..30 {
 //!     old.add(Some((50 + ms) * 1_000_000));
 //!     new.add(Some((90 + ms) * 1_000_000));
 //! }
 //! assert!(RankSum::of([(&new, &old)].into_iter()).z() > 2.6);
 //! ```
+mod failure_odds;
 mod interface;
+mod latency_histogram;
 mod logic;
 mod rank_sum;
 mod ring;
@@ -20,5 +22,6 @@
 mod tests;
 
 pub use interface::*;
-pub use logic::{deviates, Front, Sample};
+pub use latency_histogram::LatencyHistogram;
+pub use logic::{deviates, Front};
 pub use rank_sum::RankSum;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -2,7 +2,9 @@
 //! [`Post`] read at start, then the method that bears the name of what happened (`members`, `told`, `taken`,
 //! `ended`, `woke`, ...), in the order of events. Each call gets a [`Ctl`], through which the decisions act;
 //! types and `Ctl` are in `interface.rs`, chance and rings of time in `ring.rs`, counts in `tally.rs`.
+use crate::failure_odds::chance_of;
 use crate::interface::*;
+use crate::latency_histogram::LatencyHistogram;
 use crate::rank_sum::RankSum;
 use crate::ring::{Chance, Ring};
 use crate::tally::*;
@@ -22,54 +24,12 @@
     }
 }
 
-/// Log buckets of time, three to the doubling from 4 ms to 5 s; the last holds failures: they rank slowest.
-const BINS: usize = 32;
-
-#[derive(Clone, Default)]
-pub struct Sample([u32; BINS]);
-
-impl AsRef<[u32]> for Sample {
-    fn as_ref(&self) -> &[u32] {
-        &self.0
-    }
-}
-
-impl Sample {
-    pub fn add(&mut self, took: Option<Ns>) {
-        self.0[took.map_or(BINS - 1, Self::bin)] += 1;
-    }
-
-    fn n(&self) -> u32 {
-        self.0.iter().sum()
-    }
-
-    fn bin(time: Ns) -> usize {
-        ((time.max(1) as f64 / (4 * MS) as f64).log2() * 3.0).clamp(0.0, (BINS - 2) as f64) as usize
-    }
-
-    fn sum<'a>(samples: impl Iterator<Item = &'a Sample>) -> Sample {
-        samples.fold(Sample::default(), |sum, other| Sample(std::array::from_fn(|i| sum.0[i] + other.0[i])))
-    }
-}
-
 /// Are `new`'s failures too many to be chance at `old`'s rate? `odds` is the chance allowed.
 pub fn deviates(new: Count, old: Count, odds: f64) -> bool {
     // The margin: one failure, or under a point of difference, is not worth a rollback's staleness.
     share(new) >= share(old) + 0.01 && chance_of(new, old) < odds
 }
 
-/// The chance of so many failures of `new`, or more, at `old`'s rate; one failure alone may always be.
-fn chance_of(new: Count, old: Count) -> f64 {
-    // One failure in 300 is granted where the earlier build shows nothing, so little is not none.
-    let mean = f64::from(new[0]) * (f64::from(old[1]) + 0.5) / (f64::from(old[0]) + 150.0);
-    let (mut term, mut under) = ((-mean).exp(), 0.0);
-    for k in 0..new[1] {
-        under += term;
-        term *= mean / f64::from(k + 1);
-    }
-    f64::from(u8::from(new[1] < 2)).max(1.0 - under)
-}
-
 /// A row that was tallied to fail far oftener at the new build, beyond `margin` and chance, in words.
 fn wide([new, old]: [Counts; 2], margin: f64) -> Option<String> {
     let beyond = |r: &usize| share(new[*r]) > 3.0 * share(old[*r]) + margin && old[ALL][0] >= 100;
@@ -168,10 +128,10 @@
     unsure: bool,                         // others may know of more
     /// The newest build; its times and the earlier ones' (sides 0 and 1), by method and load.
     watched: u32,
-    samples: Vec<[Ring<Sample>; 2]>,
+    samples: Vec<[Ring<LatencyHistogram>; 2]>,
     /// Counts and times before this trial, the platform's tallies, each peer's last note and when it came.
     before: Counts,
-    past: Vec<Sample>,
+    past: Vec<LatencyHistogram>,
     platform: [Ring<Counts>; 2],
     /// Its fullest tallies of the earlier build.
     standard: Counts,
@@ -314,7 +274,9 @@
             self.watched = newest;
             (self.platform, self.standard) = Default::default();
             self.borne = [0.0, self.borne[0].max(self.borne[1])];
-            let both = |[new, old]: [Ring<Sample>; 2]| Sample::sum(new.cells.iter().chain(&old.cells));
+            let both = |[new, old]: [Ring<LatencyHistogram>; 2]| {
+                LatencyHistogram::sum(new.cells.iter().chain(&old.cells))
+            };
             self.past = self.samples.iter_mut().map(|sides| both(std::mem::take(sides))).collect();
         }
     }
@@ -911,16 +873,16 @@
         const PRESENT: usize = KEPT as usize - 6; // the last six buckets
         let mut seen = [[0; 2]; KEPT as usize]; // all picks, those at the new build
         for (new, ring) in self.samples.iter().flat_map(|[new, old]| [(1, new), (0, old)]) {
-            ring.last(now, KEPT).zip(&mut seen).for_each(|(s, c)| *c = add(*c, [s.n(), new * s.n()]));
+            ring.last(now, KEPT).zip(&mut seen).for_each(|(s, c)| *c = add(*c, [s.count(), new * s.count()]));
         }
         let today = share(sum(seen[PRESENT..].iter()));
-        let times = |side: usize, kept: &dyn Fn(usize) -> bool| -> Vec<Sample> {
+        let times = |side: usize, kept: &dyn Fn(usize) -> bool| -> Vec<LatencyHistogram> {
             let cells = self.samples.iter().map(|sides| sides[side].last(now, KEPT).enumerate());
-            cells.map(|cell| Sample::sum(cell.filter(|s| kept(s.0)).map(|s| s.1))).collect()
+            cells.map(|cell| LatencyHistogram::sum(cell.filter(|s| kept(s.0)).map(|s| s.1))).collect()
         };
         let (olds, less) =
             (times(1, &|i| i >= PRESENT), times(1, &|i| i < PRESENT && share(seen[i]) < 0.5 * today));
-        let past = |times: &[Sample]| RankSum::of(times.iter().zip(&self.past));
+        let past = |times: &[LatencyHistogram]| RankSum::of(times.iter().zip(&self.past));
         let both = self.samples.iter().flat_map(|[a, b]| a.last(now, KEPT).zip(b.last(now, KEPT)));
         // Released, it stands alone: its own times are held against those before its trial.
         let first = if trial { RankSum::of(both) } else { past(&times(0, &|_| true)) };
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -113,13 +113,13 @@
     front.taken(desk, rpc, method, None, deadline);
 }
 
-fn sample(times: &[Option<Ns>]) -> Sample {
-    let mut sample = Sample::default();
+fn sample(times: &[Option<Ns>]) -> LatencyHistogram {
+    let mut sample = LatencyHistogram::default();
     times.iter().for_each(|t| sample.add(*t));
     sample
 }
 
-fn z(new: &Sample, old: &Sample) -> f64 {
+fn z(new: &LatencyHistogram, old: &LatencyHistogram) -> f64 {
     RankSum::of([(new, old)].into_iter()).z()
 }
 
@@ -136,8 +136,8 @@
     let failed = sample(&[None, None]);
     let mixed = sample(&[Some(100 * MS), None]);
     assert!((z(&failed, &mixed) - 1.0 / (2.0 * 2.0 * 5.0 / 12.0f64).sqrt()).abs() < 1e-9);
-    assert_eq!(z(&failed, &Sample::default()), 0.0);
-    assert_eq!(z(&Sample::default(), &failed), 0.0);
+    assert_eq!(z(&failed, &LatencyHistogram::default()), 0.0);
+    assert_eq!(z(&LatencyHistogram::default(), &failed), 0.0);
 }
 
 /// Waits are drawn in nanoseconds: beyond 4.3 s the product ran over 64 bits (a panic here, a short wait in a release build).
