A restarted front stops trusting its old roster before a removal can count as told

Cause: a front that heard no roster after its start went by the old one without end. Now such a front rejects from told_within + drain_grace - 5.5 s after its start until it hears a roster. Why it works: a change made while the front was down, for up to five seconds, can't count before that. The new test failed before (1 pick where 0 are allowed) and passes.

--- a/control/src/charter.rs
+++ b/control/src/charter.rs
@@ -352,6 +352,8 @@
             },
             guard: Guard {
                 ask_within: ms(g.ask_within_ms),
+                told_within: 0,
+                drain_grace: ms(g.drain_grace_ms),
                 cold_from: g.cold_from,
                 cold_time: ms(g.cold_time_ms),
                 overload_factor: g.overload_factor,
--- a/node/src/startup.rs
+++ b/node/src/startup.rs
@@ -2,6 +2,7 @@
 use rockpick::{Ns, Post};
 use rockpick_net::MS;
 use rockpick_platform::desk::{self, Stood};
+use rockpick_platform::roster;
 use rockpick_terms::{post, Terms, Wrong};
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -76,6 +77,8 @@
         };
         let dial = terms.get("permissions.dialTimeoutMs", 250 * MS, rockpick_terms::nanos).map_err(of)?;
         let grace = terms.get("invariants.drainGraceMs", Ns::MAX, rockpick_terms::nanos).map_err(of)?;
+        let mut post = post(seed, &terms).map_err(of)?;
+        post.guard.told_within = roster::TOLD_WITHIN;
         Ok(Startup {
             name: said("name", "PROXY_NAME")?,
             listen: address("listen", &said("listen", "PROXY_LISTEN")?)?,
@@ -84,7 +87,7 @@
             stood: desk::news(&told["platform"]["news"]),
             known: told["known"].clone(),
             sockets: sockets.clamp(SOCKETS.0, SOCKETS.1),
-            post: post(seed, &terms).map_err(of)?,
+            post,
             methods: names.into_iter().zip(longest.iter().map(most)).collect(),
             zones: terms.words("zones"),
             connect_within: if grace > 0 { dial.min(grace) } else { dial },
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -70,6 +70,10 @@
 pub struct Guard {
     /// Without a watch, news must be asked for this often.
     pub ask_within: Ns,
+    /// A change of the roster counts as told so long after it was made, heard or not; 0: only what is heard counts.
+    pub told_within: Ns,
+    /// New picks may go to a machine for so long after its drain was told.
+    pub drain_grace: Ns,
     pub cold_from: f64,
     pub cold_time: Ns,
     pub overload_factor: f64,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -120,6 +120,7 @@
     told: Option<Standing>,
     released: u32,  // the last build that was told to be released
     taken_off: u32, // the last one that was not, when the next was told of
+    heard: bool,    // the roster was heard since the start
     watching: bool,
     refused: usize, // calls to discovery that failed since the roster was last heard
     /// RPCs taken and picks at builds on trial: a row a method, or one where the cap is for all.
@@ -173,6 +174,9 @@
 /// build last told of, so that none goes back: it waits for room within the cap instead.
 pub const MOST_KEYS: usize = 1 << 18;
 
+/// A restart may take so long: what changed meanwhile is not on the roster that a front starts with.
+const RESTART: Ns = 5 * SEC + SEC / 2;
+
 /// The longest waits for the roster, in eighths of its time: after a loss, and after so many refusals.
 const ASK_AGAIN: [Ns; 4] = [1, 2, 4, 8];
 
@@ -226,6 +230,7 @@
             let drawn = self.chance.below(spread.max(1) as usize) as Ns;
             return ctl.wake_at(now + INTERVAL + drawn, BEAT + 1);
         }
+        self.heard |= roll != Roll::Saved;
         self.watching |= roll != Roll::Saved;
         self.machines.iter_mut().filter(|_| roll != Roll::Changes).for_each(|m| m.member.state = State::Gone);
         for entry in entries {
@@ -323,7 +328,18 @@
         self.machines.iter().filter(|m| m.up())
     }
 
+    /// May picks go by the roster? On one from the start a machine may stand that went while this front was
+    /// down, and that counts as told after a while, heard or not.
+    fn trusts_roster(&self, now: Ns) -> bool {
+        let Guard { told_within, drain_grace, .. } = self.post.guard;
+        let unheard = told_within.saturating_add(drain_grace) - RESTART;
+        self.heard || told_within == 0 || now - self.born < unheard
+    }
+
     fn best(&mut self, now: Ns, fits: impl Fn(&Member) -> bool) -> Option<usize> {
+        if !self.trusts_roster(now) {
+            return None;
+        }
         let size = self.machines.len();
         let from = self.chance.below(size.max(1));
         let fits = |m: &Machine| m.up() && fits(&m.member) && self.credit(m, now).1;
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -76,6 +76,8 @@
         },
         guard: Guard {
             ask_within: 10 * SEC,
+            told_within: 0,
+            drain_grace: SEC,
             cold_from: 0.5,
             cold_time: 4 * SEC,
             overload_factor: 2.0,
@@ -316,6 +318,35 @@
     assert_eq!(picks([5, 4], 3, Roll::Whole), [true, true]);
 }
 
+/// Guards against picks at machines that went while a front was down: their going counts as told though it was not heard.
+#[test]
+fn a_front_that_hears_no_roster_after_its_start_soon_stops_trusting_the_old_one() {
+    let picks_after = |waited: Ns, told_within: Ns, heard: Option<Roll>| {
+        let mut desk = Desk { now: 100 * SEC, ..Desk::default() };
+        let guard = Guard { told_within, ..post().guard };
+        let mut front = Front::start(Post { ask_roster: true, guard, ..post() }, &mut desk);
+        let known: Vec<Member> = (0..6).map(|i| member(i, 1, None)).collect();
+        front.members(&mut desk, Roll::Saved, &known);
+        front.told(&mut desk, Reply::News, standing(1, 0, Phase::Released, 1.0, 0));
+        desk.now += waited;
+        if let Some(roll) = heard {
+            front.members(&mut desk, roll, if roll == Roll::Whole { &known } else { &[] });
+        }
+        take(&mut front, &mut desk, 0, 0);
+        assert_eq!(desk.picks.len() + desk.pushed_back.len(), 1);
+        desk.picks.len()
+    };
+    let told_within = 6 * SEC;
+    assert_eq!(picks_after(SEC, told_within, None), 1);
+    // Down for five seconds, and the machine went just when it was: told after six, and its grace is over.
+    assert_eq!(picks_after(2 * SEC, told_within, None), 0);
+    assert_eq!(picks_after(2 * SEC, told_within, Some(Roll::Failed)), 0);
+    assert_eq!(picks_after(2 * SEC, told_within, Some(Roll::Changes)), 1);
+    assert_eq!(picks_after(60 * SEC, told_within, Some(Roll::Whole)), 1);
+    // Where only what is heard counts as told, an old roster serves.
+    assert_eq!(picks_after(60 * SEC, 0, None), 1);
+}
+
 /// The same fault elsewhere: a release drains the build before, and a front whose watch was lost is not told.
 #[test]
 fn a_build_that_was_followed_by_a_release_gets_nothing_while_the_roster_is_not_heard() {
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -191,6 +191,8 @@
         },
         guard: Guard {
             ask_within: terms.time("invariants.askWithinMs")?,
+            told_within: 0,
+            drain_grace: terms.time("invariants.drainGraceMs")?,
             cold_from: terms.get("invariants.coldFrom", 1.0, number)?,
             cold_time: terms.time("invariants.coldMs")?,
             overload_factor: terms.get("invariants.overloadFactor", 1.0, number)?,
