--- a/cli/src/lines.rs
+++ b/cli/src/log_writer.rs
@@ -18,18 +18,18 @@
 }
 
 #[derive(Clone)]
-pub struct Lines {
+pub struct LogWriter {
     to: SyncSender<Word>,
     left_out: Arc<AtomicU64>,
 }
 
-impl Lines {
-    pub fn begin(log: Log) -> Lines {
+impl LogWriter {
+    pub fn begin(log: Log) -> LogWriter {
         let (to, from) = sync_channel(WAITING);
-        let lines = Lines { to, left_out: Arc::default() };
-        let left_out = lines.left_out.clone();
+        let writer = LogWriter { to, left_out: Arc::default() };
+        let left_out = writer.left_out.clone();
         std::thread::spawn(move || write(log, &from, &left_out));
-        lines
+        writer
     }
 
     /// Waits until what was said is written, but not for ever.
@@ -66,7 +66,7 @@
     }
 }
 
-impl Write for Lines {
+impl Write for LogWriter {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
         if self.to.try_send(Word::Line(line.to_vec())).is_err() {
             self.left_out.fetch_add(1, Ordering::Relaxed);
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -13,8 +13,8 @@
 mod bench;
 mod fleet;
 mod lab;
-mod lines;
 mod load;
+mod log_writer;
 mod storms;
 mod tenants;
 
@@ -465,9 +465,9 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    let lines = lines::Lines::begin(cli.log);
-    let theirs = lines.clone();
-    let made = tracing_subscriber::fmt().with_writer(move || theirs.clone()).with_target(false);
+    let log_writer = log_writer::LogWriter::begin(cli.log);
+    let shared = log_writer.clone();
+    let made = tracing_subscriber::fmt().with_writer(move || shared.clone()).with_target(false);
     match cli.log {
         Log::Json => made.json().flatten_event(true).init(),
         Log::Text => made.with_ansi(false).init(),
@@ -480,7 +480,7 @@
         None => Ok(code),
         Some(why) => Err(Bad2(format!("standard output: {why}"))),
     });
-    lines.end();
+    log_writer.end();
     match end {
         Ok(code) => code,
         Err(Bad2(why)) => {
