A connection that finds no room at all is told so before it is closed

Now such a stream is read as far as it has come, told 53300 and closed, also where descriptors have run out. Why it works: a close upon unread bytes is a reset, one upon none is an end behind the words.

--- a/net/src/net.rs
+++ b/net/src/net.rs
@@ -260,6 +260,8 @@
     pub most_streams: usize,
     /// Most streams that are closing.
     pub most_closing: usize,
+    /// What a stream that finds no room is told before it is closed.
+    pub refusal: Vec<u8>,
     /// Connections whose answer is out, and whose next request may be waiting.
     answered: Vec<Id>,
     /// Most client connections; one more is answered 503 at once.
@@ -340,6 +342,7 @@
             closing: 0,
             most_streams: crate::MAX_STREAMS,
             most_closing: crate::MOST_CLOSING,
+            refusal: Vec::new(),
             answered: Vec::new(),
             most_clients,
             head_time: HEAD_TIME,
--- a/net/src/streams.rs
+++ b/net/src/streams.rs
@@ -18,6 +18,8 @@
 /// Streams that are closing at once, unless told otherwise; one more is closed for good: a flood of them must not hold
 /// descriptors.
 pub const MOST_CLOSING: usize = 16;
+/// What is read of a stream that is refused as it comes: first words, and no flood.
+const MOST_READ_OF_REFUSED: usize = 16 * 1_024;
 /// Last words on their way to a slow reader are waited for so long: after it few clients still wait for an answer.
 const LAST_WORDS: Ns = 3 * SEC;
 
@@ -183,7 +185,9 @@
                     // for ever.
                     self.spare = None;
                     if let Some(Sock::Streams(l)) = self.get(listener).map(|s| &s.sock) {
-                        drop(l.accept());
+                        if let Ok((io, _)) = l.accept() {
+                            refuse(io, &self.refusal);
+                        }
                     }
                     self.refused += 1;
                     self.spare = spare();
@@ -193,6 +197,7 @@
             };
             if self.streams >= self.most_streams || io.set_nonblocking(true).is_err() {
                 self.refused += 1;
+                refuse(io, &self.refusal);
                 continue;
             }
             let _ = io.set_nodelay(true);
@@ -263,6 +268,24 @@
     }
 }
 
+/// Closes a stream that finds no room with words that say so. What has come is read first: a close upon unread bytes
+/// resets the connection, and the words may be lost.
+fn refuse(mut io: TcpStream, words: &[u8]) {
+    if io.set_nonblocking(true).is_err() {
+        return;
+    }
+    let mut scratch = [0; 4_096];
+    let mut read = 0;
+    while read < MOST_READ_OF_REFUSED {
+        match io.read(&mut scratch) {
+            Ok(n) if n > 0 => read += n,
+            _ => break,
+        }
+    }
+    // A peer that takes no words, on a new connection, is gone.
+    let _ = io.write(words);
+}
+
 impl Stream {
     fn new(io: TcpStream, up: bool, until: Ns) -> Stream {
         Stream { io, out: Vec::new(), sent: 0, up, until, paused: false, closing: false, dropped: 0 }
--- a/node/src/clients.rs
+++ b/node/src/clients.rs
@@ -143,6 +143,13 @@
     }
 }
 
+/// What a new connection is told for which there is no room.
+pub fn too_many_connections() -> Vec<u8> {
+    let mut out = Vec::new();
+    pg::put_error(&mut out, true, pg::TOO_MANY, "too many connections", None);
+    out
+}
+
 /// What a client's bytes came to.
 pub enum Asked {
     Nothing,
@@ -155,9 +162,7 @@
         let now = self.net.now();
         if self.clients.all.len() >= self.clients.most && !self.make_room() {
             self.clients.turned_away += 1;
-            let mut out = Vec::new();
-            pg::put_error(&mut out, true, pg::TOO_MANY, "too many connections", None);
-            self.net.send(id, &out);
+            self.net.send(id, &too_many_connections());
             return self.net.finish(id);
         }
         let client = Client { since: now, ..Client::default() };
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -52,6 +52,7 @@
     let say = |err: std::io::Error| err.to_string();
     let mut net = Net::new(0).map_err(say)?;
     net.most_streams = startup.sockets - crate::connection_pool::OURS / 2;
+    net.refusal = crate::clients::too_many_connections();
     for signal in [SIGHUP, SIGTERM, SIGINT] {
         net.on_signal(signal).map_err(say)?;
     }
