A watch that gives signs of life alone tells that the roster at start is still true

Callers would have seen a restarted node reject all RPCs for good, from 1.6 s after its start, where discovery has no news for it: it sends a sign of life alone then, which did not count as a roster heard. Now the first sign of life on a watch is told to the module as a list without changes. Why it works: the watch goes on from the list at start, and discovery's first object holds what changed since.

--- a/cli/tests/moments.rs
+++ b/cli/tests/moments.rs
@@ -71,6 +71,18 @@
     assert_eq!(platform.asked.lock().unwrap()[0], 1, "on the first watch");
 }
 
+/// Guards against a restarted node that takes a roster without news for one that it does not hear, and rejects for good.
+#[test]
+fn a_watch_that_only_lives_tells_that_the_roster_at_start_is_true() {
+    let a = machine(&[Does::Answers]);
+    let platform = Platform::begin();
+    let node = Node::begin(&configuration(&platform, &[("a", a.at, 1, "active")]));
+    until("the watch speaks", || platform.last_sign.lock().unwrap().is_some());
+    // An old roster alone would serve for 1.6 s.
+    std::thread::sleep(Duration::from_millis(1_800));
+    assert_eq!(node.client().rpc(&lookup(1, 900)), value());
+}
+
 /// What a silent watch misses counts 6 s after it fell silent: another must be had in that time at the second try, and one
 /// that never speaks must not be all that is tried.
 #[test]
--- a/node/src/control_links.rs
+++ b/node/src/control_links.rs
@@ -204,14 +204,17 @@
             if bad {
                 break;
             }
+            let sign_of_life = line.trim_ascii().is_empty();
             match self.discovery.watches[at].telling(line) {
+                // Nothing has changed since the list that it goes on from: that is known now.
+                Ok(None) if sign_of_life && !self.discovery.watches[at].serves => {
+                    self.watch_serves(at);
+                    tells.push(Tell::Members(Roll::Changes, Vec::new()));
+                }
                 Ok(None) => {}
                 Ok(Some(told)) => match roster::read(&told, &mut self.startup.zones) {
                     Some(telling) => {
-                        let watch = &mut self.discovery.watches[at];
-                        if !std::mem::replace(&mut watch.serves, true) {
-                            tracing::info!(event = "watch serves", after_ms = (now - watch.asked) / MS);
-                        }
+                        self.watch_serves(at);
                         let roll = if telling.whole { Roll::Whole } else { Roll::Changes };
                         tells.push(self.listed(roll, telling));
                     }
@@ -234,6 +237,14 @@
         tells
     }
 
+    fn watch_serves(&mut self, at: usize) {
+        let now = self.net.now();
+        let watch = &mut self.discovery.watches[at];
+        if !std::mem::replace(&mut watch.serves, true) {
+            tracing::info!(event = "watch serves", after_ms = (now - watch.asked) / MS);
+        }
+    }
+
     /// A call to discovery has ended, or its time is up.
     pub fn discovery_over(&mut self, call: Id, end: Option<End>) -> Vec<Tell> {
         if self.discovery.fetch != Some(call) {
