Scripted peers of the node move from the tests to standin, for a soak to use

A soak of the live node needs the machines, discovery, platform and clients that cli/tests/peers had; they are moved, not written twice.

--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod machine;
 pub mod record;
 pub mod schedule;
+pub mod scripted;
 pub mod shop;
 
 pub use client::Clients;
