--- a/rehearse/src/day.rs
+++ b/rehearse/src/day.rs
@@ -14,7 +14,8 @@
     /// still), quiet (one good build), short (eleven seconds, one build on trial), calm (no build) or stop (no
     /// build; all machines stand still for five seconds) cold (no build; all machines are lost and come back) or directory
     /// (tenants from a directory that is lost in a burst and returns with changes) or peers (fronts that keep company under
-    /// a storm drawn from the seed).
+    /// a storm drawn from the seed) or node (the live node among scripted peers, under faults drawn from the seed; only --seed,
+    /// --seconds and --out count).
     #[arg(long, default_value = "morning")]
     pub day: String,
     /// A kind of trouble, for a day of its own; may be given several times. `list` names them.
@@ -180,6 +181,11 @@
         self.day == "peers" && self.trouble.is_empty()
     }
 
+    /// A soak of the live node.
+    pub fn is_of_node(&self) -> bool {
+        self.day == "node" && self.trouble.is_empty()
+    }
+
     /// # Errors
     /// Names the argument that makes no sense.
     pub fn check(&self) -> Result<(), String> {
@@ -199,8 +205,8 @@
     }
 }
 
-pub fn days() -> [&'static str; 8] {
-    ["morning", "quiet", "short", "calm", "stop", "cold", "directory", "peers"]
+pub fn days() -> [&'static str; 9] {
+    ["morning", "quiet", "short", "calm", "stop", "cold", "directory", "peers", "node"]
 }
 
 /// The storm of a day of peers: it begins with the traffic, and leaves time for a second build after it.
--- a/rehearse/src/lib.rs
+++ b/rehearse/src/lib.rs
@@ -10,6 +10,7 @@
 mod crew;
 pub mod day;
 pub mod judge;
+pub mod node_soak;
 mod watch;
 
 pub use crew::{print, written};
@@ -69,5 +70,9 @@
 /// # Errors
 /// A plan that makes no sense, processes that can't be started.
 pub fn run(plan: Plan) -> Result<bool, String> {
+    if plan.is_of_node() {
+        plan.check()?;
+        return node_soak::play(plan.seed, plan.seconds, plan.out);
+    }
     crew::play(plan)
 }
