--- a/rehearse/src/node_soak/checker.rs
+++ b/rehearse/src/node_soak/checker.rs
@@ -70,6 +70,13 @@
     pub end: Option<ConnectionEnd>,
 }
 
+impl Request {
+    /// When those behind it on its connection begin to count: at its answer, else at its deadline.
+    pub fn answered_by(&self) -> Ns {
+        self.answers.first().map_or(self.due_from + self.wait, |(at, _)| *at)
+    }
+}
+
 /// A request that came to a machine.
 #[derive(Clone, Copy, Debug)]
 pub struct Attempt {
