--- a/rehearse/src/crew.rs
+++ b/rehearse/src/crew.rs
@@ -181,10 +181,7 @@
     let out = plan.out.clone().unwrap_or_else(|| {
         std::env::temp_dir().join(format!("rockpick-rehearsal-{}-{}", std::process::id(), clock() / SEC))
     });
-    std::fs::create_dir_all(&out).map_err(|err| format!("{}: {err}", out.display()))?;
-    if std::fs::read_dir(&out).map_err(|err| err.to_string())?.next().is_some() {
-        return Err(format!("--out {}: not empty", out.display()));
-    }
+    crate::begin_folder(&out)?;
     let text = serde_json::to_string(&plan).map_err(|err| err.to_string())?;
     std::fs::write(out.join("plan.json"), text).map_err(|err| format!("plan.json: {err}"))?;
     let mut crew = Crew::assemble(plan, charter, out)?;
--- a/rehearse/src/lib.rs
+++ b/rehearse/src/lib.rs
@@ -19,6 +19,7 @@
 use rockpick_net::{Call, End, Event, Net, MS, SEC};
 use std::io::Write;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::{Mutex, PoisonError};
 
 /// What became of standard output, if something could not be written there.
@@ -65,6 +66,18 @@
     Err(format!("{to}: no answer within 5 s"))
 }
 
+/// Makes the folder of a day's records.
+///
+/// # Errors
+/// It can't be made, or is not empty.
+fn begin_folder(out: &Path) -> Result<(), String> {
+    std::fs::create_dir_all(out).map_err(|err| format!("{}: {err}", out.display()))?;
+    if std::fs::read_dir(out).map_err(|err| err.to_string())?.next().is_some() {
+        return Err(format!("--out {}: not empty", out.display()));
+    }
+    Ok(())
+}
+
 /// Plays a day; true when no rule was broken.
 ///
 /// # Errors
--- a/rehearse/src/node_soak/fleet.rs
+++ b/rehearse/src/node_soak/fleet.rs
@@ -162,7 +162,7 @@
             Later::Goes(machine) => {
                 self.machines[machine].set_up(false);
                 self.list(machine, Health::Gone);
-                (machine < USUAL_MACHINES).then_some((COMES_BACK_AFTER, Later::ComesBack(machine)))
+                Some((COMES_BACK_AFTER, Later::ComesBack(machine)))
             }
             Later::ComesBack(machine) => {
                 self.start_cold(machine, FIRST_BUILD);
@@ -177,8 +177,8 @@
         self.list(machine, Health::Active);
     }
 
-    /// A build on trial comes up, gets more, or is sent back; gives what follows.
-    pub fn release_step(&mut self) -> Option<(Duration, Later)> {
+    /// A build on trial comes up, gets more, or is sent back.
+    pub fn release_step(&mut self) {
         let Release { build, stage, status, .. } = self.release;
         let trial = USUAL_MACHINES..USUAL_MACHINES + TRIAL_MACHINES;
         match (status, stage) {
@@ -199,7 +199,6 @@
                 trial.for_each(|machine| self.start_cold(machine, build + 1));
             }
         }
-        None
     }
 
     fn announce(&mut self, release: Release) {
--- a/rehearse/src/node_soak/mod.rs
+++ b/rehearse/src/node_soak/mod.rs
@@ -83,15 +83,16 @@
     if length > LONGEST {
         return Err(format!("--seconds: a soak lasts {} s at most", LONGEST.as_secs()));
     }
+    let kept = out.is_some();
     let folder = match out {
         Some(out) => out,
         None => tempfile::tempdir().map_err(|err| err.to_string())?.keep(),
     };
-    std::fs::create_dir_all(&folder).map_err(|err| format!("{}: {err}", folder.display()))?;
+    crate::begin_folder(&folder)?;
     let evidence = Soak::begin(folder.clone())?.run(seed, length)?;
     let breaches = judge(&LIMITS, &evidence);
     report(seed, &evidence, &breaches);
-    if breaches.is_empty() {
+    if breaches.is_empty() && !kept {
         let _ = std::fs::remove_dir_all(&folder);
     } else {
         println!("the node's logs: {}", folder.display());
@@ -248,11 +249,7 @@
                 self.fleet.machines[machine].behaves(conduct);
                 self.enter(act.lasts, Later::Conduct(machine));
             }
-            Fault::ReleaseStep => {
-                if let Some((after, next)) = self.fleet.release_step() {
-                    self.enter(after, Later::Fleet(next));
-                }
-            }
+            Fault::ReleaseStep => self.fleet.release_step(),
             Fault::Crowd => {
                 for i in 0..CROWD {
                     let shared = self.shared.clone();
