A close at rest tells a crossing request that it was not read; the just welcomed stay

Cause, two halves. `make_room` took the first resting connection by (spoke, since), so one that was welcomed a moment ago and has its first request on the way went before one that has rested for long. And `close_client` looked for unread bytes, shut the sending side (an end, 0.13 ms later under strace), then read on for a second and dropped what came: a request between look and shutdown was read and thrown away, and its client saw an end, which tells nothing.

Change: who was welcomed or answered within half a second gives way to nobody (a newcomer is told 53300 where no other rests); who was never welcomed still gives way at once, as nothing was said on either side. Last words (errors, answers before a close, slow readers) are still waited for as before. Counters closed_for_room, closed_idle and closed_in_stop tell of such closes.

Why it works: close() takes the socket's lock once for both, so no request can come between its look and its end.

Tests: a_request_that_crosses_a_close_at_rest_resets_its_connection (an end, Ok(0), with the former close) and who_was_welcomed_a_moment_ago_does_not_give_way both failed before. Two tests had connections answered a moment ago give way, which is the fault: they now let them rest first, their checks are as they were.

--- a/cli/tests/moments.rs
+++ b/cli/tests/moments.rs
@@ -265,6 +265,8 @@
             client
         })
         .collect();
+    // Only who has rested for half a second gives way.
+    std::thread::sleep(Duration::from_millis(600));
     node.signal(Signal::STOP);
     let mut new = node.stranger();
     clients[0].ask(&save(100, 1_900));
--- a/node/src/clients.rs
+++ b/node/src/clients.rs
@@ -4,7 +4,7 @@
 use crate::effects::Effects;
 use crate::Startup;
 use rockpick::Ns;
-use rockpick_net::{Event, Id, Net, MS, SEC};
+use rockpick_net::{Event, Id, MS, SEC};
 use rockpick_pg::{self as pg, Cut, Start};
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
@@ -19,6 +19,8 @@
 /// Once the door is closed, a connection that came last may still bring its first RPC for so long: clients send it with
 /// their first words.
 const FIRST_WORDS: Ns = SEC / 2;
+/// A connection that was welcomed or answered so recently may have its next request on the way: it gives way to no new one.
+pub const MIN_REST: Ns = SEC / 2;
 /// RPCs of one connection that are open at once; those behind them wait. So many answers of the largest value that the
 /// platform promises (64 KiB) are half of what a stream may leave unsent.
 const MOST_OPEN: usize = 32;
@@ -57,9 +59,11 @@
     came: Vec<u8>,
     /// Where the bytes of a turn end in `came`, and when they came.
     arrivals: VecDeque<(usize, Ns)>,
-    /// When it connected, and whether it has sent a command that could be read.
+    /// When it connected, or was last answered, and whether it has sent a command that could be read.
     since: Ns,
     spoke: bool,
+    /// When its last bytes came.
+    heard: Ns,
     odd: u32,
 }
 
@@ -70,7 +74,13 @@
         self.started && self.owed.is_empty() && matches!(next(), Ok(Cut::Whole { .. }) | Err(_))
     }
 
+    /// May it give way to a new connection? One that was never welcomed may at once: nothing was said on either side.
+    fn has_rested(&self, now: Ns) -> bool {
+        !self.started && self.came.is_empty() || now - self.since.max(self.heard) >= MIN_REST
+    }
+
     fn came(&mut self, bytes: &[u8], now: Ns) {
+        self.heard = now;
         self.came.extend_from_slice(bytes);
         let (end, room) = (self.came.len(), self.arrivals.len() < MOST_ARRIVALS);
         match self.arrivals.back_mut() {
@@ -114,6 +124,19 @@
     /// Bytes of replies that wait for those before them.
     held_back: usize,
     pub turned_away: u64,
+    /// Connections that were closed while nothing was owed on them.
+    pub closed: ClosedAtRest,
+}
+
+/// Why resting connections were closed, and how many.
+#[derive(Default)]
+pub struct ClosedAtRest {
+    /// For a new connection.
+    pub for_room: u64,
+    /// Their time was up.
+    pub idle: u64,
+    /// In a stop.
+    pub in_stop: u64,
 }
 
 impl Clients {
@@ -125,6 +148,7 @@
             kept: 0,
             held_back: 0,
             turned_away: 0,
+            closed: ClosedAtRest::default(),
         }
     }
 
@@ -172,17 +196,20 @@
     }
 
     /// Closes the longest silent connection for a new one, else that which has been longest between two RPCs, else one that
-    /// has sent half a command; none whose next RPC is here already.
+    /// has sent half a command; none that has not rested, or whose next RPC is here already.
     fn make_room(&mut self) -> bool {
+        let now = self.net.now();
         let (net, all) = (&mut self.net, &self.clients.all);
-        let rests = |net: &mut Net, id: &Id| all.get(id).is_some_and(|c| c.came.is_empty()) && net.quiet(*id);
-        let found = self.clients.quiet.iter().map(|(.., id)| *id).find(|id| rests(net, id));
-        if let Some(old) = found {
-            self.close_client(old);
+        let rested = |id: &Id| all.get(id).filter(|client| client.has_rested(now));
+        let idle = |id: &Id| rested(id).is_some_and(|c| c.came.is_empty());
+        let half = |id: &Id| rested(id).is_some_and(|c| !c.came.is_empty() && !c.holds_whole());
+        let ids = || self.clients.quiet.iter().map(|(.., id)| *id);
+        if let Some(old) = ids().find(|id| idle(id) && net.quiet(*id)) {
+            self.clients.closed.for_room += 1;
+            self.close_resting(old);
             return true;
         }
-        let half = |id: &Id| all.get(id).is_some_and(|c| !c.came.is_empty() && !c.holds_whole());
-        let found = self.clients.quiet.iter().map(|(.., id)| *id).find(|id| half(id) && net.quiet(*id));
+        let found = ids().find(|id| half(id) && net.quiet(*id));
         if let Some(old) = found {
             self.end_client(old, pg::NOT_NOW, "too many connections");
         }
@@ -214,14 +241,19 @@
             self.clients.hush(id);
             return self.net.pause(id, false);
         }
-        // Where nothing was said on either side, nothing can be lost.
-        let mute = !client.started && client.odd == 0 && client.came.is_empty();
         self.forget_client(id);
-        if mute {
-            self.net.close(id);
-        } else {
-            self.net.finish(id);
+        self.net.finish(id);
+    }
+
+    /// Closes a connection on which nothing is owed and nothing is to be said. A request may come after the look for unread
+    /// bytes: the kernel then resets the connection in place of ending it, which tells the client that it was not read.
+    pub fn close_resting(&mut self, id: Id) {
+        // A reset would lose an answer that is still on its way to a slow reader.
+        if self.net.backlog(id).is_some_and(|unsent| unsent > 0) {
+            return self.close_client(id);
         }
+        self.forget_client(id);
+        self.net.close(id);
     }
 
     /// The last words to a client that makes no sense, behind what else it is owed.
@@ -259,8 +291,9 @@
         if !client.owed.is_empty() {
             return;
         }
-        if client.came.is_empty() && (client.spoke || !client.started) {
-            self.close_client(id);
+        if client.came.is_empty() {
+            self.clients.closed.idle += 1;
+            self.close_resting(id);
         } else {
             self.end_client(id, pg::NOT_NOW, "no whole command in time");
         }
@@ -466,7 +499,8 @@
             (none && (c.spoke || first_over) && !net.unread(*id)).then_some(*id)
         };
         let rest: Vec<Id> = self.clients.all.iter().filter_map(rests).collect();
-        rest.into_iter().for_each(|id| self.close_client(id));
+        self.clients.closed.in_stop += rest.len() as u64;
+        rest.into_iter().for_each(|id| self.close_resting(id));
     }
 }
 
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -332,6 +332,7 @@
         let by_build = format!("{:?}", t.by_build);
         let ends = ENDS.map(|(name, how)| format!("{name} {}", t.ends[how as usize])).join(", ");
         let (conns, idle) = self.effects.pool.count();
+        let closed = &self.effects.clients.closed;
         if let Some(peers) = &self.peers {
             tracing::info!(event = "peers", counts = %peers.counts());
         }
@@ -350,6 +351,9 @@
             open = self.effects.door.in_use(),
             clients = self.effects.clients.count(),
             turned_away = self.effects.clients.turned_away,
+            closed_for_room = closed.for_room,
+            closed_idle = closed.idle,
+            closed_in_stop = closed.in_stop,
             conns,
             idle,
             dialled = self.effects.pool.dialled,
--- a/node/src/tests.rs
+++ b/node/src/tests.rs
@@ -1,10 +1,11 @@
 //! Moments between two lines of one turn: bytes that come once the turn's own have been read.
+use crate::clients::MIN_REST;
 use crate::effects::Effects;
 use crate::Startup;
-use rockpick_net::{Event, Id, Net, SEC};
+use rockpick_net::{Event, Id, Net, MS, SEC};
 use rockpick_pg as pg;
 use serde_json::json;
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::time::Duration;
 
@@ -49,6 +50,23 @@
         (io, id.unwrap())
     }
 
+    /// Connects, and returns the connection once it has been told.
+    fn newcomer(&mut self) -> (TcpStream, Id) {
+        let io = TcpStream::connect(self.at).unwrap();
+        let mut events = Vec::new();
+        loop {
+            self.effects.net.turn(&mut events, SEC).unwrap();
+            if let Some(Event::Came { conn }) = events.first() {
+                return (io, *conn);
+            }
+        }
+    }
+
+    /// Lets all connections rest until they may give way.
+    fn rest(&mut self) {
+        std::thread::sleep(Duration::from_nanos(MIN_REST as u64));
+    }
+
     fn welcomed(&mut self, id: Id, events: &mut Vec<Event>) -> bool {
         events.drain(..).any(|event| match event {
             Event::Bytes { conn, bytes } if conn == id => {
@@ -94,20 +112,48 @@
 fn who_has_just_spoken_does_not_give_way() {
     let mut place = place(64);
     let mut all: Vec<(TcpStream, Id)> = (0..10).map(|_| place.client()).collect();
-    let _new = TcpStream::connect(place.at).unwrap();
-    let mut events = Vec::new();
-    while events.is_empty() {
-        place.effects.net.turn(&mut events, SEC).unwrap();
-    }
+    place.rest();
+    let (_new, conn) = place.newcomer();
     // The turn's bytes have been read; only now the one that would give way speaks.
     let (io, id) = &mut all[0];
     speaks(&mut place, io, *id);
-    let Event::Came { conn } = events[0] else { panic!("{events:?}") };
     place.effects.client_came(conn);
     let owns: Vec<bool> = all.iter().map(|(_, id)| place.effects.clients.owns(*id)).collect();
     assert_eq!((owns[0], owns[1], place.effects.clients.owns(conn)), (true, false, true));
 }
 
+/// Guards against requests that get no answer as their connection is closed in a crowd, just welcomed.
+#[test]
+fn who_was_welcomed_a_moment_ago_does_not_give_way() {
+    let mut place = place(64);
+    let all: Vec<(TcpStream, Id)> = (0..10).map(|_| place.client()).collect();
+    let (mut turned_away, conn) = place.newcomer();
+    place.effects.client_came(conn);
+    assert!(all.iter().all(|(_, id)| place.effects.clients.owns(*id)));
+    let mut words = [0; 1024];
+    let many = turned_away.read(&mut words).unwrap();
+    assert!(String::from_utf8_lossy(&words[..many]).contains(pg::TOO_MANY));
+    place.rest();
+    let (_new, conn) = place.newcomer();
+    place.effects.client_came(conn);
+    let owns: Vec<bool> = all.iter().map(|(_, id)| place.effects.clients.owns(*id)).collect();
+    assert_eq!((owns[0], owns[1], place.effects.clients.owns(conn)), (false, true, true));
+}
+
+/// Guards against a request that is read and dropped as it crosses the close of its connection: its client sees a reset, which
+/// tells that it was not read, and no end.
+#[test]
+fn a_request_that_crosses_a_close_at_rest_resets_its_connection() {
+    let mut place = place(64);
+    let (mut io, id) = place.client();
+    speaks(&mut place, &mut io, id);
+    // The look for unread bytes was before.
+    place.effects.close_resting(id);
+    let mut events = Vec::new();
+    place.effects.net.turn(&mut events, 10 * MS).unwrap();
+    assert_eq!(io.read(&mut [0; 64]).map_err(|err| err.kind()), Err(ErrorKind::ConnectionReset));
+}
+
 /// At a start, and when a door closes, a new connection and its first words may be told in one turn.
 #[test]
 fn first_words_are_heard_after_their_connection_and_others_words_before_it() {
