The node logs what held it up: long turns, late timers, and answers after their time

An answer that leaves 50 ms or more after its client's time is a line with the RPC's id and its picks. Test: the_longest_turn_and_the_latest_timer_are_told_once.

--- a/node/src/effects.rs
+++ b/node/src/effects.rs
@@ -25,9 +25,12 @@
 const MOST_BUILDS: usize = 4;
 /// Lines of one kind in the log, a second.
 const LOG_LINES: u32 = 10;
+/// An answer that comes so long after its client's time is told in the log.
+const LATE_LOGGED_FROM: Ns = 50 * MS;
 
 /// An RPC whose slot is in use.
 pub struct Open {
+    pub id: u64,
     /// Its client's connection.
     pub conn: Id,
     pub method: usize,
@@ -178,7 +181,15 @@
     /// The final answer of an RPC, unless it has one; false where it came too late.
     fn answer(&mut self, rpc: usize, bytes: &[u8]) -> bool {
         let Some(open) = self.open[rpc].as_ref().filter(|_| !self.door.finished(rpc)) else { return false };
-        let (conn, late) = (open.conn, self.net.clock() >= open.gives_up);
+        let late_by = self.net.clock() - open.gives_up;
+        if late_by >= LATE_LOGGED_FROM {
+            if let Some(left_out) = self.often.may(self.net.now()) {
+                let id = format!("{:016x}", open.id);
+                let (late_ms, picks) = (late_by / MS, open.picks.len());
+                tracing::warn!(event = "late answer", id, late_ms, picks, left_out);
+            }
+        }
+        let (conn, late) = (open.conn, late_by >= 0);
         self.door.finish(rpc);
         // A client that has given up closes its connection; one that has not is owed its answer, however late: a
         // close without one leaves it to guess what became of its RPC.
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -5,6 +5,7 @@
 mod connection_pool;
 mod control_links;
 mod effects;
+mod lateness;
 mod node;
 mod startup;
 
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -3,6 +3,7 @@
 use crate::connection_pool::Came;
 use crate::control_links::{standing, Tell, ENDS};
 use crate::effects::{Effects, Open, DESK, DUE, MODULE, PEERS, RELOAD, STOP, TICK};
+use crate::lateness::Lateness;
 use crate::Startup;
 use rockpick::{Front, Ns, Outcome, Reply, Roll};
 use rockpick_net::{Event, Id, Net, MS, SEC};
@@ -40,6 +41,9 @@
     rested: Option<Ns>,
     /// How often a configuration that can't be read is still to be read again.
     again: u32,
+    /// When the next counts are due.
+    next_tick: Ns,
+    lateness: Lateness,
     /// The other fronts, where it was told to join them.
     peers: Option<Peers>,
 }
@@ -83,8 +87,19 @@
     if let Some(peers) = &peers {
         peers.tell_all(&mut front);
     }
-    let mut node =
-        Node { effects, front, listener, stopping: None, door_closed: None, rested: None, again: 0, peers };
+    let next_tick = effects.net.now() + TICK_EVERY;
+    let mut node = Node {
+        effects,
+        front,
+        listener,
+        stopping: None,
+        door_closed: None,
+        rested: None,
+        again: 0,
+        next_tick,
+        lateness: Lateness::default(),
+        peers,
+    };
     if let Some(telling) = at_start {
         let told = node.effects.listed(Roll::Saved, telling);
         node.tell(told);
@@ -94,7 +109,7 @@
         node.tell(Tell::Told(Reply::News, Some(news)));
     }
     node.effects.follow_desk();
-    node.effects.net.wake_at(node.effects.net.now() + TICK_EVERY, TICK);
+    node.effects.net.wake_at(next_tick, TICK);
     ready(at);
     tracing::info!(event = "node up", at = %at, sockets = node.effects.startup.sockets, machines = node.effects.door.machines());
     node.work(events)
@@ -105,11 +120,13 @@
         loop {
             events.append(&mut self.effects.made);
             self.effects.net.turn(&mut events, SEC).map_err(|err| err.to_string())?;
+            let many = events.len();
             events.sort_by_cached_key(|event| self.effects.rank(event));
             for event in events.drain(..) {
                 self.event(event);
                 self.settle();
             }
+            self.lateness.turn_over(self.effects.net.now(), self.effects.net.clock(), many);
             if self.ended() {
                 tracing::info!(event = "node down");
                 return Ok(());
@@ -302,7 +319,7 @@
             self.effects.open.resize_with(rpc + 1, || None);
         }
         let bytes = text.len();
-        self.effects.open[rpc] = Some(Open { conn, method, text, wait, gives_up, picks: Vec::new() });
+        self.effects.open[rpc] = Some(Open { id, conn, method, text, wait, gives_up, picks: Vec::new() });
         self.effects.tolls.taken += 1;
         self.effects.client_opens(conn, rpc, bytes);
         if gives_up <= self.effects.net.now() + MARGIN {
@@ -326,8 +343,11 @@
 
     fn tick(&mut self) {
         let now = self.effects.net.now();
-        self.effects.net.wake_at(now + TICK_EVERY, TICK);
+        self.lateness.timer_came(self.next_tick, now);
+        self.next_tick = now + TICK_EVERY;
+        self.effects.net.wake_at(self.next_tick, TICK);
         self.effects.forget_machines();
+        let longest = self.lateness.take_longest();
         let t = &self.effects.tolls;
         let by_build = format!("{:?}", t.by_build);
         let ends = ENDS.map(|(name, how)| format!("{name} {}", t.ends[how as usize])).join(", ");
@@ -349,6 +369,8 @@
             ends,
             by_build,
             open = self.effects.door.in_use(),
+            longest_turn_ms = longest.turn / MS,
+            latest_timer_ms = longest.timer / MS,
             clients = self.effects.clients.count(),
             turned_away = self.effects.clients.turned_away,
             closed_for_room = closed.for_room,
--- a/node/src/tests.rs
+++ b/node/src/tests.rs
@@ -1,6 +1,7 @@
 //! Moments between two lines of one turn: bytes that come once the turn's own have been read.
 use crate::clients::MIN_REST;
 use crate::effects::Effects;
+use crate::lateness::{Lateness, Longest};
 use crate::Startup;
 use rockpick_net::{Event, Id, Net, MS, SEC};
 use rockpick_pg as pg;
@@ -198,3 +199,14 @@
     events.sort_by_cached_key(|event| place.effects.rank(event));
     assert!(matches!(events.last(), Some(Event::Woke { .. })), "{events:?}");
 }
+
+/// Guards against a process that was held up, and does not say so.
+#[test]
+fn the_longest_turn_and_the_latest_timer_are_told_once() {
+    let mut lateness = Lateness::default();
+    lateness.turn_over(100 * MS, 800 * MS, 3);
+    lateness.turn_over(800 * MS, 801 * MS, 1);
+    lateness.timer_came(500 * MS, 801 * MS);
+    assert_eq!(lateness.take_longest(), Longest { turn: 700 * MS, timer: 301 * MS });
+    assert_eq!(lateness.take_longest(), Longest::default());
+}
