A node and a front listen only when all else of their start is done

Cause: `run` listened first and then read its roster, started the module, its log and its links. A process that is held up there is connected to by the kernel, takes requests, and answers none. Whoever is refused goes to another node.

Why it works: nobody can connect to a start that is held up, for whatever reason. Test: a_node_takes_no_connection_before_all_else_of_its_start_is_done (the former order connects).

--- a/front/src/hall.rs
+++ b/front/src/hall.rs
@@ -10,7 +10,7 @@
 use rockpick_control::release::MOST_BUILD;
 use rockpick_control::Charter;
 use rockpick_net::http::Request;
-use rockpick_net::{take_line, End, Event, Id, Net, Often, MS, SEC};
+use rockpick_net::{take_line, Bound, End, Event, Id, Net, Often, MS, SEC};
 use rockpick_peers::{Company, Peers, Seal};
 use serde_json::{json, Value};
 use std::collections::VecDeque;
@@ -83,7 +83,8 @@
         Some(file) => saved::load(file)?,
         None => None,
     };
-    let (_, at) = net.listen(opening.listen).map_err(|err| format!("{}: {err}", opening.listen))?;
+    let bound = Bound::to(opening.listen).map_err(|err| format!("{}: {err}", opening.listen))?;
+    let at = bound.at;
     let (notes, notes_at) = net.datagrams(SocketAddr::new(at.ip(), 0)).map_err(say)?;
     let no_settings = kept.is_none();
     let charter = kept.as_ref().map_or_else(|| Charter::example(1, 1), |k| k.settings.clone());
@@ -120,6 +121,8 @@
     if let Some(kept) = kept {
         hall.restore(kept)?;
     }
+    // Last: a client that connects to a start which is held up would wait, where one that is refused goes elsewhere.
+    hall.wire.net.listen_on(bound).map_err(|err| format!("{at}: {err}"))?;
     ready(at);
     tracing::info!(event = "front up", at = %at, settings_version = hall.version, saved = !no_settings);
     hall.tick();
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -11,7 +11,7 @@
 mod timers;
 
 pub use dues::Dues;
-pub use net::{skew, Call, End, Event, Id, Net, LINGER, MAX_BACKLOG, MAX_CALLS, MAX_IDLE};
+pub use net::{skew, Bound, Call, End, Event, Id, Net, LINGER, MAX_BACKLOG, MAX_CALLS, MAX_IDLE};
 pub use often::Often;
 pub use streams::{MAX_STREAMS, MOST_CLOSING};
 pub use timers::{Ns, Timers};
--- a/net/src/net.rs
+++ b/net/src/net.rs
@@ -285,13 +285,33 @@
     err.kind() == ErrorKind::WouldBlock || err.kind() == ErrorKind::Interrupted
 }
 
-/// A listener, and the address taken.
-pub(crate) fn bind(at: SocketAddr) -> io::Result<(TcpListener, SocketAddr)> {
-    let listener = TcpListener::bind(at)?;
-    listener.set_nonblocking(true)?;
-    rustix::net::listen(&listener, WAITING)?;
-    let taken = listener.local_addr()?;
-    Ok((listener, taken))
+/// An address that is taken, and takes no connection yet: one that comes before it listens is refused, and goes elsewhere.
+pub struct Bound {
+    socket: TcpListener,
+    pub at: SocketAddr,
+}
+
+impl Bound {
+    /// Takes an address; port 0 takes one from the system.
+    ///
+    /// # Errors
+    /// An address that can't be had.
+    pub fn to(at: SocketAddr) -> io::Result<Bound> {
+        use rustix::net::{bind, socket_with, sockopt, AddressFamily, SocketFlags, SocketType};
+        let family = if at.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+        let fd = socket_with(family, SocketType::STREAM, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC, None)?;
+        // An address whose former process has just ended can be had at once.
+        sockopt::set_socket_reuseaddr(&fd, true)?;
+        bind(&fd, &at)?;
+        let socket = TcpListener::from(fd);
+        let at = socket.local_addr()?;
+        Ok(Bound { socket, at })
+    }
+
+    pub(crate) fn listen(self) -> io::Result<TcpListener> {
+        rustix::net::listen(&self.socket, WAITING)?;
+        Ok(self.socket)
+    }
 }
 
 /// A connection that has begun to be made.
@@ -450,8 +470,17 @@
 
     /// Listens; port 0 takes one from the system. Returns the address taken.
     pub fn listen(&mut self, at: SocketAddr) -> io::Result<(Id, SocketAddr)> {
-        let (listener, taken) = bind(at)?;
-        Ok((self.add(Sock::Listener(listener), epoll::EventFlags::IN)?, taken))
+        let bound = Bound::to(at)?;
+        let taken = bound.at;
+        Ok((self.listen_on(bound)?, taken))
+    }
+
+    /// Listens on an address that was taken before.
+    ///
+    /// # Errors
+    /// A socket that can't listen, or be waited for.
+    pub fn listen_on(&mut self, bound: Bound) -> io::Result<Id> {
+        self.add(Sock::Listener(bound.listen()?), epoll::EventFlags::IN)
     }
 
     /// Takes no more connections, and closes those that owe nothing.
--- a/net/src/streams.rs
+++ b/net/src/streams.rs
@@ -1,6 +1,6 @@
 //! Streams of bytes in both directions, for protocols other than HTTP: dialled, or taken by a listener of
 //! their own. What crosses them is the caller's; bounds, back-pressure and closing are here.
-use crate::net::{bind, connecting, spare, would_block, Event, Id, Net, Sock, Stream};
+use crate::net::{connecting, spare, would_block, Bound, Event, Id, Net, Sock, Stream};
 use crate::net::{ACCEPTS, LINGER, MAX_BACKLOG};
 use crate::{Ns, SEC};
 use rustix::event::epoll::EventFlags;
@@ -29,8 +29,17 @@
     /// # Errors
     /// An address that can't be had.
     pub fn listen_streams(&mut self, at: SocketAddr) -> io::Result<(Id, SocketAddr)> {
-        let (listener, taken) = bind(at)?;
-        Ok((self.add(Sock::Streams(listener), EventFlags::IN)?, taken))
+        let bound = Bound::to(at)?;
+        let taken = bound.at;
+        Ok((self.listen_streams_on(bound)?, taken))
+    }
+
+    /// Listens for streams on an address that was taken before.
+    ///
+    /// # Errors
+    /// A socket that can't listen, or be waited for.
+    pub fn listen_streams_on(&mut self, bound: Bound) -> io::Result<Id> {
+        self.add(Sock::Streams(bound.listen()?), EventFlags::IN)
     }
 
     /// Dials; [`Event::Came`] tells that it is there, [`Event::Gone`] that it is not within the time given.
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -6,7 +6,7 @@
 use crate::lateness::Lateness;
 use crate::Startup;
 use rockpick::{Front, Ns, Outcome, Reply, Roll};
-use rockpick_net::{Event, Id, Net, MS, SEC};
+use rockpick_net::{Bound, Event, Id, Net, MS, SEC};
 use rockpick_peers::{Company, Peers};
 use rockpick_pg as pg;
 use rockpick_platform::{roster, statement};
@@ -31,10 +31,13 @@
 /// Counts in the log, and forgetting.
 const TICK_EVERY: Ns = SEC;
 
-struct Node {
+pub struct Node {
     effects: Effects,
     front: Front,
-    listener: Id,
+    pub at: SocketAddr,
+    /// Its address while nobody can connect to it yet.
+    bound: Option<Bound>,
+    listener: Option<Id>,
     /// When a stop began; when its door was closed; since when it owes nothing.
     stopping: Option<Ns>,
     door_closed: Option<Ns>,
@@ -53,70 +56,100 @@
 /// # Errors
 /// An address that can't be listened on, no signals, a loop that fails.
 pub fn run(startup: Startup, ready: impl FnOnce(SocketAddr)) -> Result<(), String> {
-    let say = |err: std::io::Error| err.to_string();
-    let mut net = Net::new(0).map_err(say)?;
-    net.most_streams = startup.sockets - crate::connection_pool::OURS / 2;
-    net.refusal = crate::clients::too_many_connections();
-    for signal in [SIGHUP, SIGTERM, SIGINT] {
-        net.on_signal(signal).map_err(say)?;
-    }
-    let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos() as i128);
-    let wall = since_1970 - i128::from(net.clock());
-    let (listener, at) =
-        net.listen_streams(startup.listen).map_err(|err| format!("{}: {err}", startup.listen))?;
-    let (post, known, stood) = (startup.post.clone(), startup.known.clone(), startup.stood);
-    let mut effects = Effects::new(net, startup, wall);
-    let mut events = Vec::new();
-    effects.net.turn(&mut events, 0).map_err(say)?;
-    // The watch goes on from the list at start. Asked for all since the beginning, discovery has no word of a machine
-    // that came and left in between, and a list that still has it up would never be put right.
-    let at_start = roster::read(&known, &mut effects.startup.zones);
-    effects.discovery.seq = at_start.as_ref().map_or(0, |telling| telling.seq);
-    // Where lists are pushed the module asks for none; here a watch is what brings them.
-    if !post.ask_roster {
-        effects.watch_roster(true);
-    }
-    let mut front = Front::start(post, &mut effects);
-    let peers = match effects.startup.circle.clone() {
-        Some(circle) => {
-            let (name, told) = (effects.startup.name.clone(), effects.startup.post.fronts);
-            Some(Peers::begin(&mut effects.net, &name, told, &circle, PEERS)?)
+    let mut node = Node::prepare(startup)?;
+    node.listen()?;
+    ready(node.at);
+    tracing::info!(event = "node up", at = %node.at, sockets = node.effects.startup.sockets, machines = node.effects.door.machines());
+    node.work()
+}
+
+/// Says of an error what the system says of it.
+fn say(err: std::io::Error) -> String {
+    err.to_string()
+}
+
+impl Node {
+    /// All of a start but that clients can connect.
+    ///
+    /// # Errors
+    /// An address that can't be had, no signals, a loop that fails.
+    pub fn prepare(startup: Startup) -> Result<Node, String> {
+        let mut net = Net::new(0).map_err(say)?;
+        net.most_streams = startup.sockets - crate::connection_pool::OURS / 2;
+        net.refusal = crate::clients::too_many_connections();
+        for signal in [SIGHUP, SIGTERM, SIGINT] {
+            net.on_signal(signal).map_err(say)?;
         }
-        None => None,
-    };
-    if let Some(peers) = &peers {
-        peers.tell_all(&mut front);
-    }
-    let next_tick = effects.net.now() + TICK_EVERY;
-    let mut node = Node {
-        effects,
-        front,
-        listener,
-        stopping: None,
-        door_closed: None,
-        rested: None,
-        again: 0,
-        next_tick,
-        lateness: Lateness::default(),
-        peers,
-    };
-    if let Some(telling) = at_start {
-        let told = node.effects.listed(Roll::Saved, telling);
-        node.tell(told);
+        let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos() as i128);
+        let wall = since_1970 - i128::from(net.clock());
+        let bound = Bound::to(startup.listen).map_err(|err| format!("{}: {err}", startup.listen))?;
+        let (post, known, stood) = (startup.post.clone(), startup.known.clone(), startup.stood);
+        let mut effects = Effects::new(net, startup, wall);
+        let mut events = Vec::new();
+        effects.net.turn(&mut events, 0).map_err(say)?;
+        // The watch goes on from the list at start. Asked for all since the beginning, discovery has no word of a machine
+        // that came and left in between, and a list that still has it up would never be put right.
+        let at_start = roster::read(&known, &mut effects.startup.zones);
+        effects.discovery.seq = at_start.as_ref().map_or(0, |telling| telling.seq);
+        // Where lists are pushed the module asks for none; here a watch is what brings them.
+        if !post.ask_roster {
+            effects.watch_roster(true);
+        }
+        let mut front = Front::start(post, &mut effects);
+        let peers = match effects.startup.circle.clone() {
+            Some(circle) => {
+                let (name, told) = (effects.startup.name.clone(), effects.startup.post.fronts);
+                Some(Peers::begin(&mut effects.net, &name, told, &circle, PEERS)?)
+            }
+            None => None,
+        };
+        if let Some(peers) = &peers {
+            peers.tell_all(&mut front);
+        }
+        let next_tick = effects.net.now() + TICK_EVERY;
+        let mut node = Node {
+            effects,
+            front,
+            at: bound.at,
+            bound: Some(bound),
+            listener: None,
+            stopping: None,
+            door_closed: None,
+            rested: None,
+            again: 0,
+            next_tick,
+            lateness: Lateness::default(),
+            peers,
+        };
+        if let Some(telling) = at_start {
+            let told = node.effects.listed(Roll::Saved, telling);
+            node.tell(told);
+        }
+        if let Some(stood) = stood {
+            let news = standing(node.effects.net.now(), stood);
+            node.tell(Tell::Told(Reply::News, Some(news)));
+        }
+        node.effects.follow_desk();
+        node.effects.net.wake_at(next_tick, TICK);
+        node.effects.made.append(&mut events);
+        Ok(node)
     }
-    if let Some(stood) = stood {
-        let news = standing(node.effects.net.now(), stood);
-        node.tell(Tell::Told(Reply::News, Some(news)));
+
+    /// Lets clients connect. It comes last in a start: a client that connects to a process which is still
+    /// held up there would wait beyond its time, where one that is refused goes to another node.
+    ///
+    /// # Errors
+    /// A socket that can't listen.
+    pub fn listen(&mut self) -> Result<(), String> {
+        let bound = self.bound.take().ok_or("it listens already")?;
+        let at = bound.at;
+        let listener = self.effects.net.listen_streams_on(bound).map_err(|err| format!("{at}: {err}"))?;
+        self.listener = Some(listener);
+        Ok(())
     }
-    node.effects.follow_desk();
-    node.effects.net.wake_at(next_tick, TICK);
-    ready(at);
-    tracing::info!(event = "node up", at = %at, sockets = node.effects.startup.sockets, machines = node.effects.door.machines());
-    node.work(events)
-}
 
-impl Node {
-    fn work(mut self, mut events: Vec<Event>) -> Result<(), String> {
+    fn work(mut self) -> Result<(), String> {
+        let mut events = Vec::new();
         loop {
             events.append(&mut self.effects.made);
             self.effects.net.turn(&mut events, SEC).map_err(|err| err.to_string())?;
@@ -434,15 +467,16 @@
             return;
         }
         self.door_closed = Some(now);
+        let Some(listener) = self.listener.take() else { return };
         let mut events = Vec::new();
         loop {
             let before = events.len();
-            self.effects.net.accept_streams(&mut events, self.listener);
+            self.effects.net.accept_streams(&mut events, listener);
             if events.len() == before {
                 break;
             }
         }
-        self.effects.net.close(self.listener);
+        self.effects.net.close(listener);
         self.effects.made.append(&mut events);
         // Nobody comes any more for whom descriptors are to be kept.
         self.effects.net.most_closing = self.effects.net.most_streams;
--- a/node/src/tests.rs
+++ b/node/src/tests.rs
@@ -2,6 +2,7 @@
 use crate::clients::MIN_REST;
 use crate::effects::Effects;
 use crate::lateness::{Lateness, Longest};
+use crate::node::Node;
 use crate::Startup;
 use rockpick_net::{Event, Id, Net, MS, SEC};
 use rockpick_pg as pg;
@@ -15,14 +16,18 @@
     at: std::net::SocketAddr,
 }
 
-/// A node's tables and sockets without its loop, so that a test says what comes when.
-fn place(sockets: usize) -> Place {
+fn startup(sockets: usize) -> Startup {
     let told = json!({ "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "limits": { "sockets": sockets },
         "settings": { "lanes": [{ "name": "lookup", "deadlineMs": 2000.0 }] } });
     let file = tempfile::NamedTempFile::new().unwrap();
     std::fs::write(file.path(), told.to_string()).unwrap();
     let file = file.path().display().to_string();
-    let startup = Startup::read(|name| (name == "PROXY_CONFIG").then(|| file.clone())).unwrap();
+    Startup::read(|name| (name == "PROXY_CONFIG").then(|| file.clone())).unwrap()
+}
+
+/// A node's tables and sockets without its loop, so that a test says what comes when.
+fn place(sockets: usize) -> Place {
+    let startup = startup(sockets);
     let mut net = Net::new(0).unwrap();
     let (_, at) = net.listen_streams("127.0.0.1:0".parse().unwrap()).unwrap();
     Place { effects: Effects::new(net, startup, 0), at }
@@ -210,3 +215,13 @@
     assert_eq!(lateness.take_longest(), Longest { turn: 700 * MS, timer: 301 * MS });
     assert_eq!(lateness.take_longest(), Longest::default());
 }
+
+/// Guards against requests without an answer at a node whose start is held up: nobody can connect before its end.
+#[test]
+fn a_node_takes_no_connection_before_all_else_of_its_start_is_done() {
+    let mut node = Node::prepare(startup(64)).unwrap();
+    let at = node.at;
+    assert_eq!(TcpStream::connect(at).map_err(|err| err.kind()).err(), Some(ErrorKind::ConnectionRefused));
+    node.listen().unwrap();
+    TcpStream::connect(at).unwrap();
+}
