--- a/cli/tests/node_soak.rs
+++ b/cli/tests/node_soak.rs
@@ -17,7 +17,7 @@
     soak(1);
 }
 
-/// The same with crowds of clients. Known red: a request that crosses the close of its connection is read and gets no answer.
+/// Guards against requests without an answer whose connections are closed for new ones of a crowd.
 #[test]
 fn a_soak_with_crowds_keeps_the_rules() {
     soak(9);
