Review case 2: requests taken late in a shutdown get no answer as the node ends

Cause: at a stop a new connection stays open for 0.95 s after SIGTERM, but the process ends 3.7 s after it whatever is open. A request taken later than 0.7 s that a hanging machine holds is not aborted before. Nothing is mended.

--- a/review/kit.rs
+++ b/review/kit.rs
@@ -15,6 +15,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 mod copies;
+mod stop;
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
@@ -678,6 +679,7 @@
     let trouble = std::env::var("TROUBLE").unwrap_or_default() != "0";
     let root = PathBuf::from(root);
     let broken = match case.as_str() {
+        "stop" => stop::run(&root, trouble),
         "copies" => copies::run(&root, trouble),
         _ => cannot("no such case"),
     };
