Review case 3: a node works by its old list too long after an outage of discovery

Cause: after the third late refusal the next call to discovery comes up to 10.5 s later, while a change counts as told 6 s after discovery had it and could be reached; a node that has heard a list goes by it meanwhile. Nothing is mended.

--- a/review/kit.rs
+++ b/review/kit.rs
@@ -15,6 +15,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 mod copies;
+mod drain;
 mod stop;
 
 extern "C" {
@@ -681,6 +682,7 @@
     let broken = match case.as_str() {
         "stop" => stop::run(&root, trouble),
         "copies" => copies::run(&root, trouble),
+        "drain" => drain::run(&root, trouble),
         _ => cannot("no such case"),
     };
     write_record(&Path::new(&folder).join("record.txt"));
