--- a/review/drain.rs
+++ b/review/drain.rs
@@ -142,7 +142,9 @@
                     if open.send(&write_statement(class, id, 3_000)).is_err() {
                         continue;
                     }
+                    note(format!("client of node {n}: {id:016x} {class} sent, d=3000"));
                     let answer = open.answer(3_550.0);
+                    note(format!("client of node {n}: {id:016x} {answer:?}"));
                     if !matches!(answer, Answer::Reset | Answer::Closed | Answer::Silent) {
                         client = Some(open);
                     }
