node: each request taken in a shutdown is answered before the process ends

Cause: nothing bound a deadline to the end of the process. shutdown_done ended it 3.7 s after SIGTERM whatever was open, while RPCs were taken with deadlines up to 3.95 s after it, without end on connections that never rest.

Change: node/src/shutdown.rs has the times of a stop, counted back from the earliest SIGKILL. At the signal the deadlines of open RPCs and picks are lowered to the time by which all is answered, and later RPCs get no later one; one second before it connections are read no further, but for the missing bytes of a half command (Net limit_read), and closed behind their answers. The log tells what a stop has to do and what it left.

--- a/cli/tests/hardening.rs
+++ b/cli/tests/hardening.rs
@@ -191,6 +191,31 @@
     wait_for_success(&mut front);
 }
 
+/// Guards against requests that are taken in a shutdown and not answered: one behind an open RPC of its connection is not taken,
+/// which the open one's answer tells by closing the connection.
+#[test]
+fn a_request_behind_an_open_one_is_not_taken_in_a_shutdown() {
+    let machine = ScriptedMachine::start(Behavior::Hangs);
+    let controller = controller_with_machines(&[("m", machine.at, 1, "up")]);
+    let mut front = front(controller.at, &[]);
+    wait_for_machines(&front, 1);
+    let mut io = TcpStream::connect(front.at).unwrap();
+    io.set_read_timeout(Some(TIMEOUT)).unwrap();
+    let request =
+        "POST /rpc/lodge HTTP/1.1\r\nHost: f\r\nRockpick-Time-Left-Ms: 1500\r\nContent-Length: 0\r\n\r\n";
+    io.write_all(request.as_bytes()).unwrap();
+    machine.requests.recv_timeout(TIMEOUT).unwrap();
+    signal(&front, Signal::TERM);
+    wait_until("the listener is closed", || TcpStream::connect(front.at).is_err());
+    let _ = io.write_all(request.as_bytes());
+    let mut answers = String::new();
+    let _ = io.read_to_string(&mut answers);
+    assert!(answers.starts_with("HTTP/1.1 504") && answers.contains("Connection: close"), "{answers}");
+    assert_eq!(answers.matches("HTTP/1.1").count(), 1, "{answers}");
+    wait_for_success(&mut front);
+    assert!(machine.requests.try_recv().is_err(), "the second went nowhere");
+}
+
 /// A client with a small receive window that has sent an RPC with a long answer, and has not read it yet.
 fn slow_reader(front: &Proc) -> TcpStream {
     use rustix::net::{connect, socket, sockopt, AddressFamily, SocketType};
--- a/net/src/deadline_queue.rs
+++ b/net/src/deadline_queue.rs
@@ -20,6 +20,11 @@
         self.timer_wanted()
     }
 
+    /// The deadline of `id`, if it has one.
+    pub fn get(&self, id: Id) -> Option<Ns> {
+        self.at.get(&id).copied()
+    }
+
     pub fn clear(&mut self, id: Id) {
         if let Some(at) = self.at.remove(&id) {
             self.order.remove(&(at, id));
--- a/net/src/net.rs
+++ b/net/src/net.rs
@@ -208,6 +208,8 @@
     pub(crate) expires_at: Ns,
     /// Reading is paused by the caller.
     pub(crate) paused: bool,
+    /// Most bytes that one read takes.
+    pub(crate) read_limit: usize,
     /// Closing: pending output is still sent; further input is dropped, up to a limit.
     pub(crate) closing: bool,
     pub(crate) dropped: usize,
--- a/net/src/streams.rs
+++ b/net/src/streams.rs
@@ -96,9 +96,28 @@
         }
     }
 
+    /// Limits how many bytes one turn reads from a stream; the rest stays unread. At least one byte is read.
+    pub fn limit_read(&mut self, conn: Id, bytes: usize) {
+        if let Some(stream) = self.stream_of(conn) {
+            stream.read_limit = bytes.max(1);
+        }
+    }
+
     /// Closes a stream once all output is sent and its peer has closed too, or after a limit of time and
-    /// bytes; no event follows.
+    /// bytes; further input is read and dropped, and no event follows.
     pub fn close_gracefully(&mut self, conn: Id) {
+        self.pause(conn, false);
+        self.limit_read(conn, usize::MAX);
+        self.close_after_output(conn);
+    }
+
+    /// The same, but further input stays unread.
+    pub fn close_without_reading(&mut self, conn: Id) {
+        self.pause(conn, true);
+        self.close_after_output(conn);
+    }
+
+    fn close_after_output(&mut self, conn: Id) {
         let (now, at_limit) = (self.now(), self.closing >= self.max_closing);
         let Some(stream) = self.stream_of(conn) else { return };
         let (already_closing, flushed) = (stream.closing, stream.sent == stream.out.len());
@@ -109,7 +128,7 @@
         }
         let Some(stream) = self.stream_of(conn) else { return };
         let expires_at = now + if flushed { LINGER } else { FLUSH_TIMEOUT };
-        (stream.closing, stream.paused, stream.expires_at) = (true, false, expires_at);
+        (stream.closing, stream.expires_at) = (true, expires_at);
         let shut = !flushed || stream.io.shutdown(Shutdown::Write).is_ok();
         self.closing += usize::from(!already_closing);
         if !shut {
@@ -239,7 +258,7 @@
         let Some(stream) = self.stream_of(id) else { return };
         if had_backlog && stream.out.is_empty() {
             if stream.closing {
-                return self.close_gracefully(id);
+                return self.close_after_output(id);
             }
             events.push(Event::StreamFlushed { conn: id });
         }
@@ -254,7 +273,8 @@
         }
         let mut read_buf = std::mem::take(&mut self.read_buf);
         if let Some(stream) = self.stream_of(id) {
-            match stream.io.read(&mut read_buf) {
+            let limit = stream.read_limit.min(read_buf.len());
+            match stream.io.read(&mut read_buf[..limit]) {
                 Ok(0) => self.stream_closed(events, id),
                 Ok(n) if stream.closing => {
                     stream.dropped += n;
@@ -307,6 +327,7 @@
             connected,
             expires_at,
             paused: false,
+            read_limit: usize::MAX,
             closing: false,
             dropped: 0,
         }
--- a/net/tests/streams.rs
+++ b/net/tests/streams.rs
@@ -1,6 +1,6 @@
 //! Tests of streams over real sockets: the last output of closing streams.
 use rockpick_net::{Event, Net, MAX_CLOSING_STREAMS, MS};
-use std::io::Read;
+use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
 
 /// Opens streams to a loop; returns the peer sockets and the ids.
@@ -50,3 +50,33 @@
     assert_eq!(read.join().unwrap().unwrap(), sent_bytes);
     assert_eq!(net.unflushed_closing(), 0);
 }
+
+/// Guards against input that is read and then dropped by a close: beyond the limit it stays unread, output before the close
+/// arrives, and the peer's unread input is reset.
+#[test]
+fn a_stream_is_read_up_to_its_limit_and_closed_without_reading_more() {
+    let mut net = Net::new(0).unwrap();
+    let (mut peer, conn) = streams(&mut net, 1).remove(0);
+    net.limit_read(conn, 3);
+    peer.write_all(b"abcdefg").unwrap();
+    let (mut events, mut received) = (Vec::new(), Vec::new());
+    while received.len() < 2 {
+        net.turn(&mut events, 10 * MS).unwrap();
+        received.extend(events.drain(..).filter_map(|event| match event {
+            Event::StreamData { bytes, .. } => Some(bytes),
+            _ => None,
+        }));
+    }
+    assert_eq!(received, [b"abc", b"def"]);
+    net.pause(conn, true);
+    assert!(net.send(conn, b"last"));
+    net.close_without_reading(conn);
+    net.turn(&mut events, 0).unwrap();
+    assert!(events.is_empty(), "{events:?}");
+    let mut last = Vec::new();
+    peer.read_to_end(&mut last).unwrap();
+    assert_eq!(last, b"last");
+    drop(net);
+    let refused = peer.write(b"h").map_err(|err| err.kind());
+    assert!(matches!(refused, Err(ErrorKind::ConnectionReset | ErrorKind::BrokenPipe)), "{refused:?}");
+}
--- a/node/src/clients.rs
+++ b/node/src/clients.rs
@@ -16,9 +16,6 @@
 const IDLE_TIMEOUT: Ns = 20 * SEC;
 /// Delay before a connection with unread bytes may expire: they are read in the next turn.
 const UNREAD_DELAY: Ns = 10 * MS;
-/// After the listener is closed, a connection without an RPC is kept open for this long: clients send the first one
-/// together with the startup message.
-const FIRST_RPC_GRACE: Ns = SEC / 2;
 /// A connection whose startup message or command was answered more recently than this may have a request on the way,
 /// and is not evicted.
 pub const MIN_IDLE: Ns = SEC / 2;
@@ -78,6 +75,15 @@
         !self.started && self.buffer.is_empty() || now - self.since.max(self.last_received) >= MIN_IDLE
     }
 
+    /// How many bytes complete the command that is being received, as far as its header tells; 0 between two commands.
+    fn missing_bytes(&self) -> usize {
+        match self.started {
+            _ if self.buffer.is_empty() => 0,
+            true => pg::missing_bytes(&self.buffer, pg::MAX_QUERY_LEN),
+            false => usize::MAX,
+        }
+    }
+
     fn receive(&mut self, bytes: &[u8], now: Ns) {
         self.last_received = now;
         self.buffer.extend_from_slice(bytes);
@@ -122,6 +128,8 @@
     buffered: usize,
     /// Bytes of held-back replies of all clients.
     held_bytes: usize,
+    /// Whether only the rest of incomplete commands is read, as the process is about to end.
+    reading_stopped: bool,
     pub refused: u64,
     /// Connections that were closed while no reply was outstanding on them.
     pub closed: IdleCloses,
@@ -146,6 +154,7 @@
             max: sockets - RESERVED_DESCRIPTORS - (sockets - RESERVED_DESCRIPTORS) / 2,
             buffered: 0,
             held_bytes: 0,
+            reading_stopped: false,
             refused: 0,
             closed: IdleCloses::default(),
         }
@@ -250,7 +259,12 @@
     /// bytes; the kernel then resets the connection instead of ending it, which tells the client that its request was
     /// not read.
     pub fn close_idle(&mut self, id: Id) {
-        // A reset would discard an answer that a slow reader has not received yet.
+        // A reset would discard an answer that a slow reader has not received yet. Where reading is stopped, requests are
+        // expected to be unread.
+        if self.clients.reading_stopped && !self.net.nothing_unread(id) {
+            self.forget_client(id);
+            return self.net.close_without_reading(id);
+        }
         if self.net.backlog(id).is_some_and(|unsent| unsent > 0) {
             return self.close_client(id);
         }
@@ -387,7 +401,7 @@
             self.clients.buffered -= used;
             let too_many_bad = client.bad_commands >= MAX_BAD_COMMANDS;
             if let Some(text) = statement {
-                self.net.pause(id, false);
+                self.set_reading(id, true);
                 return ClientInput::Statement(text, received.unwrap_or(self.net.now()));
             }
             if let Some(why) = rejection {
@@ -402,15 +416,26 @@
                 return ClientInput::Nothing;
             }
         }
-        self.net.pause(id, false);
+        self.set_reading(id, true);
         self.set_idle_deadline(id);
         ClientInput::Nothing
     }
 
+    /// Reads from a client, or does not. Once reading is stopped, only the rest of an incomplete command is read.
+    fn set_reading(&mut self, id: Id, wanted: bool) {
+        let Some(client) = self.clients.all.get(&id) else { return };
+        if !self.clients.reading_stopped || client.closing {
+            return self.net.pause(id, !wanted);
+        }
+        let missing = client.missing_bytes();
+        self.net.limit_read(id, missing);
+        self.net.pause(id, !wanted || missing == 0);
+    }
+
     /// Leaves the next command unread until an earlier one is answered, or the unsent bytes are read.
     fn pause_reading(&mut self, id: Id) -> ClientInput {
         let full = self.clients.all.get(&id).is_some_and(|c| c.buffer.len() >= MAX_READ_AHEAD);
-        self.net.pause(id, full);
+        self.set_reading(id, !full);
         ClientInput::Nothing
     }
 
@@ -494,13 +519,34 @@
         room
     }
 
-    /// In a shutdown, closes each idle connection, unless it has unread bytes or its first RPC may be on its way.
-    pub fn close_idle_clients(&mut self, listener_closed: Ns) {
-        let grace_over = self.net.now() - listener_closed >= FIRST_RPC_GRACE;
+    /// In a shutdown, reads no further commands. Those that were read, in whole or in part, are still answered; for what is left
+    /// unread, the close of the connection tells the client that it was not taken.
+    pub fn stop_reading_clients(&mut self) {
+        if std::mem::replace(&mut self.clients.reading_stopped, true) {
+            return;
+        }
+        let ids: Vec<Id> = self.clients.all.iter().filter(|(_, c)| !c.closing).map(|(id, _)| *id).collect();
+        tracing::info!(event = "reading stopped", clients = ids.len());
+        ids.into_iter().for_each(|id| self.set_reading(id, true));
+    }
+
+    /// In a shutdown, rejects the commands that are still incomplete as the last answers are due.
+    pub fn reject_incomplete_commands(&mut self) {
+        let incomplete = |c: &Client| {
+            !c.closing && c.replies.is_empty() && !c.buffer.is_empty() && !c.has_complete_command()
+        };
+        let ids: Vec<Id> =
+            self.clients.all.iter().filter(|(_, c)| incomplete(c)).map(|(id, _)| *id).collect();
+        ids.into_iter().for_each(|id| self.close_with_error(id, pg::CANNOT_CONNECT_NOW, "shutting down"));
+    }
+
+    /// In a shutdown, closes each idle connection, unless it has unread bytes. Those that have sent no command are closed
+    /// as well if `unused` is set; otherwise their first RPC may be on its way.
+    pub fn close_idle_clients(&mut self, unused: bool) {
         let net = &mut self.net;
         let idle_id = |(id, c): (&Id, &Client)| {
             let idle = c.replies.is_empty() && c.buffer.is_empty();
-            (idle && (c.sent_command || grace_over) && !net.has_unread(*id)).then_some(*id)
+            (idle && (c.sent_command || unused) && !net.has_unread(*id)).then_some(*id)
         };
         let idle: Vec<Id> = self.clients.all.iter().filter_map(idle_id).collect();
         self.clients.closed.in_stop += idle.len() as u64;
--- a/node/src/effects.rs
+++ b/node/src/effects.rs
@@ -1,5 +1,5 @@
 //! Carries out the decision module's actions, with the tables that they need.
-use crate::clients::Clients;
+use crate::clients::{Clients, ANSWER_MARGIN};
 use crate::connection_pool::Pool;
 use crate::control_links::{Discovery, RolloutApi};
 use crate::Config;
@@ -199,6 +199,24 @@
         self.send_answer(conn, rpc, bytes) && !late
     }
 
+    /// Lowers the deadlines of the open RPCs, and of their outstanding picks, to `latest`.
+    pub fn limit_deadlines(&mut self, latest: Ns) {
+        let mut shortened = Vec::new();
+        let pick_deadline = latest - ANSWER_MARGIN;
+        for open in self.open.iter_mut().flatten() {
+            open.client_deadline = open.client_deadline.min(latest);
+            for pick in open.picks.iter_mut().filter(|p| p.outstanding && p.deadline > pick_deadline) {
+                pick.deadline = pick_deadline;
+                shortened.extend(pick.conn);
+            }
+        }
+        for conn in shortened {
+            if self.deadlines.get(conn).is_some_and(|at| at > pick_deadline) {
+                self.set_deadline(conn, pick_deadline);
+            }
+        }
+    }
+
     /// Frees an RPC's slot if it is finished and has no outstanding picks.
     pub fn release_rpc(&mut self, rpc: usize) {
         if self.ids.release(rpc) {
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -8,6 +8,7 @@
 mod effects;
 mod lateness;
 mod node;
+mod shutdown;
 
 pub use config::Config;
 pub use node::run;
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -7,6 +7,7 @@
     TICK_TIMER,
 };
 use crate::lateness::Lateness;
+use crate::shutdown::{Shutdown, LINGER};
 use crate::Config;
 use rockpick::{Front, Ns, Outcome, Reply, RosterUpdate};
 use rockpick_net::{BoundListener, Event, Id, Net, MS, SEC};
@@ -19,18 +20,6 @@
 const SIGHUP: i32 = 1;
 const SIGINT: i32 = 2;
 const SIGTERM: i32 = 15;
-/// How long new connections are accepted after a signal to stop: the platform keeps sending them for up to 0.4 s
-/// after SIGTERM.
-const ACCEPT_AFTER_SIGNAL: Ns = 450 * MS;
-/// How long the process lives on after its last answer, so that the client can read it; also the interval at which a
-/// shutdown checks whether connections can be closed.
-const LINGER: Ns = 100 * MS;
-/// After SIGTERM the platform waits for the longest deadline, but at least this long, and then for a little more.
-const MIN_SHUTDOWN: Ns = 3 * SEC;
-/// How much of that additional time is used: a connection that never becomes idle must not get the process killed.
-const SHUTDOWN_MARGIN: Ns = 600 * MS;
-/// Longest shutdown, in case a method has no deadline.
-const MAX_SHUTDOWN: Ns = 30 * SEC;
 /// Delay between attempts to read an invalid configuration again, and their number: the file may just be being
 /// written.
 const RELOAD_RETRY: (Ns, u32) = (100 * MS, 20);
@@ -44,10 +33,7 @@
     /// The bound socket until `listen` is called; no client can connect to it.
     bound: Option<BoundListener>,
     listener: Option<Id>,
-    /// Start of the shutdown, time at which the listener was closed, and time since which no work is left.
-    stopping: Option<Ns>,
-    listener_closed: Option<Ns>,
-    idle_since: Option<Ns>,
+    shutdown: Option<Shutdown>,
     /// Remaining attempts to read an invalid configuration again.
     reload_retries: u32,
     /// When the next tick is due.
@@ -121,9 +107,7 @@
             at: bound.at,
             bound: Some(bound),
             listener: None,
-            stopping: None,
-            listener_closed: None,
-            idle_since: None,
+            shutdown: None,
             reload_retries: 0,
             next_tick,
             lateness: Lateness::default(),
@@ -169,7 +153,9 @@
             }
             self.lateness.turn_ended(self.effects.net.now(), self.effects.net.clock(), count);
             if self.shutdown_done() {
-                tracing::info!(event = "node down");
+                let (open, clients) = (self.effects.ids.open_rpcs(), self.effects.clients.count());
+                let unsent = self.effects.net.unflushed_closing();
+                tracing::info!(event = "node down", open, clients, unsent);
                 return Ok(());
             }
         }
@@ -310,7 +296,7 @@
             }
             Event::Timer { tag: TICK_TIMER } => self.tick(),
             Event::Timer { tag: ROLLOUT_API_TIMER } => self.effects.subscribe(),
-            Event::Timer { tag: STOP_TIMER } => self.close_listener(),
+            Event::Timer { tag: STOP_TIMER } => self.continue_shutdown(),
             Event::Signal { number: SIGHUP } => {
                 self.reload_retries = RELOAD_RETRY.1;
                 self.reload();
@@ -371,9 +357,10 @@
             Err(why) => return self.effects.reject_command(conn, &format!("not taken: {why}")),
         };
         // The deadline runs from the arrival of the statement, including the time that it waited behind others of its
-        // connection.
-        let client_deadline =
-            received + ((deadline_ms * MS as f64) as Ns).min(self.effects.config.methods[method].1);
+        // connection. It does not outlast the process.
+        let answer_by = self.shutdown.as_ref().map_or(Ns::MAX, |shutdown| shutdown.answer_by);
+        let wait = ((deadline_ms * MS as f64) as Ns).min(self.effects.config.methods[method].1);
+        let client_deadline = (received + wait).min(answer_by);
         let rpc = self.effects.ids.open(id);
         if self.effects.open.len() <= rpc {
             self.effects.open.resize_with(rpc + 1, || None);
@@ -482,13 +469,20 @@
     }
 
     fn begin_shutdown(&mut self, number: i32) {
-        if self.stopping.is_some() {
+        if self.shutdown.is_some() {
             return;
         }
-        tracing::info!(event = "stopping", number);
         let now = self.effects.net.now();
-        self.stopping = Some(now);
-        self.effects.net.wake_at(now + ACCEPT_AFTER_SIGNAL, STOP_TIMER);
+        let longest = self.effects.config.methods.iter().map(|(_, longest)| *longest).max().unwrap_or(0);
+        let shutdown = Shutdown::begin(now, longest);
+        let (open, answer_within_ms) = (self.effects.ids.open_rpcs(), (shutdown.answer_by - now) / MS);
+        tracing::info!(event = "stopping", number, open, answer_within_ms);
+        self.effects.limit_deadlines(shutdown.answer_by);
+        self.front.limit_deadlines(shutdown.answer_by - ANSWER_MARGIN);
+        for at in [shutdown.close_listener, shutdown.answer_by, shutdown.end_by] {
+            self.effects.net.wake_at(at, STOP_TIMER);
+        }
+        self.shutdown = Some(shutdown);
         if let Some(peers) = &mut self.peers {
             peers.leave(&mut self.effects.net);
         }
@@ -497,12 +491,6 @@
     /// Accepts what is already waiting at the listener, and closes it. From now on connections are closed between two
     /// RPCs.
     fn close_listener(&mut self) {
-        let now = self.effects.net.now();
-        self.effects.net.wake_at(now + LINGER, STOP_TIMER);
-        if self.listener_closed.is_some() {
-            return;
-        }
-        self.listener_closed = Some(now);
         let Some(listener) = self.listener.take() else { return };
         let mut events = Vec::new();
         loop {
@@ -518,20 +506,33 @@
         self.effects.net.max_closing = self.effects.net.max_streams;
     }
 
+    /// Does what a shutdown asks for by now, and sets the time of the next check.
+    fn continue_shutdown(&mut self) {
+        let now = self.effects.net.now();
+        let Some(shutdown) = &mut self.shutdown else { return };
+        if shutdown.should_close_listener(now) {
+            self.close_listener();
+        }
+        let Some(shutdown) = self.shutdown.as_ref().filter(|s| s.listener_is_closed()) else { return };
+        self.effects.net.wake_at(now + LINGER, STOP_TIMER);
+        if shutdown.stop_reading().is_some_and(|at| now >= at) {
+            self.effects.stop_reading_clients();
+        }
+        if now >= shutdown.answer_by {
+            self.effects.reject_incomplete_commands();
+        }
+    }
+
     /// Whether a shutdown is complete: everything is answered, and slow readers have received it.
     fn shutdown_done(&mut self) -> bool {
-        let Some((began, listener_closed)) = self.stopping.zip(self.listener_closed) else { return false };
         let now = self.effects.net.now();
-        self.effects.close_idle_clients(listener_closed);
+        let Some(shutdown) = &mut self.shutdown else { return false };
+        let Some(first_commands_until) = shutdown.first_commands_until() else { return false };
+        self.effects.close_idle_clients(now >= first_commands_until);
         let unfinished = self.effects.clients.count() > 0
             || self.effects.net.unflushed_closing() > 0
             || !self.effects.queued_events.is_empty();
-        let longest = self.effects.config.methods.iter().map(|(_, longest)| *longest).max().unwrap_or(0);
-        if unfinished && now - began < longest.clamp(MIN_SHUTDOWN, MAX_SHUTDOWN) + SHUTDOWN_MARGIN {
-            self.idle_since = None;
-            return false;
-        }
-        now - *self.idle_since.get_or_insert(now) >= LINGER
+        shutdown.is_complete(now, unfinished)
     }
 }
 
--- a/node/src/tests.rs
+++ b/node/src/tests.rs
@@ -109,8 +109,8 @@
     let mut harness = harness(64);
     let ((mut io, id), (_other, quiet)) = (harness.client(), harness.client());
     send_unread_query(&mut harness, &mut io, id);
-    // The listener was closed long ago, so that first RPCs are no longer awaited.
-    harness.effects.close_idle_clients(-10 * SEC);
+    // First RPCs are no longer awaited.
+    harness.effects.close_idle_clients(true);
     assert!(harness.effects.clients.owns(id) && !harness.effects.clients.owns(quiet));
 }
 
--- a/pg/src/lib.rs
+++ b/pg/src/lib.rs
@@ -68,6 +68,22 @@
     }
 }
 
+/// Bytes before the body of a message: its tag and its length.
+const HEADER_LEN: usize = 5;
+
+/// Number of bytes that complete the first message of a byte stream, or its header, if the header is incomplete. 0 if the
+/// message is complete, or malformed.
+pub fn missing_bytes(bytes: &[u8], max_body: usize) -> usize {
+    match read_frame(bytes, max_body) {
+        Ok(Frame::Incomplete) => {}
+        Ok(Frame::Complete { .. }) | Err(_) => return 0,
+    }
+    match bytes.get(1..).and_then(read_u32) {
+        Some(len) => (1 + len as usize).saturating_sub(bytes.len()),
+        None => HEADER_LEN.saturating_sub(bytes.len()),
+    }
+}
+
 /// A client's first message.
 #[derive(Debug, PartialEq, Eq)]
 pub enum StartupMessage {
--- a/pg/tests/peer.rs
+++ b/pg/tests/peer.rs
@@ -180,3 +180,14 @@
     assert_eq!(reader.next_response(), Ok(Response::Ready));
     assert!(reader.is_reusable());
 }
+
+#[test]
+fn the_missing_bytes_complete_the_header_and_then_the_message() {
+    let mut message = Vec::new();
+    put_query(&mut message, "SELECT 1");
+    for len in 0..=message.len() {
+        let completed = if len < 5 { 5 } else { message.len() };
+        assert_eq!(missing_bytes(&message[..len], 1_000), completed - len, "{len}");
+    }
+    assert_eq!(missing_bytes(b"Q\0\0\0\0", 1_000), 0, "malformed");
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -766,6 +766,11 @@
         }
     }
 
+    /// No answer is possible after `latest`, as the process ends then: lowers the deadlines of the open RPCs.
+    pub fn limit_deadlines(&mut self, latest: Ns) {
+        self.rpcs.iter_mut().filter(|rpc| rpc.open).for_each(|rpc| rpc.deadline = rpc.deadline.min(latest));
+    }
+
     fn cap_scope(&self, method: usize) -> usize {
         method.min(self.exposure.len() - 1)
     }
