A front rejects once its roster is unconfirmed for longer than changes take to count

Cause: a front that had heard a roster since its start went by it however old it was (trusts_roster), while its calls for another are up to 10.5 s apart after three late refusals (ROSTER_RETRY).

Change: the roster is trusted for told_within + drain_grace - 0.4 s after it was confirmed: by a list, a change, a heartbeat, the whole end of a watch, or a failed call as of its start. Then RPCs are rejected until it is heard. The waits between calls are as before. The line of counts tells roster_age_ms and roster_trusted.

--- a/node/src/control_links.rs
+++ b/node/src/control_links.rs
@@ -136,9 +136,19 @@
 /// A link's news for the decision module.
 pub enum ModuleEvent {
     Members(RosterUpdate, Vec<Member>),
+    /// The watch has sent a heartbeat, or has ended after all that it had to say.
+    RosterConfirmed,
     Status(Reply, Option<RolloutStatus>),
-    Tallied { build: u32, method: usize, picks: u32, not_ok: u32 },
-    Disputed { machine: usize, sent: Ns },
+    Tallied {
+        build: u32,
+        method: usize,
+        picks: u32,
+        not_ok: u32,
+    },
+    Disputed {
+        machine: usize,
+        sent: Ns,
+    },
 }
 
 pub fn to_rollout_status(now: Ns, status: BuildStatus) -> RolloutStatus {
@@ -224,6 +234,7 @@
                     self.watch_active(at);
                     events.push(ModuleEvent::Members(RosterUpdate::Changes, Vec::new()));
                 }
+                Ok(None) if heartbeat => events.push(ModuleEvent::RosterConfirmed),
                 Ok(None) => {}
                 Ok(Some(json)) => match roster::parse_update(&json, &mut self.config.zones) {
                     Some(update) => {
@@ -263,7 +274,11 @@
         if self.discovery.fetch != Some(call) {
             let silent = self.discovery.watches.iter().any(|w| w.call == call && !w.has_data);
             self.discovery.last_watch_silent |= silent && end.is_none();
-            return self.end_watch(call).into_iter().collect();
+            // What is sent before the end has been received whole; what a silent watch missed is not known.
+            let whole = |w: &Watch| w.active && w.buffer.is_empty() && w.partial.is_empty();
+            let served = self.discovery.watches.iter().any(|w| w.call == call && whole(w));
+            let confirmed = (served && end.is_some()).then_some(ModuleEvent::RosterConfirmed);
+            return confirmed.into_iter().chain(self.end_watch(call)).collect();
         }
         self.discovery.fetch = None;
         self.end_call(call);
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -216,6 +216,7 @@
         let (front, effects) = (&mut self.front, &mut self.effects);
         match event {
             ModuleEvent::Members(roll, members) => front.roster_updated(effects, roll, &members),
+            ModuleEvent::RosterConfirmed => front.roster_confirmed(effects.net.now()),
             ModuleEvent::Status(reply, news) => {
                 let news = match &mut self.peers {
                     Some(peers) => news.map(|s| peers.merge_status(s)),
@@ -438,6 +439,8 @@
             spoilt = self.effects.pool.malformed,
             streams = self.effects.net.streams(),
             watching = self.effects.discovery.is_watching(),
+            roster_age_ms = self.front.roster_age(now) / MS,
+            roster_trusted = self.front.trusts_roster(now),
             tellings = self.effects.discovery.updates,
             desk = self.effects.rollout_api.is_subscribed(),
             heard = self.effects.rollout_api.lines_received
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -151,6 +151,8 @@
     late_refusals: usize,
     /// When the roster was last requested.
     roster_requested: Ns,
+    /// When it was last certain that no change of the roster was missed.
+    roster_confirmed: Ns,
     /// RPCs received and picks at builds on trial: one entry per method, or a single one if the cap is for all.
     exposure: Vec<TimeBuckets<Count>>,
     /// One-way keys and the newest build that answered each.
@@ -254,6 +256,7 @@
             rng: Rng(config.seed | 1),
             started: actions.now(),
             roster_requested: actions.now(),
+            roster_confirmed: actions.now(),
             admit_share: 1.0,
             base_admit_share: 1.0,
             exposure,
@@ -287,8 +290,9 @@
             let drawn = self.rng.below(spread.max(1) as usize) as Ns;
             return actions.wake_at(now + INTERVAL + drawn, TICK_TIMER + 1);
         }
-        self.roster_heard |= update != RosterUpdate::Saved;
-        self.watching |= update != RosterUpdate::Saved;
+        if update != RosterUpdate::Saved {
+            (self.roster_heard, self.watching, self.roster_confirmed) = (true, true, now);
+        }
         self.machines
             .iter_mut()
             .filter(|_| update != RosterUpdate::Changes)
@@ -313,11 +317,26 @@
         self.track_newest_build(now);
     }
 
+    /// The watch has shown that it still serves: no change of the roster was missed.
+    pub fn roster_confirmed(&mut self, now: Ns) {
+        self.roster_confirmed = now;
+    }
+
+    /// For how long the roster has not been confirmed.
+    pub fn roster_age(&self, now: Ns) -> Ns {
+        now - self.roster_confirmed
+    }
+
     /// The longest wait until the roster is requested again, in eighths of `ask_within`. A call that is
     /// refused late has already cost discovery its work: if all fronts retried at a constant pace, they
     /// would keep it overloaded and none would be served.
     fn roster_retry_wait(&mut self, now: Ns) -> Ns {
         let served = std::mem::take(&mut self.watching);
+        if !served {
+            // The service could not be reached when it was asked: a change that was made since then counts as
+            // known only some time after that.
+            self.roster_confirmed = self.roster_confirmed.max(self.roster_requested);
+        }
         if !served && now - self.roster_requested < INTERVAL {
             return ROSTER_RETRY_FAST;
         }
@@ -421,14 +440,19 @@
         self.machines.iter().filter(|m| m.is_up())
     }
 
-    /// Whether picks may rely on the roster. A roster saved before the start may list a machine that
-    /// drained while this front was down, and that drain counts as known to it after a while even if it was
-    /// not heard; where changes are pushed, from the start on.
-    fn trusts_roster(&self, now: Ns) -> bool {
+    /// Whether picks may rely on the roster. A drain that this front has not heard of counts as known to it after
+    /// a while all the same, be it that it was down, or that it has no watch.
+    pub fn trusts_roster(&self, now: Ns) -> bool {
         let SafetyLimits { told_within, drain_grace, .. } = self.config.limits;
-        let informed_after = if self.config.ask_roster { told_within - MAX_RESTART } else { 0 };
-        let trusted_for = informed_after.saturating_add(drain_grace) - MAX_SEND_DELAY;
-        self.roster_heard || told_within == 0 || now - self.started < trusted_for
+        // A roster saved before the start may miss changes that were made while this front was down. Where
+        // changes are pushed, those count as known from the start on.
+        let certain_until = match (self.roster_heard, self.config.ask_roster) {
+            (true, _) => self.roster_confirmed + told_within,
+            (false, true) => self.started + told_within - MAX_RESTART,
+            (false, false) => self.started,
+        };
+        let trusted_until = certain_until.saturating_add(drain_grace) - MAX_SEND_DELAY;
+        told_within == 0 || now < trusted_until
     }
 
     fn best_machine(&mut self, now: Ns, fits: impl Fn(&Member) -> bool) -> Option<usize> {
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -523,6 +523,127 @@
     }
 }
 
+/// What fronts did after their watches were lost in an outage of the roster service.
+struct AfterOutage {
+    /// When each front was served.
+    heard: Vec<Option<Ns>>,
+    /// Picks at the drained machine after the drain counted as known and its grace was over.
+    late_picks: usize,
+    /// RPCs that were rejected, of all that were received until the front was served.
+    rejected: Count,
+    /// Calls that the service got after the outage.
+    calls: u32,
+}
+
+/// All fronts lose their watch at the start of an outage, in which each call is refused after two seconds. Once
+/// it is over, a machine is drained, and the service serves calls in turn, each in `work`; a call that waits for
+/// longer than two seconds is refused, and does its work all the same.
+fn after_outage(fronts: u64, outage: Ns, work: Ns) -> AfterOutage {
+    const CALL_TIMEOUT: Ns = 2 * SEC;
+    const DRAINED: usize = 0;
+    let drain_at = outage + SEC / 5;
+    let limits = SafetyLimits { told_within: 6 * SEC, ..config().limits };
+    let late_from = drain_at + limits.told_within + limits.drain_grace;
+    let members: Vec<Member> = (0..4).map(|i| member(i, 1, None)).collect();
+    let mut recorder = Recorder::default();
+    let seeded = |i: u64| FrontConfig {
+        ask_roster: true,
+        seed: i.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+        limits: limits.clone(),
+        ..config()
+    };
+    let mut all: Vec<Front> = (1..=fronts).map(|i| front(seeded(i), &members, &mut recorder)).collect();
+    let mut result = AfterOutage { heard: vec![None; all.len()], late_picks: 0, rejected: [0, 0], calls: 0 };
+    // When the front's call begins, or is refused.
+    let mut calls_at: Vec<Option<Ns>> = vec![None; all.len()];
+    let mut refused_at: Vec<Option<Ns>> = vec![Some(0); all.len()];
+    let mut busy_until = outage;
+    for now in (0..outage + 40 * SEC).step_by(MS as usize) {
+        for (i, front) in all.iter_mut().enumerate() {
+            if result.heard[i].is_some() {
+                continue;
+            }
+            recorder.now = now;
+            if calls_at[i].take_if(|at| *at <= now).is_some() {
+                front.timer_fired(&mut recorder, 1);
+                let wait = busy_until.max(now) + work - now;
+                if now >= outage {
+                    result.calls += 1;
+                    busy_until = busy_until.max(now) + work;
+                }
+                if now < outage || wait > CALL_TIMEOUT {
+                    refused_at[i] = Some(now + CALL_TIMEOUT);
+                } else {
+                    result.heard[i] = Some(now + wait);
+                    continue;
+                }
+            }
+            if refused_at[i].take_if(|at| *at <= now).is_some() {
+                recorder.wake_times.clear();
+                front.roster_updated(&mut recorder, RosterUpdate::Failed, &[]);
+                calls_at[i] = recorder.wake_times.first().copied();
+            }
+            if now % (SEC / 10) == 0 {
+                recorder.picks.clear();
+                receive(front, &mut recorder, 0, 0);
+                let late = now > late_from && recorder.picks.iter().any(|(_, machine)| *machine == DRAINED);
+                result.late_picks += usize::from(late);
+                result.rejected = add_counts(result.rejected, [1, u32::from(recorder.picks.is_empty())]);
+                front.pick_ended(&mut recorder, 0, 0, Outcome::Ok, 20 * MS, true);
+            }
+        }
+    }
+    result
+}
+
+/// Guards against picks at a drained machine by fronts that lost their watch in a long outage of the roster
+/// service, and ask for the roster only long after its return: the drain counts as known to them before that.
+/// Their calls must not become a rush, which would keep the service overloaded.
+#[test]
+fn a_front_that_could_not_reach_the_roster_service_for_long_stops_trusting_its_roster() {
+    for (fronts, outage, work) in [
+        (60, 13_500 * MS, MS),
+        (60, 60 * SEC, MS),
+        (30, 8 * SEC, 160 * MS),
+        (300, 8 * SEC, 20 * MS),
+        (300, 60 * SEC, 20 * MS),
+    ] {
+        let AfterOutage { heard, late_picks, rejected, calls } = after_outage(fronts, outage, work);
+        assert_eq!(late_picks, 0, "{fronts} {outage}");
+        assert!(heard.iter().all(Option::is_some), "{fronts} {outage}: {heard:?}");
+        assert!(u64::from(calls) < fronts * 3 / 2, "{fronts} {outage}: {calls} calls");
+        // A failed call proves that nothing could be known when it began, so most RPCs are served all the same.
+        assert!(failure_rate(rejected) < 0.4, "{fronts} {outage}: {rejected:?}");
+    }
+}
+
+/// The roster is trusted for as long as changes that were made since it was last confirmed do not count as known:
+/// six seconds, and the grace of a drain, less the time that a pick may take to be sent.
+#[test]
+fn a_roster_is_trusted_for_a_while_after_it_was_last_confirmed() {
+    let limits = SafetyLimits { told_within: 6 * SEC, ..config().limits };
+    let mut recorder = Recorder { now: 100 * SEC, ..Recorder::default() };
+    let config = FrontConfig { ask_roster: true, limits, ..config() };
+    let mut front = front(config, &[member(0, 1, None)], &mut recorder);
+    let mut picks_at = |front: &mut Front, now: Ns| {
+        recorder.now = now;
+        recorder.picks.clear();
+        receive(front, &mut recorder, 0, 0);
+        front.pick_ended(&mut recorder, 0, 0, Outcome::Ok, 20 * MS, true);
+        recorder.picks.len()
+    };
+    assert_eq!([106, 107].map(|at| picks_at(&mut front, at * SEC)), [1, 0]);
+    front.roster_confirmed(108 * SEC);
+    assert_eq!([114, 115].map(|at| picks_at(&mut front, at * SEC)), [1, 0]);
+    // A call that began at 116 s and is refused at 118 s.
+    let mut recorder = Recorder { now: 116 * SEC, ..Recorder::default() };
+    front.roster_updated(&mut recorder, RosterUpdate::Failed, &[]);
+    front.timer_fired(&mut recorder, 1);
+    recorder.now = 118 * SEC;
+    front.roster_updated(&mut recorder, RosterUpdate::Failed, &[]);
+    assert_eq!([122, 123].map(|at| picks_at(&mut front, at * SEC)), [1, 0]);
+}
+
 /// Found by reading the code: a method without any answer yet counted as one whose RPCs take a millisecond,
 /// so every other method seemed to yield far less. A front that had seen only one method kept room for half
 /// of its RPCs, and rejected nearly all during congestion.
