moments: two tests wait until the pick connects before they change the roster

The node is not at fault.

Change: the test waits until the old machine has the pick's connection, as its neighbour does; so does a_pick_that_connects_after_the_grace_of_a_drain_is_not_sent, which passed with no pick when the list came first. Nothing is asserted less.

--- a/cli/tests/moments.rs
+++ b/cli/tests/moments.rs
@@ -103,7 +103,7 @@
 
 #[test]
 fn a_pick_that_connects_after_the_grace_of_a_drain_is_not_sent() {
-    let (at, gate, [_, queries]) = gated_machine(VALUE);
+    let (at, gate, [connections, queries]) = gated_machine(VALUE);
     let platform = Platform::begin();
     let mut config = configuration(&platform, &[("a", at, 1, "active")]);
     config["settings"]["permissions"]["dialTimeoutMs"] = 1_500.into();
@@ -112,6 +112,7 @@
     wait_until_polled(&platform);
     let mut client = node.client();
     client.ask(&save(1, 1_900));
+    wait_until("the pick connects", || connections.load(Ordering::SeqCst) == 1);
     platform.list(false, &[("a", at, 1, "leaving")]);
     let opens_gate = std::thread::spawn(move || {
         std::thread::sleep(Duration::from_millis(700));
@@ -124,7 +125,7 @@
 
 #[test]
 fn a_pick_whose_machine_is_replaced_while_it_connects_is_not_sent() {
-    let ((at, gate, [_, old]), new) = (gated_machine(b"old"), machine(&[QueryAction::Answer]));
+    let ((at, gate, [connections, old]), new) = (gated_machine(b"old"), machine(&[QueryAction::Answer]));
     let platform = Platform::begin();
     let mut config = configuration(&platform, &[("a", at, 1, "active")]);
     config["settings"]["permissions"]["dialTimeoutMs"] = 1_500.into();
@@ -132,6 +133,7 @@
     let node = Node::start(&config);
     let mut client = node.client();
     client.ask(&save(1, 1_900));
+    wait_until("the pick connects", || connections.load(Ordering::SeqCst) == 1);
     platform.list(false, &[("a", new.at, 1, "active")]);
     wait_until_served(&mut node.client(), &new);
     gate.open();
