--- a/cli/tests/hardening.rs
+++ b/cli/tests/hardening.rs
@@ -216,13 +216,18 @@
     assert!(machine.requests.try_recv().is_err(), "the second went nowhere");
 }
 
-/// A client with a small receive window that has sent an RPC with a long answer, and has not read it yet.
-fn slow_reader(front: &Proc) -> TcpStream {
+/// A connection with a small receive window.
+fn slow_connection(to: SocketAddr) -> TcpStream {
     use rustix::net::{connect, socket, sockopt, AddressFamily, SocketType};
     let fd = socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
     sockopt::set_socket_recv_buffer_size(&fd, 4_096).unwrap();
-    connect(&fd, &front.at).unwrap();
-    let mut io = TcpStream::from(fd);
+    connect(&fd, &to).unwrap();
+    TcpStream::from(fd)
+}
+
+/// A client with a small receive window that has sent an RPC with a long answer, and has not read it yet.
+fn slow_reader(front: &Proc) -> TcpStream {
+    let mut io = slow_connection(front.at);
     io.write_all(b"POST /rpc/lookup HTTP/1.1\r\nHost: f\r\nContent-Length: 0\r\n\r\n").unwrap();
     wait_until("the front has the answer", || get(front.at, "/status")["ok"] == 1);
     io
@@ -249,6 +254,27 @@
     }
 }
 
+/// Guards against answers that the controller's stop cuts off, as it ends before a caller has read them.
+#[test]
+fn a_controllers_stop_sends_the_rest_of_its_answers() {
+    const FILE_LEN: usize = 6 << 20;
+    let repo = tempfile::tempdir().unwrap();
+    std::fs::create_dir(repo.path().join("targets")).unwrap();
+    std::fs::write(repo.path().join("targets/build"), vec![b'x'; FILE_LEN]).unwrap();
+    let mut controller = start(&["controller", "--repo", &repo.path().display().to_string()]);
+    let mut io = slow_connection(controller.at);
+    io.set_read_timeout(Some(TIMEOUT)).unwrap();
+    io.write_all(b"GET /repo/targets/build HTTP/1.1\r\nHost: c\r\n\r\n").unwrap();
+    let mut first = [0; 1];
+    io.read_exact(&mut first).unwrap();
+    signal(&controller, Signal::TERM);
+    wait_until("the listener is closed", || TcpStream::connect(controller.at).is_err());
+    let mut rest = Vec::new();
+    let end = io.read_to_end(&mut rest);
+    assert!(rest.len() > FILE_LEN && end.is_ok(), "{} bytes, {end:?}", rest.len());
+    wait_for_success(&mut controller);
+}
+
 /// 15: a change that could not be saved is not answered as a success, and is saved once the disk works again.
 #[test]
 fn a_change_that_is_not_on_disk_is_reported_and_saved_later() {
--- a/control/src/server.rs
+++ b/control/src/server.rs
@@ -10,6 +10,8 @@
 const TICK: Ns = 20 * MS;
 /// Most connections: one of each machine, one of each front, and those of callers.
 const MAX_CONNECTIONS: usize = 20_000;
+/// How long a stop waits for callers that have not read their answers yet.
+const FLUSH_TIMEOUT: Ns = 3_000 * MS;
 /// While a build is on trial, its run time is written to the snapshot this often.
 const SAVE_INTERVAL: Ns = 1_000 * MS;
 
@@ -51,6 +53,7 @@
         let writer = file.map(|file| BackgroundWriter::new(file, |text: &Vec<u8>| Ok(text.clone())));
         let mut pending: Vec<PendingResponse> = Vec::new();
         let (mut events, mut last_tick, mut last_save) = (Vec::new(), Ns::MIN / 2, 0);
+        let mut stopping = false;
         loop {
             net.turn(&mut events, if pending.is_empty() { TICK } else { 2 * MS })
                 .map_err(|err| err.to_string())?;
@@ -95,16 +98,17 @@
                         }
                     }
                     Event::ClientClosed { conn } => api.unwatch(conn),
-                    Event::Signal { .. } => {
-                        let last = api.snapshot(now);
-                        let stored = writer.map_or(Ok(()), |writer| writer.close(last));
-                        send_responses(&mut net, pending, stored.as_ref().err().map(String::as_str));
-                        tracing::info!(event = "controller down");
-                        return stored;
-                    }
+                    Event::Signal { .. } => stopping = true,
                     _ => {}
                 }
             }
+            if stopping {
+                let stored = writer.map_or(Ok(()), |writer| writer.close(api.snapshot(now)));
+                send_responses(&mut net, pending, stored.as_ref().err().map(String::as_str));
+                finish_responses(&mut net)?;
+                tracing::info!(event = "controller down", unsent = net.unsent());
+                return stored;
+            }
             if now - last_tick >= TICK {
                 last_tick = now;
                 for (conn, mut line) in api.tick(now) {
@@ -134,6 +138,31 @@
     value: Value,
 }
 
+/// Waits until callers have read their responses, within a time limit. Requests that come now are not carried out.
+///
+/// # Errors
+/// A failure of the event loop.
+fn finish_responses(net: &mut Net) -> Result<(), String> {
+    net.stop_listening();
+    let by = net.now() + FLUSH_TIMEOUT;
+    let mut events = Vec::new();
+    while net.unsent() > 0 && net.now() < by {
+        net.turn(&mut events, TICK).map_err(|err| err.to_string())?;
+        for event in events.drain(..) {
+            if let Event::Request { conn, .. } = event {
+                let body = json!({ "errors": [{ "field": "", "why": "the controller is stopping" }] });
+                net.answer(
+                    conn,
+                    503,
+                    &[("Content-Type", "application/json")],
+                    format!("{body}\n").as_bytes(),
+                );
+            }
+        }
+    }
+    Ok(())
+}
+
 /// Sends responses, or an error if their snapshot could not be written (`why`).
 fn send_responses(net: &mut Net, responses: Vec<PendingResponse>, why: Option<&str>) {
     for PendingResponse { conn, status, value, .. } in responses {
