A late reply to a vote does not put a build that is sent back on trial again

Need: read by the review, the rollout's part of old news acted on: rollout_updated took whatever came last, so the reply to a vote that was written before a withdrawal and arrives after it put the build on trial again until the next telling, 2 s later.

Change: a vote's reply that names an earlier build, or puts one that is being sent back on trial or released, changes nothing; announcements are taken as before. Result: a_late_reply_to_a_vote_does_not_undo_an_announcement, red without the clause by its second assertion.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -353,6 +353,7 @@
             (Reply::TimedOut, _) => self.vote = None,
             _ => {}
         }
+        let news = news.filter(|status| reply == Reply::News || !self.is_outdated(status));
         if let Some((new, old)) = news.zip(self.rollout).filter(|(new, old)| new.build > old.build) {
             // A build last seen on trial, or one in between, may have been released without this front
             // hearing of it.
@@ -371,6 +372,15 @@
         }
     }
 
+    /// Whether the reply to a vote was written before an announcement that has overtaken it: builds only follow
+    /// each other, and one that is sent back does not come again.
+    fn is_outdated(&self, status: &RolloutStatus) -> bool {
+        self.rollout.is_some_and(|known| {
+            let returned = status.phase.stays() && !known.phase.stays();
+            status.build < known.build || status.build == known.build && returned
+        })
+    }
+
     /// Starts a new comparison when a newer build appears: its outcomes count as new from now on, and
     /// everything before is the baseline.
     fn track_newest_build(&mut self, now: Ns) {
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -644,6 +644,27 @@
     assert_eq!([122, 123].map(|at| picks_at(&mut front, at * SEC)), [1, 0]);
 }
 
+/// Guards against picks at a build that was announced as sent back, because the reply to a vote, written before that,
+/// arrives after it and puts the build on trial again.
+#[test]
+fn a_late_reply_to_a_vote_does_not_undo_an_announcement() {
+    let picks_at_new = |late_reply: Option<RolloutStatus>| {
+        let mut recorder = Recorder { now: 100 * SEC, ..Recorder::default() };
+        let mut front = front(config(), &fleet(8), &mut recorder);
+        front.rollout_updated(&mut recorder, Reply::News, status(2, 1, Phase::OnTrial, 1.0, 99 * SEC));
+        front.rollout_updated(&mut recorder, Reply::News, status(2, 1, Phase::GoingBack, 0.0, 100 * SEC));
+        if late_reply.is_some() {
+            front.rollout_updated(&mut recorder, Reply::Counted, late_reply);
+        }
+        (0..20).for_each(|rpc| receive(&mut front, &mut recorder, rpc, 0));
+        recorder.picks.iter().filter(|pick| pick.1 >= 4).count()
+    };
+    assert_eq!(picks_at_new(None), 0);
+    assert_eq!(picks_at_new(status(2, 1, Phase::OnTrial, 1.0, 99 * SEC)), 0);
+    assert_eq!(picks_at_new(status(1, 1, Phase::Released, 1.0, 0)), 0);
+    assert!(picks_at_new(status(3, 0, Phase::Released, 1.0, 100 * SEC)) > 0, "a newer build is news");
+}
+
 /// Found by reading the code: a method without any answer yet counted as one whose RPCs take a millisecond,
 /// so every other method seemed to yield far less. A front that had seen only one method kept room for half
 /// of its RPCs, and rejected nearly all during congestion.
