node: a connection with data that the turn has read is not used for a retry

Cause: a turn reads all sockets into a list of events. A retry during one of them took a kept connection if the kernel had nothing unread for it; a copy that waits in the list was then taken for the retry's answer.

Change: Effects records which connections have data among the turn's events; one is reused only if neither the kernel nor the turn has more for it, else it is replaced as before.

--- a/cli/tests/moments.rs
+++ b/cli/tests/moments.rs
@@ -8,7 +8,7 @@
 use rustix::process::Signal;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -254,6 +254,83 @@
     assert!([&b"1"[..], b"next"].iter().any(|good| answer == Answer::Value(good.to_vec())), "{answer:?}");
 }
 
+/// A query that a machine has received: the machine, the RPC's id, and the connection.
+type ReceivedQuery = (usize, u64, TcpStream);
+
+/// A machine whose answers are the ids of the RPCs. While it holds them, the test answers in its place.
+fn machine_that_records(
+    index: usize, received: &Arc<Mutex<Vec<ReceivedQuery>>>, hold: &Arc<AtomicBool>,
+) -> SocketAddr {
+    let (received, hold) = (received.clone(), hold.clone());
+    machine_served_by(move |_, mut line| {
+        // A copy must not wait in the kernel for the acknowledgement of the answer.
+        line.io.set_nodelay(true).ok()?;
+        line.read_startup()?;
+        line.send_startup_response()?;
+        while let Some(text) = line.query() {
+            let id = u64::from_str_radix(&text.split_once("id=")?.1[..16], 16).ok()?;
+            let holds = hold.load(Ordering::SeqCst);
+            received.lock().unwrap().push((index, id, line.io.try_clone().ok()?));
+            if !holds {
+                line.answers(&id.to_be_bytes())?;
+            }
+        }
+        None
+    })
+}
+
+/// Rejects the last query, and sends the other machine's last answer once more.
+fn reject_then_copy(queries: &[ReceivedQuery]) {
+    let (rejecting, _, mut connection) =
+        queries.last().map(|q| (q.0, q.1, q.2.try_clone().unwrap())).unwrap();
+    let (_, id, mut other) = queries
+        .iter()
+        .rfind(|(machine, ..)| *machine != rejecting)
+        .map(|q| (q.0, q.1, q.2.try_clone().unwrap()))
+        .unwrap();
+    let mut rejection = Vec::new();
+    rockpick_pg::put_error(&mut rejection, false, rockpick_pg::TOO_MANY_CONNECTIONS, "full", None);
+    connection.write_all(&rejection).unwrap();
+    // Both are read in the order in which they have arrived.
+    std::thread::sleep(Duration::from_millis(5));
+    other.write_all(&row(&id.to_be_bytes())).unwrap();
+    std::thread::sleep(Duration::from_millis(5));
+}
+
+/// Guards against serving a request with another client's value: the node, held up, reads a rejection by one machine and
+/// behind it a late copy of an answer from the other in the same turn. The retry must not use the copy's connection.
+#[test]
+fn a_late_copy_that_is_read_but_not_handled_yet_is_not_taken_for_another_answer() {
+    const ROUNDS: usize = 10;
+    /// Longer than the time for which a connection is not reused after an answer.
+    const REUSE_DELAY: Duration = Duration::from_millis(25);
+    let (received, hold) = (Arc::<Mutex<Vec<ReceivedQuery>>>::default(), Arc::<AtomicBool>::default());
+    let [a, b] = [0, 1].map(|index| machine_that_records(index, &received, &hold));
+    let platform = Platform::begin();
+    let node = Node::start(&configuration(&platform, &[("a", a, 1, "active"), ("b", b, 1, "active")]));
+    let mut client = node.client();
+    let (mut id, mut served) = (0, [0, 0]);
+    wait_until("both machines have served and are idle", || {
+        id += 1;
+        assert_eq!(client.rpc(&save(id, 900)), Answer::Value(id.to_be_bytes().to_vec()));
+        std::thread::sleep(REUSE_DELAY);
+        served[received.lock().unwrap().last().unwrap().0] += 1;
+        served.iter().all(|count| *count >= 2)
+    });
+    for _ in 0..ROUNDS {
+        std::thread::sleep(REUSE_DELAY);
+        hold.store(true, Ordering::SeqCst);
+        id += 1;
+        client.ask(&save(id, 1_900));
+        wait_until("one machine holds the RPC", || received.lock().unwrap().last().unwrap().1 == id);
+        node.signal(Signal::STOP);
+        hold.store(false, Ordering::SeqCst);
+        reject_then_copy(&received.lock().unwrap());
+        node.signal(Signal::CONT);
+        assert_eq!(client.read_answer(), Answer::Value(id.to_be_bytes().to_vec()));
+    }
+}
+
 /// The node is paused while a new connection and then an RPC on the eviction candidate arrive: it reads both in the
 /// same turn, the new connection first.
 #[test]
--- a/node/src/connection_pool.rs
+++ b/node/src/connection_pool.rs
@@ -197,7 +197,7 @@
         };
         while let Some(id) = self.pool.take_reusable(machine, now) {
             // A connection that is closed or has unexpected bytes is replaced; the pick has not run.
-            let usable = self.net.nothing_unread(id)
+            let usable = self.nothing_unhandled(id)
                 && self.pool.conns.get(&id).is_some_and(|c| c.reader.is_reusable());
             if usable && self.send_statement(id, rpc, number) {
                 return;
--- a/node/src/effects.rs
+++ b/node/src/effects.rs
@@ -9,7 +9,7 @@
 use rockpick_id_table::IdTable;
 use rockpick_net::{DeadlineQueue, Event, Id, LogLimiter, Net, MS};
 use rockpick_pg as pg;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::ops::Range;
 
 /// Tags of the event loop's timers. The module's own timers are marked by `MODULE_TIMER`.
@@ -81,6 +81,8 @@
     /// Open RPCs whose client has disconnected; reported to the module afterwards.
     pub disconnected: VecDeque<usize>,
     pub queued_events: Vec<Event>,
+    /// Connections whose data this turn has read and not handled yet.
+    pub unhandled_data: HashSet<Id>,
     pub rng: StdRng,
     pub counters: Counters,
     pub log_limit: LogLimiter,
@@ -106,6 +108,7 @@
             pending_ends: VecDeque::new(),
             disconnected: VecDeque::new(),
             queued_events: Vec::new(),
+            unhandled_data: HashSet::new(),
             counters: Counters::default(),
             log_limit: LogLimiter::new(LOG_LINES_PER_SECOND),
             bound_keys: Vec::new(),
@@ -143,6 +146,25 @@
         }
     }
 
+    /// Records the data that a turn has read, before its events are handled one by one.
+    pub fn turn_began(&mut self, events: &[Event]) {
+        self.unhandled_data.clear();
+        self.unhandled_data.extend(events.iter().filter_map(|event| match event {
+            Event::StreamData { conn, .. } => Some(*conn),
+            _ => None,
+        }));
+    }
+
+    /// The data that this turn has read from a connection is about to be handled.
+    pub fn data_handled(&mut self, conn: Id) {
+        self.unhandled_data.remove(&conn);
+    }
+
+    /// Whether all that has arrived on a connection was handled: neither the kernel nor this turn's events have more.
+    pub fn nothing_unhandled(&mut self, conn: Id) -> bool {
+        !self.unhandled_data.contains(&conn) && self.net.nothing_unread(conn)
+    }
+
     /// Sets the time at which a connection expires, unless its deadline is changed or cleared before.
     pub fn set_deadline(&mut self, id: Id, at: Ns) {
         if let Some(at) = self.deadlines.set(id, at) {
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -147,6 +147,7 @@
             self.effects.net.turn(&mut events, SEC).map_err(|err| err.to_string())?;
             let count = events.len();
             events.sort_by_cached_key(|event| self.effects.event_priority(event));
+            self.effects.turn_began(&events);
             for event in events.drain(..) {
                 self.handle(event);
                 self.process_pending();
@@ -244,6 +245,7 @@
                 }
             }
             Event::StreamData { conn, bytes } => {
+                self.effects.data_handled(conn);
                 if self.effects.clients.owns(conn) {
                     self.effects.client_bytes(conn, &bytes);
                     self.read_client(conn);
