node: a new connection whose first bytes are not handled yet gives way to no other

Cause: at the bound of clients a new connection may evict one on which nothing was said. New connections are handled before their data, so one whose first bytes were read in the same turn looked like that; its request was read and its connection closed with no answer.

Change: evict_one takes no connection with data among the turn's events.

--- a/node/src/clients.rs
+++ b/node/src/clients.rs
@@ -208,18 +208,19 @@
     /// unread bytes. Returns whether it closed one.
     fn evict_one(&mut self) -> bool {
         let now = self.net.now();
-        let (net, all) = (&mut self.net, &self.clients.all);
+        let (net, all, unhandled_data) = (&mut self.net, &self.clients.all, &self.unhandled_data);
+        let mut nothing_unhandled = |id: &Id| !unhandled_data.contains(id) && net.nothing_unread(*id);
         let evictable = |id: &Id| all.get(id).filter(|client| client.may_be_evicted(now));
         let idle = |id: &Id| evictable(id).is_some_and(|c| c.buffer.is_empty());
         let partial =
             |id: &Id| evictable(id).is_some_and(|c| !c.buffer.is_empty() && !c.has_complete_command());
         let ids = || self.clients.evictable.iter().map(|(.., id)| *id);
-        if let Some(old) = ids().find(|id| idle(id) && net.nothing_unread(*id)) {
+        if let Some(old) = ids().find(|id| idle(id) && nothing_unhandled(id)) {
             self.clients.closed.for_room += 1;
             self.close_idle(old);
             return true;
         }
-        let found = ids().find(|id| partial(id) && net.nothing_unread(*id));
+        let found = ids().find(|id| partial(id) && nothing_unhandled(id));
         if let Some(old) = found {
             self.close_with_error(old, pg::CANNOT_CONNECT_NOW, "too many connections");
         }
--- a/node/src/tests.rs
+++ b/node/src/tests.rs
@@ -147,6 +147,24 @@
     assert_eq!((owns[0], owns[1], harness.effects.clients.owns(conn)), (false, true, true));
 }
 
+/// Guards against a request without an answer: a new connection whose first bytes were read in the turn that accepted it is
+/// evicted for the next one before they are handled.
+#[test]
+fn a_new_connection_whose_first_bytes_are_not_handled_yet_is_not_evicted() {
+    let mut harness = harness(64);
+    let _others: Vec<(TcpStream, Id)> = (0..9).map(|_| harness.client()).collect();
+    let ((mut io, id), (_next, next)) = (harness.new_connection(), harness.new_connection());
+    harness.effects.client_connected(id);
+    io.write_all(b"first bytes").unwrap();
+    let mut events = Vec::new();
+    while events.is_empty() {
+        harness.effects.net.turn(&mut events, SEC).unwrap();
+    }
+    harness.effects.turn_began(&events);
+    harness.effects.client_connected(next);
+    assert!(harness.effects.clients.owns(id) && !harness.effects.clients.owns(next));
+}
+
 /// Guards against a request that arrives as its connection is closed, and is read and dropped: its client must see a
 /// reset, which tells that the request was not read, instead of a regular close.
 #[test]
