node: commands read in small steps, a module for stops, named limits

Need: read_commands was one function of 90 lines with four optional results; clients.rs had grown by the stop; limits stood as tuples with a meaning by position.

Change, no other behaviour: Client::next_startup and next_query tell the next command as an enum, clients/shutdown.rs has what a stop does to connections, and RELOAD_RETRY, REDIAL_DELAY, SOCKET_LIMITS and MAX_HELD_REPLIES are named constants.

--- a/node/src/clients.rs
+++ b/node/src/clients.rs
@@ -1,5 +1,7 @@
 //! Client connections. Commands may be pipelined: they are accepted as they arrive, up to a limit, and answered in
 //! order. Malformed input is answered by an error or a close, soon, and must not slow down the others.
+mod shutdown;
+
 use crate::connection_pool::RESERVED_DESCRIPTORS;
 use crate::effects::Effects;
 use crate::Config;
@@ -25,13 +27,17 @@
 /// Most unread bytes of a client that waits, and of the statements of its open RPCs, except for the last. Beyond it
 /// no more is read until one of them is answered.
 const MAX_READ_AHEAD: usize = 16 * 1024;
-/// Most bytes of replies that are held back, per connection (for an earlier reply or a slow reader) and in total (for
-/// earlier replies). Beyond it an RPC is aborted instead of answered. A stream that leaves 4 MiB unsent is closed.
-const MAX_HELD_REPLIES: (usize, usize) = (3 * 1024 * 1024, 8 * 1024 * 1024);
+/// Most bytes of replies that are held back on a connection, for an earlier reply or a slow reader. Beyond it an RPC is
+/// aborted instead of answered. A stream that leaves 4 MiB unsent is closed.
+const MAX_HELD_PER_CLIENT: usize = 3 * 1024 * 1024;
+/// The same for all connections together, for earlier replies.
+const MAX_HELD: usize = 8 * 1024 * 1024;
 /// Most arrival times that are stored for a client's unread bytes; at the limit, later bytes share the last one.
 const MAX_ARRIVALS: usize = 64;
 /// Most commands of a connection per turn, so that a client with hundreds of them does not delay the others.
 const MAX_COMMANDS_PER_TURN: usize = 8;
+/// How many malformed commands an encryption request counts as: at most three come before the startup message.
+const ENCRYPTION_REQUEST_COST: u32 = 4;
 /// Malformed commands after which a connection is closed: a client that sends them at full speed has to reconnect.
 const MAX_BAD_COMMANDS: u32 = 16;
 /// Most buffered bytes of all clients together. At the limit, a client with more than `MAX_READ_AHEAD` is closed.
@@ -45,6 +51,23 @@
     Held(Vec<u8>),
 }
 
+/// What a client's unread bytes begin with.
+enum Command {
+    /// Too few bytes to tell.
+    Incomplete,
+    /// A statement that waits for room, and is left unread.
+    Waits,
+    Statement(String),
+    /// A command that is no RPC, with its reply.
+    Answered(Vec<u8>),
+    /// An invalid command; the connection goes on.
+    Rejected(&'static str),
+    /// The client ends the connection.
+    End,
+    /// A violation of the protocol, which ends the connection.
+    Fatal(&'static str),
+}
+
 #[derive(Default)]
 struct Client {
     started: bool,
@@ -69,6 +92,50 @@
         self.started && self.replies.is_empty() && matches!(next(), Ok(Frame::Complete { .. }) | Err(_))
     }
 
+    /// The next command before the startup is complete, and its length.
+    fn next_startup(&mut self) -> (Command, usize) {
+        match pg::read_startup(&self.buffer) {
+            Ok(StartupMessage::Incomplete) => (Command::Incomplete, 0),
+            Ok(StartupMessage::EncryptionRequest { used }) => {
+                self.bad_commands += ENCRYPTION_REQUEST_COST;
+                let tolerated = self.bad_commands < MAX_BAD_COMMANDS;
+                (if tolerated { Command::Answered(b"N".to_vec()) } else { Command::Fatal("no start") }, used)
+            }
+            Ok(StartupMessage::CancelRequest) => (Command::End, 0),
+            Ok(StartupMessage::Startup { used }) => {
+                self.started = true;
+                let mut reply = Vec::new();
+                pg::put_startup_response(&mut reply);
+                (Command::Answered(reply), used)
+            }
+            Err(why) => (Command::Fatal(why.0), 0),
+        }
+    }
+
+    /// The next command after the startup, and its length. A statement behind an open RPC waits unless it `has_room`.
+    fn next_query(&self, has_room: impl FnOnce(&str) -> bool) -> (Command, usize) {
+        let (tag, body, used) = match pg::read_frame(&self.buffer, pg::MAX_QUERY_LEN) {
+            Ok(Frame::Incomplete) => return (Command::Incomplete, 0),
+            Ok(Frame::Complete { tag, body, used }) => (tag, body, used),
+            Err(why) => return (Command::Fatal(why.0), 0),
+        };
+        let text = match tag {
+            b'Q' => pg::read_cstr(body),
+            b'X' => return (Command::End, 0),
+            _ => return (Command::Fatal("only simple queries are taken"), 0),
+        };
+        match text {
+            Some(text) if text.trim().is_empty() => {
+                let mut reply = Vec::new();
+                pg::put_empty_query_response(&mut reply);
+                (Command::Answered(reply), used)
+            }
+            Some(text) if !self.replies.is_empty() && !has_room(text) => (Command::Waits, 0),
+            Some(text) => (Command::Statement(text.to_string()), used),
+            None => (Command::Rejected("a query that is no text"), used),
+        }
+    }
+
     /// Whether the connection may be closed for a new one. Before its startup message it may be closed at once, as
     /// nothing was exchanged.
     fn may_be_evicted(&self, now: Ns) -> bool {
@@ -340,81 +407,33 @@
             if backlog > 0 || !client.accepts_command() {
                 return self.pause_reading(id);
             }
-            let mut out = Vec::new();
-            let mut rejection = None;
-            let mut statement = None;
-            let mut fatal = None;
-            let used = if !client.started {
-                match pg::read_startup(&client.buffer) {
-                    Ok(StartupMessage::Incomplete) => break,
-                    Ok(StartupMessage::EncryptionRequest { used }) => {
-                        out.push(b'N');
-                        client.bad_commands += 4; // at most three before the startup message
-                        used
-                    }
-                    Ok(StartupMessage::CancelRequest) => {
-                        self.close_client(id);
-                        return ClientInput::Nothing;
-                    }
-                    Ok(StartupMessage::Startup { used }) => {
-                        pg::put_startup_response(&mut out);
-                        client.started = true;
-                        used
-                    }
-                    Err(why) => {
-                        fatal = Some(why.0);
-                        0
-                    }
+            let (command, used) = match client.started {
+                true => client.next_query(|text| room(&self.config, text)),
+                false => client.next_startup(),
+            };
+            let received = client.consume(used);
+            self.clients.buffered -= used;
+            match command {
+                Command::Incomplete => break,
+                Command::Waits => return self.pause_reading(id),
+                Command::End => {
+                    self.close_client(id);
+                    return ClientInput::Nothing;
                 }
-            } else {
-                match pg::read_frame(&client.buffer, pg::MAX_QUERY_LEN) {
-                    Ok(Frame::Incomplete) => break,
-                    Ok(Frame::Complete { tag: b'Q', body, used }) => {
-                        match pg::read_cstr(body) {
-                            Some(text) if text.trim().is_empty() => pg::put_empty_query_response(&mut out),
-                            Some(text) if !client.replies.is_empty() && !room(&self.config, text) => {
-                                return self.pause_reading(id);
-                            }
-                            Some(text) => statement = Some(text.to_string()),
-                            None => rejection = Some("a query that is no text"),
-                        }
-                        used
-                    }
-                    Ok(Frame::Complete { tag: b'X', .. }) => {
-                        self.close_client(id);
+                Command::Fatal(why) => {
+                    self.close_with_error(id, pg::PROTOCOL_VIOLATION, why);
+                    return ClientInput::Nothing;
+                }
+                Command::Rejected(why) => self.reject_command(id, why),
+                Command::Answered(reply) => {
+                    if !self.reply(id, reply) {
                         return ClientInput::Nothing;
                     }
-                    Ok(Frame::Complete { .. }) => {
-                        fatal = Some("only simple queries are taken");
-                        0
-                    }
-                    Err(why) => {
-                        fatal = Some(why.0);
-                        0
-                    }
                 }
-            };
-            if let Some(why) = fatal {
-                self.close_with_error(id, pg::PROTOCOL_VIOLATION, why);
-                return ClientInput::Nothing;
-            }
-            let received = client.consume(used);
-            self.clients.buffered -= used;
-            let too_many_bad = client.bad_commands >= MAX_BAD_COMMANDS;
-            if let Some(text) = statement {
-                self.set_reading(id, true);
-                return ClientInput::Statement(text, received.unwrap_or(self.net.now()));
-            }
-            if let Some(why) = rejection {
-                self.reject_command(id, why);
-                continue;
-            }
-            if too_many_bad {
-                self.close_with_error(id, pg::PROTOCOL_VIOLATION, "no start");
-                return ClientInput::Nothing;
-            }
-            if !out.is_empty() && !self.reply(id, out) {
-                return ClientInput::Nothing;
+                Command::Statement(text) => {
+                    self.set_reading(id, true);
+                    return ClientInput::Statement(text, received.unwrap_or(self.net.now()));
+                }
             }
         }
         self.set_reading(id, true);
@@ -488,8 +507,8 @@
         let Some(at) = client.replies.iter().position(is_reply) else { return true };
         let unsent = backlog + client.held_bytes();
         let room = at == 0 && backlog == 0
-            || unsent + bytes.len() <= MAX_HELD_REPLIES.0
-                && self.clients.held_bytes + bytes.len() <= MAX_HELD_REPLIES.1;
+            || unsent + bytes.len() <= MAX_HELD_PER_CLIENT
+                && self.clients.held_bytes + bytes.len() <= MAX_HELD;
         let mut reply = Vec::new();
         if room {
             reply.extend_from_slice(bytes);
@@ -519,40 +538,6 @@
         }
         room
     }
-
-    /// In a shutdown, reads no further commands. Those that were read, in whole or in part, are still answered; for what is left
-    /// unread, the close of the connection tells the client that it was not taken.
-    pub fn stop_reading_clients(&mut self) {
-        if std::mem::replace(&mut self.clients.reading_stopped, true) {
-            return;
-        }
-        let ids: Vec<Id> = self.clients.all.iter().filter(|(_, c)| !c.closing).map(|(id, _)| *id).collect();
-        tracing::info!(event = "reading stopped", clients = ids.len());
-        ids.into_iter().for_each(|id| self.set_reading(id, true));
-    }
-
-    /// In a shutdown, rejects the commands that are still incomplete as the last answers are due.
-    pub fn reject_incomplete_commands(&mut self) {
-        let incomplete = |c: &Client| {
-            !c.closing && c.replies.is_empty() && !c.buffer.is_empty() && !c.has_complete_command()
-        };
-        let ids: Vec<Id> =
-            self.clients.all.iter().filter(|(_, c)| incomplete(c)).map(|(id, _)| *id).collect();
-        ids.into_iter().for_each(|id| self.close_with_error(id, pg::CANNOT_CONNECT_NOW, "shutting down"));
-    }
-
-    /// In a shutdown, closes each idle connection, unless it has unread bytes. Those that have sent no command are closed
-    /// as well if `unused` is set; otherwise their first RPC may be on its way.
-    pub fn close_idle_clients(&mut self, unused: bool) {
-        let net = &mut self.net;
-        let idle_id = |(id, c): (&Id, &Client)| {
-            let idle = c.replies.is_empty() && c.buffer.is_empty();
-            (idle && (c.sent_command || unused) && !net.has_unread(*id)).then_some(*id)
-        };
-        let idle: Vec<Id> = self.clients.all.iter().filter_map(idle_id).collect();
-        self.clients.closed.in_stop += idle.len() as u64;
-        idle.into_iter().for_each(|id| self.close_idle(id));
-    }
 }
 
 /// How long before the client's deadline an answer must be sent: for the network and a busy turn of the event loop.
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -10,8 +10,9 @@
 
 /// Largest configuration file that is read; a list of some ten thousand machines fits in.
 const MAX_FILE_LEN: u64 = 8 * 1024 * 1024;
-/// Least and most descriptors that a node uses.
-const SOCKET_LIMITS: (usize, usize) = (64, 4_096);
+/// Fewest descriptors that a node uses.
+const MIN_SOCKETS: usize = 64;
+const MAX_SOCKETS: usize = 4_096;
 
 pub struct Config {
     pub file: Option<PathBuf>,
@@ -70,7 +71,7 @@
         let max_deadline =
             |text: &String| rockpick_front_settings::nanos(text).filter(|ns| *ns > 0).unwrap_or(Ns::MAX / 4);
         let sockets = match &config["limits"]["sockets"] {
-            Value::Null => SOCKET_LIMITS.1,
+            Value::Null => MAX_SOCKETS,
             n => n.as_u64().ok_or("limits.sockets: no number")? as usize,
         };
         let rollout_api = match &config["platform"]["address"] {
@@ -93,7 +94,7 @@
             rollout_api,
             initial_status: rollout_api::initial_status(&config["platform"]["news"]),
             initial_roster: config["known"].clone(),
-            sockets: sockets.clamp(SOCKET_LIMITS.0, SOCKET_LIMITS.1),
+            sockets: sockets.clamp(MIN_SOCKETS, MAX_SOCKETS),
             front_config,
             methods: names.into_iter().zip(deadlines.iter().map(max_deadline)).collect(),
             zones: settings.strings("zones"),
--- a/node/src/control_links.rs
+++ b/node/src/control_links.rs
@@ -21,9 +21,10 @@
 const MAX_WATCH_LINE: usize = 2 * 1024 * 1024;
 /// Most watches, and most subscriptions, at a time: one that serves and one that is being established.
 const MAX_LINKS: usize = 2;
-/// First and longest delay before the rollout API is dialled again. The delay doubles each time, and the wait is
-/// drawn at random between half of it and all of it.
-const REDIAL_DELAY: (Ns, Ns) = (100 * MS, 2 * SEC);
+/// Delay before the rollout API is dialled again. It doubles each time, and the wait is drawn at random between half of it
+/// and all of it.
+const MIN_REDIAL_DELAY: Ns = 100 * MS;
+const MAX_REDIAL_DELAY: Ns = 2 * SEC;
 
 struct Watch {
     call: Id,
@@ -117,7 +118,7 @@
             addr: at,
             subscriptions: Vec::new(),
             vote: None,
-            redial_delay: REDIAL_DELAY.0,
+            redial_delay: MIN_REDIAL_DELAY,
             redial_scheduled: false,
             dialled: 0,
             lines_received: 0,
@@ -367,7 +368,7 @@
             return;
         }
         let wait = self.rng.random_range(self.rollout_api.redial_delay / 2..=self.rollout_api.redial_delay);
-        self.rollout_api.redial_delay = (self.rollout_api.redial_delay * 2).min(REDIAL_DELAY.1);
+        self.rollout_api.redial_delay = (self.rollout_api.redial_delay * 2).min(MAX_REDIAL_DELAY);
         self.rollout_api.redial_scheduled = true;
         self.net.wake_at(self.net.now() + wait, ROLLOUT_API_TIMER);
     }
@@ -382,7 +383,7 @@
                 let old = self.rollout_api.subscriptions.remove(0);
                 self.close_rollout_api(old.conn);
             }
-            self.rollout_api.redial_delay = REDIAL_DELAY.0;
+            self.rollout_api.redial_delay = MIN_REDIAL_DELAY;
             if let Some(at) = rollout_api {
                 self.dial_subscription(at);
             }
@@ -461,7 +462,7 @@
             match rollout_api::parse_line(line) {
                 Some(Line::Ok(_)) => {
                     self.rollout_api.subscriptions[at].active = true;
-                    self.rollout_api.redial_delay = REDIAL_DELAY.0;
+                    self.rollout_api.redial_delay = MIN_REDIAL_DELAY;
                 }
                 Some(Line::Progress(status)) => {
                     events.push(ModuleEvent::Status(Reply::News, Some(to_rollout_status(now, status))))
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -20,9 +20,9 @@
 const SIGHUP: i32 = 1;
 const SIGINT: i32 = 2;
 const SIGTERM: i32 = 15;
-/// Delay between attempts to read an invalid configuration again, and their number: the file may just be being
-/// written.
-const RELOAD_RETRY: (Ns, u32) = (100 * MS, 20);
+/// Delay between attempts to read an invalid configuration again: the file may just be being written.
+const RELOAD_RETRY_DELAY: Ns = 100 * MS;
+const MAX_RELOAD_RETRIES: u32 = 20;
 /// Interval of the counts in the log and of forgetting machines that are gone.
 const TICK_INTERVAL: Ns = SEC;
 
@@ -301,7 +301,7 @@
             Event::Timer { tag: ROLLOUT_API_TIMER } => self.effects.subscribe(),
             Event::Timer { tag: STOP_TIMER } => self.continue_shutdown(),
             Event::Signal { number: SIGHUP } => {
-                self.reload_retries = RELOAD_RETRY.1;
+                self.reload_retries = MAX_RELOAD_RETRIES;
                 self.reload();
             }
             Event::Timer { tag: RELOAD_TIMER } => self.reload(),
@@ -467,7 +467,7 @@
                 tracing::error!(event = "reload failed", why, again = self.reload_retries);
                 if let Some(left) = self.reload_retries.checked_sub(1) {
                     self.reload_retries = left;
-                    self.effects.net.wake_at(self.effects.net.now() + RELOAD_RETRY.0, RELOAD_TIMER);
+                    self.effects.net.wake_at(self.effects.net.now() + RELOAD_RETRY_DELAY, RELOAD_TIMER);
                 }
             }
         }
