After a watch that fell silent, failed calls do not extend the trust in the roster

Change: Front remembers that the last watch was given up without an end; failed calls confirm nothing then. Result: a_roster_is_trusted_for_a_while_after_it_was_last_confirmed covers it, red without the clause.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -153,6 +153,8 @@
     roster_requested: Ns,
     /// When it was last certain that no change of the roster was missed.
     roster_confirmed: Ns,
+    /// Whether the last watch fell silent: what it missed counts as known, whether or not calls fail since.
+    watch_fell_silent: bool,
     /// RPCs received and picks at builds on trial: one entry per method, or a single one if the cap is for all.
     exposure: Vec<TimeBuckets<Count>>,
     /// One-way keys and the newest build that answered each.
@@ -332,7 +334,9 @@
     /// would keep it overloaded and none would be served.
     fn roster_retry_wait(&mut self, now: Ns) -> Ns {
         let served = std::mem::take(&mut self.watching);
-        if !served {
+        if served {
+            self.watch_fell_silent = self.roster_confirmed < now;
+        } else if !self.watch_fell_silent {
             // The service could not be reached when it was asked: a change that was made since then counts as
             // known only some time after that.
             self.roster_confirmed = self.roster_confirmed.max(self.roster_requested);
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -635,13 +635,23 @@
     assert_eq!([106, 107].map(|at| picks_at(&mut front, at * SEC)), [1, 0]);
     front.roster_confirmed(108 * SEC);
     assert_eq!([114, 115].map(|at| picks_at(&mut front, at * SEC)), [1, 0]);
-    // A call that began at 116 s and is refused at 118 s.
-    let mut recorder = Recorder { now: 116 * SEC, ..Recorder::default() };
-    front.roster_updated(&mut recorder, RosterUpdate::Failed, &[]);
-    front.timer_fired(&mut recorder, 1);
-    recorder.now = 118 * SEC;
-    front.roster_updated(&mut recorder, RosterUpdate::Failed, &[]);
+    // The watch ends, and a call is refused that began a second later. It tells that nothing could be known then.
+    let fail_until = |front: &mut Front, ended: Ns| {
+        let mut recorder = Recorder { now: ended, ..Recorder::default() };
+        front.roster_updated(&mut recorder, RosterUpdate::Failed, &[]);
+        recorder.now = ended + SEC;
+        front.timer_fired(&mut recorder, 1);
+        recorder.now = ended + 3 * SEC;
+        front.roster_updated(&mut recorder, RosterUpdate::Failed, &[]);
+    };
+    front.roster_confirmed(115 * SEC);
+    fail_until(&mut front, 115 * SEC);
     assert_eq!([122, 123].map(|at| picks_at(&mut front, at * SEC)), [1, 0]);
+    // A watch that has been silent since 130 s is given up, and a call is refused. What the watch missed counts all the same.
+    let mut silent = Recorder { now: 130 * SEC, ..Recorder::default() };
+    front.roster_updated(&mut silent, RosterUpdate::Changes, &[]);
+    fail_until(&mut front, 132 * SEC);
+    assert_eq!([136, 137].map(|at| picks_at(&mut front, at * SEC)), [1, 0]);
 }
 
 /// Guards against picks at a build that was announced as sent back, because the reply to a vote, written before that,
