Review case 8: a crowd at discovery keeps a node on a list that no longer holds

Cause: a call that discovery refuses counts as a confirmation of the list as of its start, so that trust in it is extended for as long as the crowd lasts. Change: the case, nothing of the program.

--- a/review/kit-2/kit.rs
+++ b/review/kit-2/kit.rs
@@ -287,6 +287,11 @@
         found
     }
 
+    /// The address and the list of a discovery that a case serves by itself.
+    pub fn at_address(at: SocketAddr, hosts: &[Host]) -> Discovery {
+        Discovery { at, state: Arc::new(Mutex::new((41, hosts.to_vec(), BTreeMap::new()))) }
+    }
+
     pub fn known(&self) -> String {
         let state = self.state.lock().unwrap();
         list_json(state.0, true, &state.1)
