Review stand-ins: signals are sent by the shell's own kill

Need: a script must not depend on a kill program that a small machine may lack. Change: Node::signal in the review's kit uses the kill of /bin/sh.

--- a/review/kit-2/kit.rs
+++ b/review/kit-2/kit.rs
@@ -530,7 +530,7 @@
 
     /// Sends a signal, by its name for `kill`.
     pub fn signal(&self, name: &str) {
-        let _ = Command::new("/bin/kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
+        let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -{name} {}", self.child.id())).status();
     }
 
     /// Memory of its own in KiB: resident pages that are neither those of its program file nor of libraries.
