--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -190,9 +190,9 @@
     );
     record.write(&line);
     println!("{line}");
+    drop(node);
     if served.get() < 50 {
         cannot_run("too few requests were served");
     }
-    drop(node);
     std::process::exit(i32::from(over.is_some()));
 }
--- a/review/kit-2/kit.rs
+++ b/review/kit-2/kit.rs
@@ -43,9 +43,16 @@
     }
 }
 
-/// Ends the run with the code for a case that can't run.
+/// Started nodes that have not been ended yet, with their folders.
+static STARTED: Mutex<Vec<(u32, PathBuf)>> = Mutex::new(Vec::new());
+
+/// Ends the run with the code for a case that can't run. No started process and no folder is left.
 pub fn cannot_run(why: &str) -> ! {
     eprintln!("can't run: {why}");
+    for (pid, folder) in std::mem::take(&mut *STARTED.lock().unwrap_or_else(|err| err.into_inner())) {
+        let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -KILL {pid}")).status();
+        let _ = std::fs::remove_dir_all(folder);
+    }
     std::process::exit(2)
 }
 
@@ -468,6 +475,7 @@
 
 impl Drop for Node {
     fn drop(&mut self) {
+        STARTED.lock().unwrap_or_else(|err| err.into_inner()).retain(|(pid, _)| *pid != self.child.id());
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
@@ -505,6 +513,7 @@
             .stderr(log)
             .spawn()
             .unwrap_or_else(|err| cannot_run(&format!("run: {err}")));
+        STARTED.lock().unwrap_or_else(|err| err.into_inner()).push((child.id(), folder.0.clone()));
         let node = Node { at, child, folder };
         let began = Instant::now();
         while began.elapsed() < ms(10_000) {
