--- a/control/src/settings.rs
+++ b/control/src/settings.rs
@@ -362,6 +362,7 @@
                 overload_factor: g.overload_factor,
                 fall_time: ms(g.fall_time_ms),
             },
+            max_bound_keys: None,
             permissions: Permissions {
                 most_picks: self.rights.most_picks,
                 notes: self.rights.notes,
--- a/fakes/src/scripted.rs
+++ b/fakes/src/scripted.rs
@@ -468,9 +468,13 @@
 impl Client {
     /// Opens a connection without sending anything.
     pub fn connect(to: SocketAddr) -> std::io::Result<Client> {
-        let io = TcpStream::connect(to)?;
-        io.set_read_timeout(Some(PATIENCE))?;
-        Ok(Client { io, received: Vec::new() })
+        Ok(Client::from_stream(TcpStream::connect(to)?))
+    }
+
+    /// A client on a connection on which nothing has been sent.
+    pub fn from_stream(io: TcpStream) -> Client {
+        io.set_read_timeout(Some(PATIENCE)).unwrap();
+        Client { io, received: Vec::new() }
     }
 
     /// Sends the startup message and reads the response.
--- a/front-settings/src/lib.rs
+++ b/front-settings/src/lib.rs
@@ -208,6 +208,7 @@
             overload_factor: settings.parse("invariants.overloadFactor", 1.0, number)?,
             fall_time: settings.duration("invariants.fallMs")?,
         },
+        max_bound_keys: None,
         permissions: Permissions {
             most_picks: settings.parse("permissions.attemptsCap", 1, |w| number(w).map(|x| x as u32))?,
             notes: settings.flag("permissions.peers")?,
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -13,7 +13,8 @@
 pub use deadline_queue::DeadlineQueue;
 pub use log_limiter::LogLimiter;
 pub use net::{
-    set_clock_skew, BoundListener, Call, CallEnd, Event, Id, Net, LINGER, MAX_BACKLOG, MAX_CALLS, MAX_IDLE,
+    set_clock_skew, BoundListener, Call, CallEnd, Event, Id, Net, UnsentBytes, LINGER, MAX_BACKLOG,
+    MAX_CALLS, MAX_IDLE,
 };
 pub use streams::{MAX_CLOSING_STREAMS, MAX_STREAMS};
 pub use timers::{Ns, Timers};
--- a/net/src/net.rs
+++ b/net/src/net.rs
@@ -38,6 +38,8 @@
 const WRITE_TIMEOUT: Ns = 30 * SEC;
 /// Number of bytes read at once.
 const READ_SIZE: usize = 64 * 1024;
+/// Fewest bytes that one read asks for, however many sockets share the limit of a turn.
+const MIN_READ_SIZE: usize = 2 * 1024;
 /// Maximum number of sockets accepted and of epoll events handled in one turn, so that no side starves the
 /// other.
 pub(crate) const MAX_ACCEPTS_PER_TURN: usize = 64;
@@ -213,6 +215,19 @@
     /// Closing: pending output is still sent; further input is dropped, up to a limit.
     pub(crate) closing: bool,
     pub(crate) dropped: usize,
+    /// Whether the peer opened the stream.
+    pub(crate) accepted: bool,
+    /// Its part of the bytes in [`UnsentBytes`].
+    pub(crate) counted: usize,
+}
+
+/// Memory taken by the unsent output of streams, in bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UnsentBytes {
+    /// Of streams that peers opened.
+    pub accepted: usize,
+    /// Of streams that this process dialled.
+    pub dialled: usize,
 }
 
 pub(crate) enum Socket {
@@ -267,6 +282,16 @@
     pub max_closing: usize,
     /// Sent to an accepted stream over the limit before it is closed.
     pub stream_refusal: Vec<u8>,
+    /// Most bytes that the first read of an accepted stream takes; [`Net::limit_read`] changes it.
+    pub accepted_read_limit: usize,
+    /// Most bytes that the streams and calls of one turn hand over together. Sockets that are ready at the same time
+    /// share it equally, but each may hand over 2 KiB.
+    pub max_read_per_turn: usize,
+    /// Most bytes that one read of this turn asks for.
+    pub(crate) read_size: usize,
+    /// Most unsent bytes of all dialled streams; a stream whose output would exceed it is closed.
+    pub max_unsent_dialled: usize,
+    pub(crate) unsent_bytes: UnsentBytes,
     /// Connections whose response has been sent, and whose next request may already be in the buffer.
     answered: Vec<Id>,
     /// Maximum number of client connections; further ones get a 503 response at once.
@@ -370,6 +395,11 @@
             max_streams: crate::MAX_STREAMS,
             max_closing: crate::MAX_CLOSING_STREAMS,
             stream_refusal: Vec::new(),
+            accepted_read_limit: usize::MAX,
+            max_read_per_turn: usize::MAX,
+            read_size: READ_SIZE,
+            max_unsent_dialled: usize::MAX,
+            unsent_bytes: UnsentBytes::default(),
             answered: Vec::new(),
             max_clients,
             head_timeout: HEAD_TIMEOUT,
@@ -461,6 +491,7 @@
             Socket::Stream(s) => {
                 self.streams -= 1;
                 self.closing -= usize::from(s.closing);
+                self.unsent_bytes.uncount(&s);
             }
             _ => {}
         }
@@ -784,6 +815,8 @@
             Err(err) => return Err(err.into()),
         };
         self.now = self.clock();
+        let readable = ready.iter().filter(|event| event.flags.contains(epoll::EventFlags::IN)).count();
+        self.read_size = (self.max_read_per_turn / readable.max(1)).clamp(MIN_READ_SIZE, READ_SIZE);
         for event in ready {
             self.ready(events, event.data.u64(), event.flags);
         }
@@ -1026,8 +1059,9 @@
             return;
         }
         let mut read_buf = std::mem::take(&mut self.read_buf);
+        let read_size = self.read_size;
         if let Some(server) = self.server(id) {
-            match server.io.read(&mut read_buf) {
+            match server.io.read(&mut read_buf[..read_size]) {
                 Ok(0) => self.call_closed(events, id),
                 Ok(n) => {
                     server.buf.extend_from_slice(&read_buf[..n]);
--- a/net/src/streams.rs
+++ b/net/src/streams.rs
@@ -1,5 +1,6 @@
 //! Byte streams for protocols other than HTTP, either dialled or accepted by a listener of their own. Their
 //! content is the caller's concern; limits, back-pressure and closing are handled here.
+use crate::net::UnsentBytes;
 use crate::net::{open_spare_fd, start_connect, would_block, BoundListener, Event, Id, Net, Socket, Stream};
 use crate::net::{LINGER, MAX_ACCEPTS_PER_TURN, MAX_BACKLOG};
 use crate::{Ns, SEC};
@@ -10,8 +11,8 @@
 
 /// Default maximum number of open streams; further ones are neither dialled nor accepted.
 pub const MAX_STREAMS: usize = 1_024;
-/// Capacity that an empty buffer keeps.
-const MIN_BUFFER_CAPACITY: usize = 1_024;
+/// Most bytes by which an output buffer grows beyond what it has to hold.
+const MAX_BUFFER_GROWTH: usize = 16 * 1_024;
 /// Number of bytes that the peer of a closing stream may still send before the stream is closed: reading
 /// without a limit would let it occupy the loop, and closing at once would reset the connection and lose the
 /// last output.
@@ -61,25 +62,56 @@
         Ok(id)
     }
 
-    /// Sends on a stream. Returns false if the stream is closed; one whose peer reads too slowly is closed
-    /// without an event.
+    /// Sends on a stream. Returns false if the stream is closed. One whose peer reads too slowly, or whose output
+    /// would exceed [`Net::max_unsent_dialled`], is closed without an event; the last byte was not sent then.
     pub fn send(&mut self, conn: Id, bytes: &[u8]) -> bool {
         let Some(stream) = self.stream_of(conn) else { return false };
-        if stream.out.len() - stream.sent + bytes.len() > MAX_BACKLOG {
+        if stream.backlog() + bytes.len() > MAX_BACKLOG {
             self.close_socket(conn);
             return false;
         }
-        stream.out.extend_from_slice(bytes);
-        if stream.connected && self.flush_stream(conn).is_err() {
+        // Without output before it, what the kernel takes goes out at once, and only the rest is stored.
+        let written = if stream.connected && stream.backlog() == 0 { stream.write(bytes) } else { Ok(0) };
+        let stored = written.is_ok_and(|written| self.store_output(conn, &bytes[written..]));
+        if !stored {
             self.close_socket(conn);
+        }
+        stored
+    }
+
+    /// Stores output until the kernel takes it. Returns false if there is no room for it.
+    fn store_output(&mut self, conn: Id, bytes: &[u8]) -> bool {
+        let room = self.max_unsent_dialled.saturating_sub(self.unsent_bytes.dialled);
+        let Some(stream) = self.stream_of(conn) else { return false };
+        if bytes.is_empty() {
+            return true;
+        }
+        if !stream.accepted && bytes.len() > room {
             return false;
         }
+        stream.push_output(bytes);
+        self.count_output(conn);
+        self.update_stream_interest(conn);
         true
     }
 
+    /// Updates the count of unsent bytes after a change of a stream's output.
+    fn count_output(&mut self, conn: Id) {
+        let mut unsent_bytes = self.unsent_bytes;
+        if let Some(stream) = self.stream_of(conn) {
+            unsent_bytes.count(stream);
+        }
+        self.unsent_bytes = unsent_bytes;
+    }
+
+    /// Memory taken by the unsent output of all streams.
+    pub fn unsent_bytes(&self) -> UnsentBytes {
+        self.unsent_bytes
+    }
+
     /// Number of bytes waiting to be sent on a stream, or `None` if it is closed.
     pub fn backlog(&mut self, conn: Id) -> Option<usize> {
-        self.stream_of(conn).map(|s| s.out.len() - s.sent)
+        self.stream_of(conn).map(|s| s.backlog())
     }
 
     /// Number of open streams.
@@ -175,18 +207,9 @@
 
     fn flush_stream(&mut self, id: Id) -> io::Result<()> {
         let Some(stream) = self.stream_of(id) else { return Ok(()) };
-        while stream.sent < stream.out.len() {
-            match stream.io.write(&stream.out[stream.sent..]) {
-                Ok(n) if n > 0 => stream.sent += n,
-                Err(err) if would_block(&err) => break,
-                Ok(_) => return Err(ErrorKind::WriteZero.into()),
-                Err(err) => return Err(err),
-            }
-        }
-        if stream.sent == stream.out.len() {
-            stream.out.clear();
-            stream.out.shrink_to(MIN_BUFFER_CAPACITY);
-            stream.sent = 0;
+        if !stream.out.is_empty() {
+            stream.flush()?;
+            self.count_output(id);
         }
         self.update_stream_interest(id);
         Ok(())
@@ -232,7 +255,8 @@
                 continue;
             }
             let _ = io.set_nodelay(true);
-            let stream = Stream::new(io, true, Ns::MAX);
+            let mut stream = Stream::new(io, true, Ns::MAX);
+            stream.read_limit = self.accepted_read_limit.max(1);
             if let Ok(conn) = self.add(Socket::Stream(stream), EventFlags::IN | EventFlags::RDHUP) {
                 self.streams += 1;
                 events.push(Event::StreamOpened { conn });
@@ -272,8 +296,9 @@
             return self.stream_closed(events, id);
         }
         let mut read_buf = std::mem::take(&mut self.read_buf);
+        let read_size = self.read_size;
         if let Some(stream) = self.stream_of(id) {
-            let limit = stream.read_limit.min(read_buf.len());
+            let limit = stream.read_limit.min(read_size);
             match stream.io.read(&mut read_buf[..limit]) {
                 Ok(0) => self.stream_closed(events, id),
                 Ok(n) if stream.closing => {
@@ -330,11 +355,76 @@
             read_limit: usize::MAX,
             closing: false,
             dropped: 0,
+            accepted: connected,
+            counted: 0,
         }
     }
 
+    /// Number of bytes waiting to be sent.
+    fn backlog(&self) -> usize {
+        self.out.len() - self.sent
+    }
+
+    /// Writes what the kernel takes, and returns how much that was.
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let mut written = 0;
+        while written < bytes.len() {
+            match self.io.write(&bytes[written..]) {
+                Ok(n) if n > 0 => written += n,
+                Err(err) if would_block(&err) => break,
+                Ok(_) => return Err(ErrorKind::WriteZero.into()),
+                Err(err) => return Err(err),
+            }
+        }
+        Ok(written)
+    }
+
+    /// Writes what the kernel takes of the stored output.
+    fn flush(&mut self) -> io::Result<()> {
+        let out = std::mem::take(&mut self.out);
+        let result = self.write(&out[self.sent..]);
+        self.out = out;
+        self.sent += result?;
+        if self.sent == self.out.len() {
+            (self.out, self.sent) = (Vec::new(), 0);
+        }
+        Ok(())
+    }
+
+    /// Appends output. The buffer takes little more memory than its unsent bytes.
+    fn push_output(&mut self, bytes: &[u8]) {
+        self.out.drain(..self.sent);
+        self.sent = 0;
+        let missing = (self.out.len() + bytes.len()).saturating_sub(self.out.capacity());
+        if missing > 0 {
+            self.out.reserve_exact(bytes.len() + self.out.len().min(MAX_BUFFER_GROWTH));
+        }
+        self.out.extend_from_slice(bytes);
+    }
+
     /// Whether connecting or closing has exceeded its time limit.
     pub(crate) fn timed_out(&self, now: Ns) -> bool {
         (!self.connected || self.closing) && self.expires_at <= now
     }
 }
+
+impl UnsentBytes {
+    fn total_of(&mut self, stream: &Stream) -> &mut usize {
+        match stream.accepted {
+            true => &mut self.accepted,
+            false => &mut self.dialled,
+        }
+    }
+
+    fn count(&mut self, stream: &mut Stream) {
+        let memory = stream.out.capacity();
+        let total = self.total_of(stream);
+        *total = *total + memory - stream.counted;
+        stream.counted = memory;
+    }
+
+    /// Takes a stream that is closed out of the count.
+    pub(crate) fn uncount(&mut self, stream: &Stream) {
+        *self.total_of(stream) -= stream.counted;
+    }
+}
--- a/net/tests/streams.rs
+++ b/net/tests/streams.rs
@@ -80,3 +80,62 @@
     let refused = peer.write(b"h").map_err(|err| err.kind());
     assert!(matches!(refused, Err(ErrorKind::ConnectionReset | ErrorKind::BrokenPipe)), "{refused:?}");
 }
+
+/// Guards against memory that unsent output takes without a limit: what the kernel takes is not counted, what is stored is
+/// counted until it is sent, and a dialled stream that would exceed the limit is closed.
+#[test]
+fn unsent_output_is_counted_and_that_of_dialled_streams_is_limited() {
+    const PART: usize = 1 << 20;
+    let peer = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut net = Net::new(0).unwrap();
+    net.max_unsent_dialled = 2 * PART;
+    let conn = net.dial(peer.local_addr().unwrap(), 1_000 * MS).unwrap();
+    let (mut reader, _) = peer.accept().unwrap();
+    let mut events = Vec::new();
+    while events.is_empty() {
+        net.turn(&mut events, 10 * MS).unwrap();
+    }
+    assert!(net.send(conn, &[1; 100]));
+    assert_eq!(net.unsent_bytes().dialled, 0);
+    while net.unsent_bytes().dialled == 0 {
+        assert!(net.send(conn, &vec![7; PART]));
+    }
+    reader.set_nonblocking(true).unwrap();
+    let mut buffer = vec![0; PART];
+    while net.unsent_bytes().dialled > 0 {
+        let _ = reader.read(&mut buffer);
+        net.turn(&mut events, MS).unwrap();
+    }
+    let mut sent = true;
+    while sent {
+        sent = net.send(conn, &vec![7; PART]);
+        assert!(net.unsent_bytes().dialled <= net.max_unsent_dialled);
+    }
+    assert_eq!((net.streams(), net.unsent_bytes()), (0, Default::default()));
+}
+
+/// Guards against memory that a flood takes between two turns: all streams together hand over no more than the limit.
+#[test]
+fn a_turn_reads_no_more_than_its_limit_and_something_from_each_stream() {
+    const STREAMS: usize = 16;
+    const LIMIT: usize = STREAMS * 4 * 1024;
+    let mut net = Net::new(0).unwrap();
+    net.max_read_per_turn = LIMIT;
+    let mut all = streams(&mut net, STREAMS);
+    for (io, _) in &mut all {
+        io.write_all(&[7; 32 * 1024]).unwrap();
+    }
+    while all.iter().any(|(_, conn)| !net.has_unread(*conn)) {
+        std::thread::yield_now();
+    }
+    let mut events = Vec::new();
+    net.turn(&mut events, MS).unwrap();
+    let lengths: Vec<usize> = events
+        .iter()
+        .filter_map(|event| match event {
+            Event::StreamData { bytes, .. } => Some(bytes.len()),
+            _ => None,
+        })
+        .collect();
+    assert!(lengths.len() == STREAMS && lengths.iter().sum::<usize>() <= LIMIT, "{lengths:?}");
+}
--- a/node/src/clients.rs
+++ b/node/src/clients.rs
@@ -1,9 +1,11 @@
 //! Client connections. Commands may be pipelined: they are accepted as they arrive, up to a limit, and answered in
 //! order. Malformed input is answered by an error or a close, soon, and must not slow down the others.
+mod large_commands;
 mod shutdown;
 
 use crate::connection_pool::RESERVED_DESCRIPTORS;
 use crate::effects::Effects;
+use crate::memory::{MemoryBudget, Reservation, SharedMemory};
 use crate::Config;
 use rockpick::Ns;
 use rockpick_net::{Event, Id, MS, SEC};
@@ -21,27 +23,16 @@
 /// A connection whose startup message or command was answered more recently than this may have a request on the way,
 /// and is not evicted.
 pub const MIN_IDLE: Ns = SEC / 2;
-/// Most open RPCs of one connection; further commands wait. This many answers of the largest value that the platform
-/// specifies (64 KiB) are half of what a stream may leave unsent.
-const MAX_OPEN_RPCS: usize = 32;
-/// Most unread bytes of a client that waits, and of the statements of its open RPCs, except for the last. Beyond it
-/// no more is read until one of them is answered.
-const MAX_READ_AHEAD: usize = 16 * 1024;
-/// Most bytes of replies that are held back on a connection, for an earlier reply or a slow reader. Beyond it an RPC is
-/// aborted instead of answered. A stream that leaves 4 MiB unsent is closed.
-const MAX_HELD_PER_CLIENT: usize = 3 * 1024 * 1024;
-/// The same for all connections together, for earlier replies.
-const MAX_HELD: usize = 8 * 1024 * 1024;
 /// Most arrival times that are stored for a client's unread bytes; at the limit, later bytes share the last one.
 const MAX_ARRIVALS: usize = 64;
 /// Most commands of a connection per turn, so that a client with hundreds of them does not delay the others.
 const MAX_COMMANDS_PER_TURN: usize = 8;
+/// How long RPCs of a client are pushed back after an answer to it was discarded for want of room.
+const DISCARD_PENALTY: Ns = SEC;
 /// How many malformed commands an encryption request counts as: at most three come before the startup message.
 const ENCRYPTION_REQUEST_COST: u32 = 4;
 /// Malformed commands after which a connection is closed: a client that sends them at full speed has to reconnect.
 const MAX_BAD_COMMANDS: u32 = 16;
-/// Most buffered bytes of all clients together. At the limit, a client with more than `MAX_READ_AHEAD` is closed.
-const MAX_BUFFERED: usize = 8 * 1024 * 1024;
 
 /// The reply to a command.
 enum Reply {
@@ -83,6 +74,10 @@
     sent_command: bool,
     last_received: Ns,
     bad_commands: u32,
+    /// Room for its next command, if that is longer than the allowance.
+    reservation: Reservation,
+    /// When an answer to it was last discarded for want of room.
+    answer_discarded: Option<Ns>,
 }
 
 impl Client {
@@ -151,14 +146,21 @@
         }
     }
 
+    /// Stores received bytes. What arrives after a wait for room may have been sent at any time since that wait began, so
+    /// it counts as having arrived then.
     fn receive(&mut self, bytes: &[u8], now: Ns) {
         self.last_received = now;
+        let arrived = match self.reservation {
+            Reservation::Held { since: Some(since), .. } => since,
+            _ => now,
+        };
+        self.buffer.reserve_exact(bytes.len());
         self.buffer.extend_from_slice(bytes);
         let (end, room) = (self.buffer.len(), self.arrivals.len() < MAX_ARRIVALS);
         match self.arrivals.back_mut() {
             // At the limit, late bytes count as having arrived earlier, so that no client waits beyond its deadline.
-            Some(last) if last.1 == now || !room => last.0 = end,
-            _ => self.arrivals.push_back((end, now)),
+            Some(last) if last.1 == arrived || !room => last.0 = end,
+            _ => self.arrivals.push_back((end, arrived)),
         }
     }
 
@@ -181,9 +183,19 @@
     }
 
     /// Whether the connection's limits allow another command.
-    fn accepts_command(&self) -> bool {
+    fn accepts_command(&self, budget: &MemoryBudget) -> bool {
         let open = |reply: &Reply| if let Reply::Open(_, bytes) = reply { *bytes } else { 0 };
-        self.replies.len() < MAX_OPEN_RPCS && self.replies.iter().map(open).sum::<usize>() < MAX_READ_AHEAD
+        self.replies.len() < budget.open_rpcs_per_client
+            && self.replies.iter().map(open).sum::<usize>() < budget.client_allowance
+    }
+
+    /// How many more bytes may be read from it: up to its allowance, or the rest of a command that room is held for.
+    fn readable_bytes(&self, budget: &MemoryBudget) -> usize {
+        match self.reservation {
+            Reservation::None => budget.client_allowance.saturating_sub(self.buffer.len()),
+            Reservation::Waiting { .. } => 0,
+            Reservation::Held { bytes, .. } => bytes.saturating_sub(self.buffer.len()),
+        }
     }
 }
 
@@ -191,8 +203,9 @@
     all: HashMap<Id, Client>,
     /// Candidates to be closed for a new connection: those that sent no command first, then the longest idle.
     evictable: BTreeSet<(bool, Ns, Id)>,
-    max: usize,
-    buffered: usize,
+    budget: MemoryBudget,
+    large_commands: SharedMemory,
+    refused_for_memory: u64,
     /// Bytes of held-back replies of all clients.
     held_bytes: usize,
     /// Whether only the rest of incomplete commands is read, as the process is about to end.
@@ -214,12 +227,13 @@
 }
 
 impl Clients {
-    pub fn new(sockets: usize) -> Clients {
+    pub fn new(budget: MemoryBudget) -> Clients {
         Clients {
             all: HashMap::new(),
             evictable: BTreeSet::new(),
-            max: sockets - RESERVED_DESCRIPTORS - (sockets - RESERVED_DESCRIPTORS) / 2,
-            buffered: 0,
+            budget,
+            large_commands: SharedMemory::new(budget.large_commands),
+            refused_for_memory: 0,
             held_bytes: 0,
             reading_stopped: false,
             refused: 0,
@@ -242,6 +256,11 @@
     }
 }
 
+/// Number of client connections that this many descriptors suffice for.
+pub fn max_clients(sockets: usize) -> usize {
+    sockets - RESERVED_DESCRIPTORS - (sockets - RESERVED_DESCRIPTORS) / 2
+}
+
 /// The refusal that is sent to a connection beyond the limit.
 pub fn too_many_connections() -> Vec<u8> {
     let mut out = Vec::new();
@@ -259,7 +278,7 @@
 impl Effects {
     pub fn client_connected(&mut self, id: Id) {
         let now = self.net.now();
-        if self.clients.all.len() >= self.clients.max && !self.evict_one() {
+        if self.clients.all.len() >= self.clients.budget.clients && !self.evict_one() {
             self.clients.refused += 1;
             self.net.send(id, &too_many_connections());
             return self.net.close_gracefully(id);
@@ -299,7 +318,7 @@
         self.clients.remove_evictable(id);
         self.deadlines.clear(id);
         let Some(client) = self.clients.all.remove(&id) else { return };
-        self.clients.buffered -= client.buffer.len();
+        self.end_reservation(id, client.reservation);
         for reply in client.replies {
             match reply {
                 Reply::Open(rpc, _) => self.disconnected.push_back(rpc),
@@ -314,8 +333,9 @@
         client.closing = true;
         if !client.replies.is_empty() {
             // Nothing more is read from it, but its close is still noticed.
-            self.clients.buffered -= std::mem::take(&mut client.buffer).len();
+            client.buffer = Vec::new();
             client.arrivals = VecDeque::new();
+            self.release_reservation(id);
             self.clients.remove_evictable(id);
             return self.net.pause(id, false);
         }
@@ -373,6 +393,10 @@
             return self.set_deadline(id, self.net.now() + UNREAD_DELAY);
         }
         let Some(client) = self.clients.all.get(&id) else { return };
+        if client.reservation.is_waiting() {
+            self.clients.refused_for_memory += 1;
+            return self.close_with_error(id, pg::TOO_MANY_CONNECTIONS, "too much at once");
+        }
         if !client.replies.is_empty() {
             return;
         }
@@ -388,11 +412,6 @@
         let now = self.net.now();
         let Some(client) = self.clients.all.get_mut(&id).filter(|c| !c.closing) else { return };
         client.receive(bytes, now);
-        self.clients.buffered += bytes.len();
-        // Limits a flood. Clients that send little don't fill the buffers and may go on.
-        if self.clients.buffered > MAX_BUFFERED && client.buffer.len() > MAX_READ_AHEAD {
-            self.close_with_error(id, pg::TOO_MANY_CONNECTIONS, "too much at once");
-        }
     }
 
     /// Reads the client's next commands; statements are returned to the caller. A statement behind an open RPC waits
@@ -404,7 +423,7 @@
                 return ClientInput::Nothing;
             };
             // Answers that a client does not read would fill the memory.
-            if backlog > 0 || !client.accepts_command() {
+            if backlog > 0 || !client.accepts_command(&self.clients.budget) {
                 return self.pause_reading(id);
             }
             let (command, used) = match client.started {
@@ -412,9 +431,14 @@
                 false => client.next_startup(),
             };
             let received = client.consume(used);
-            self.clients.buffered -= used;
+            if used > 0 && !matches!(command, Command::Statement(_)) {
+                self.release_reservation(id);
+            }
             match command {
-                Command::Incomplete => break,
+                Command::Incomplete => {
+                    self.reserve_large_command(id);
+                    break;
+                }
                 Command::Waits => return self.pause_reading(id),
                 Command::End => {
                     self.close_client(id);
@@ -441,21 +465,21 @@
         ClientInput::Nothing
     }
 
-    /// Reads from a client, or does not. Once reading is stopped, only the rest of an incomplete command is read.
+    /// Reads from a client as much as its limits allow, or does not. Once reading is stopped, only the rest of an
+    /// incomplete command is read.
     fn set_reading(&mut self, id: Id, wanted: bool) {
         let Some(client) = self.clients.all.get(&id) else { return };
-        if !self.clients.reading_stopped || client.closing {
-            return self.net.pause(id, !wanted);
+        let mut readable = client.readable_bytes(&self.clients.budget);
+        if self.clients.reading_stopped && !client.closing {
+            readable = readable.min(client.missing_bytes());
         }
-        let missing = client.missing_bytes();
-        self.net.limit_read(id, missing);
-        self.net.pause(id, !wanted || missing == 0);
+        self.net.limit_read(id, readable);
+        self.net.pause(id, !wanted || readable == 0);
     }
 
     /// Leaves the next command unread until an earlier one is answered, or the unsent bytes are read.
     fn pause_reading(&mut self, id: Id) -> ClientInput {
-        let full = self.clients.all.get(&id).is_some_and(|c| c.buffer.len() >= MAX_READ_AHEAD);
-        self.set_reading(id, !full);
+        self.set_reading(id, true);
         ClientInput::Nothing
     }
 
@@ -463,7 +487,8 @@
     /// the next turn.
     fn set_idle_deadline(&mut self, id: Id) {
         let now = self.net.now();
-        let Some(client) = self.clients.all.get_mut(&id).filter(|c| c.replies.is_empty()) else { return };
+        let waits_for_event = |c: &&mut Client| c.replies.is_empty() && !c.reservation.is_waiting();
+        let Some(client) = self.clients.all.get_mut(&id).filter(waits_for_event) else { return };
         if client.has_complete_command() {
             self.queued_events.push(Event::StreamFlushed { conn: id });
         }
@@ -477,6 +502,7 @@
 
     /// Answers an invalid command by an error. The connection stays open up to a limit of such commands.
     pub fn reject_command(&mut self, id: Id, why: &str) {
+        self.release_reservation(id);
         let Some(client) = self.clients.all.get_mut(&id) else { return };
         client.bad_commands += 1;
         if client.bad_commands >= MAX_BAD_COMMANDS {
@@ -494,50 +520,89 @@
         if let Some(client) = self.clients.all.get_mut(&id) {
             client.replies.push_back(Reply::Open(rpc, bytes));
             client.sent_command = true;
+            let reservation = std::mem::take(&mut client.reservation);
+            if let Some(open) = self.open[rpc].as_mut() {
+                open.reserved = reservation.held_bytes();
+            }
         }
         self.deadlines.clear(id);
     }
 
     /// Sends an RPC's final answer and the held-back replies behind it, or holds it back for the replies before it.
     /// Returns false if there is no room to hold it back, in which case the client gets an abort instead.
-    pub fn send_answer(&mut self, id: Id, rpc: usize, bytes: &[u8]) -> bool {
-        let (now, backlog) = (self.net.now(), self.net.backlog(id).unwrap_or(0));
-        let Some(client) = self.clients.all.get_mut(&id) else { return true };
+    pub fn send_answer(&mut self, id: Id, rpc: usize, bytes: Vec<u8>) -> bool {
+        let now = self.net.now();
+        let Some(client) = self.clients.all.get(&id) else { return true };
         let is_reply = |reply: &Reply| matches!(reply, Reply::Open(open, _) if *open == rpc);
         let Some(at) = client.replies.iter().position(is_reply) else { return true };
-        let unsent = backlog + client.held_bytes();
-        let room = at == 0 && backlog == 0
-            || unsent + bytes.len() <= MAX_HELD_PER_CLIENT
-                && self.clients.held_bytes + bytes.len() <= MAX_HELD;
-        let mut reply = Vec::new();
-        if room {
-            reply.extend_from_slice(bytes);
-        } else {
-            pg::put_error(&mut reply, false, pg::INTERNAL_ERROR, "aborted", None);
+        let room = self.has_room_for_answer(id, bytes.len(), at == 0);
+        let Some(client) = self.clients.all.get_mut(&id) else { return true };
+        if !room {
+            client.answer_discarded = Some(now);
         }
+        let reply = if room { bytes } else { abort_reply() };
         self.clients.held_bytes += reply.len();
         client.replies[at] = Reply::Held(reply);
-        let mut out = Vec::new();
-        while let Some(Reply::Held(next)) = client.replies.front() {
-            out.extend_from_slice(next);
-            client.replies.pop_front();
-        }
-        self.clients.held_bytes -= out.len();
-        let (idle, closing, more) = (client.replies.is_empty(), client.closing, !client.buffer.is_empty());
         client.since = now;
-        if !self.net.send(id, &out) {
+        if !self.send_held_replies(id) {
             self.forget_client(id);
-        } else if idle && closing {
+            return room;
+        }
+        let Some(client) = self.clients.all.get(&id) else { return room };
+        let (idle, waiting) = (client.replies.is_empty(), client.reservation.is_waiting());
+        let (closing, more) = (client.closing, !client.buffer.is_empty());
+        if idle && closing {
             self.close_client(id);
         } else if idle {
             self.clients.evictable.insert((true, now, id));
-            self.set_deadline(id, now + IDLE_TIMEOUT);
+            if !waiting {
+                self.set_deadline(id, now + IDLE_TIMEOUT);
+            }
         }
         if more {
             self.queued_events.push(Event::StreamFlushed { conn: id });
         }
         room
     }
+
+    /// Whether an answer may be stored for a client, if it is not sent at once. `first`: no reply before it is held back.
+    fn has_room_for_answer(&mut self, id: Id, bytes: usize, first: bool) -> bool {
+        let backlog = self.net.backlog(id).unwrap_or(0);
+        let Some(client) = self.clients.all.get(&id) else { return true };
+        // The first reply takes along those that it held back.
+        let stored = if first && backlog == 0 { 0 } else { backlog + client.held_bytes() };
+        let stored_by_all = self.net.unsent_bytes().accepted + self.clients.held_bytes;
+        self.clients.budget.outgoing_answers.allow(stored + bytes, stored_by_all + bytes)
+    }
+
+    /// Whether an answer to this client was discarded a short time ago, and there is little room still. Its next RPCs would
+    /// use the machines for nothing, so they are better pushed back.
+    pub fn lacks_room_for_answers(&self, id: Id) -> bool {
+        let discarded = self.clients.all.get(&id).and_then(|client| client.answer_discarded);
+        let stored_by_all = self.net.unsent_bytes().accepted + self.clients.held_bytes;
+        discarded.is_some_and(|at| self.net.now() - at < DISCARD_PENALTY)
+            && self.clients.budget.outgoing_answers.are_scarce(stored_by_all)
+    }
+
+    /// Sends the replies that wait for none before them. Returns false if the connection is closed.
+    fn send_held_replies(&mut self, id: Id) -> bool {
+        loop {
+            let Some(client) = self.clients.all.get_mut(&id) else { return false };
+            let Some(Reply::Held(_)) = client.replies.front() else { return true };
+            let Some(Reply::Held(reply)) = client.replies.pop_front() else { return true };
+            self.clients.held_bytes -= reply.len();
+            if !self.net.send(id, &reply) {
+                return false;
+            }
+        }
+    }
+}
+
+/// The answer in place of one that there is no room for.
+fn abort_reply() -> Vec<u8> {
+    let mut out = Vec::new();
+    pg::put_error(&mut out, false, pg::INTERNAL_ERROR, "aborted", None);
+    out
 }
 
 /// How long before the client's deadline an answer must be sent: for the network and a busy turn of the event loop.
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -1,18 +1,21 @@
 //! A node's configuration, as read at its start and again at a reload.
+use crate::clients::max_clients;
+use crate::config_file::ConfigFile;
+use crate::memory::{self, MemoryBudget};
 use rockpick::{FrontConfig, Ns};
 use rockpick_front_settings::{parse_front_config, FieldError, SettingsMap};
 use rockpick_net::MS;
 use rockpick_platform::rollout_api::{self, BuildStatus};
-use rockpick_platform::roster;
+use rockpick_platform::roster::{self, RosterMessage};
 use serde_json::Value;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
-/// Largest configuration file that is read; a list of some ten thousand machines fits in.
-const MAX_FILE_LEN: u64 = 8 * 1024 * 1024;
 /// Fewest descriptors that a node uses.
 const MIN_SOCKETS: usize = 64;
 const MAX_SOCKETS: usize = 4_096;
+/// The platform counts a limit of 48 MB as 49,152 KiB.
+const BYTES_PER_MB: f64 = 1_048_576.0;
 
 pub struct Config {
     pub file: Option<PathBuf>,
@@ -21,8 +24,10 @@
     pub discovery: SocketAddr,
     pub rollout_api: Option<SocketAddr>,
     pub initial_status: Option<BuildStatus>,
-    pub initial_roster: Value,
+    /// The list of machines as the node last held it. It is taken at the start.
+    pub initial_roster: Option<RosterMessage>,
     pub sockets: usize,
+    pub memory_budget: MemoryBudget,
     pub front_config: FrontConfig,
     /// Name of each method, and the longest deadline of its clients.
     pub methods: Vec<(String, Ns)>,
@@ -47,7 +52,11 @@
     /// The first field that can't be read, and why.
     pub fn read(var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
         let file = var("PROXY_CONFIG").filter(|f| !f.is_empty()).map(PathBuf::from);
-        let config = file.as_deref().map_or(Ok(Value::Null), load)?;
+        let text = file.as_deref().map(ConfigFile::read).transpose()?;
+        let config = match &text {
+            Some(text) => text.fields()?,
+            None => Value::Null,
+        };
         let text_field = |field: &str, name: &str| match &config[field] {
             Value::String(text) => Ok(text.clone()),
             Value::Null => var(name).ok_or(format!("{field}: neither in the configuration nor in {name}")),
@@ -74,6 +83,15 @@
             Value::Null => MAX_SOCKETS,
             n => n.as_u64().ok_or("limits.sockets: no number")? as usize,
         };
+        let sockets = sockets.clamp(MIN_SOCKETS, MAX_SOCKETS);
+        let memory_limit = match &config["limits"]["memory_mb"] {
+            Value::Null => memory::DEFAULT_LIMIT,
+            n => {
+                (n.as_f64().filter(|mb| *mb > 0.0).ok_or("limits.memory_mb: not a positive number")?
+                    * BYTES_PER_MB) as usize
+            }
+        };
+        let memory_budget = MemoryBudget::new(memory_limit, max_clients(sockets));
         let rollout_api = match &config["platform"]["address"] {
             Value::Null => None,
             Value::String(text) => Some(address("platform.address", text)?),
@@ -87,17 +105,21 @@
             .map_err(settings_error)?;
         let mut front_config = parse_front_config(seed, &settings).map_err(settings_error)?;
         front_config.limits.told_within = roster::CHANGE_KNOWN_WITHIN;
+        front_config.max_bound_keys = Some(memory_budget.bound_keys);
+        let mut zones = settings.strings("zones");
+        let initial_roster = text.and_then(|text| text.roster(&mut zones));
         Ok(Config {
             name: text_field("name", "PROXY_NAME")?,
             listen: address("listen", &text_field("listen", "PROXY_LISTEN")?)?,
             discovery: address("discovery", &text_field("discovery", "PROXY_DISCOVERY")?)?,
             rollout_api,
             initial_status: rollout_api::initial_status(&config["platform"]["news"]),
-            initial_roster: config["known"].clone(),
-            sockets: sockets.clamp(MIN_SOCKETS, MAX_SOCKETS),
+            initial_roster,
+            sockets,
+            memory_budget,
             front_config,
             methods: names.into_iter().zip(deadlines.iter().map(max_deadline)).collect(),
-            zones: settings.strings("zones"),
+            zones,
             connect_timeout: if grace > 0 { dial.min(grace) } else { dial },
             machine_idle_timeout: settings
                 .parse("permissions.idleCloseMs", 10_000 * MS, rockpick_front_settings::nanos)
@@ -107,13 +129,3 @@
         })
     }
 }
-
-fn load(file: &Path) -> Result<Value, String> {
-    let in_file = |why: String| format!("{}: {why}", file.display());
-    let len = std::fs::metadata(file).map_err(|err| in_file(err.to_string()))?.len();
-    if len > MAX_FILE_LEN {
-        return Err(in_file(format!("{len} bytes, at most {MAX_FILE_LEN} are read")));
-    }
-    let text = std::fs::read(file).map_err(|err| in_file(err.to_string()))?;
-    serde_json::from_slice(&text).map_err(|err| in_file(err.to_string()))
-}
--- a/node/src/connection_pool.rs
+++ b/node/src/connection_pool.rs
@@ -1,5 +1,6 @@
 //! Pool of connections to machines, with a limit on their number. It does not choose the machines.
 use crate::effects::{Effects, Pick};
+use crate::memory::{MemoryBudget, Reservation, SharedMemory};
 use rockpick::{Idempotency, Ns, Outcome};
 use rockpick_net::{Id, MS, SEC};
 use rockpick_pg::{self as pg, Response, ResponseReader};
@@ -19,11 +20,8 @@
 const REUSE_DELAY: Ns = 8 * MS;
 /// After an answer the machine must be ready within this time; machines send both together.
 const READY_TIMEOUT: Ns = SEC;
-/// Most bytes of incomplete answers of all machines. Beyond it the connection that brings more is closed, so that a
-/// hundred large values at once do not fill the memory.
-const MAX_BUFFERED: usize = 8 * 1024 * 1024;
-/// Fleets have at most this many machines.
-const MAX_MACHINES: usize = 10_000;
+/// What follows a row is read along with it.
+const MAX_ANSWER_TAIL: usize = 256;
 /// A machine that is gone is forgotten after this time; until then disputes may name it.
 const FORGET_AFTER: Ns = 60 * SEC;
 
@@ -66,8 +64,8 @@
     reader: ResponseReader,
     /// The RPC and the pick that use the connection.
     pick: Option<(usize, usize)>,
-    /// Its part of the pool's `buffered` bytes.
-    buffered: usize,
+    /// Room for its next message, if that is longer than the allowance.
+    reservation: Reservation,
 }
 
 pub struct Pool {
@@ -76,8 +74,10 @@
     /// Idle connections, the longest idle first.
     idle: BTreeSet<(Ns, Id)>,
     max: usize,
-    /// Bytes of incomplete answers.
-    buffered: usize,
+    /// Unread bytes of a connection, unless its next message is a large one.
+    allowance: usize,
+    pub large_answers: SharedMemory,
+    max_machines: usize,
     /// Picks that failed for want of a connection.
     pub exhausted: u64,
     pub dialled: u64,
@@ -85,13 +85,15 @@
 }
 
 impl Pool {
-    pub fn new(sockets: usize) -> Pool {
+    pub fn new(sockets: usize, budget: &MemoryBudget) -> Pool {
         Pool {
             machines: Vec::new(),
             conns: HashMap::new(),
             idle: BTreeSet::new(),
             max: (sockets - RESERVED_DESCRIPTORS) / 2,
-            buffered: 0,
+            allowance: budget.machine_allowance,
+            large_answers: SharedMemory::new(budget.large_answers),
+            max_machines: budget.machines,
             exhausted: 0,
             dialled: 0,
             malformed: 0,
@@ -119,6 +121,12 @@
         Some(idle.remove(at))
     }
 
+    /// Admits the connection that has waited longest for room for its answer.
+    fn admit_next(&mut self) -> Option<(Id, Reservation)> {
+        let conns = &self.conns;
+        self.large_answers.admit_next(|id| conns.get(&id).map(|conn| conn.reservation))
+    }
+
     pub fn pick_ended(&mut self, machine: usize) {
         let entry = &mut self.machines[machine];
         entry.outstanding = entry.outstanding.saturating_sub(1);
@@ -160,7 +168,7 @@
 
     /// Whether a machine of this name may be stored: at the limit only known ones are.
     pub fn may_list(&self, name: &str) -> bool {
-        self.ids.machine_index(name).is_some() || self.ids.machine_count() < MAX_MACHINES
+        self.ids.machine_index(name).is_some() || self.ids.machine_count() < self.pool.max_machines
     }
 
     pub fn forget_machines(&mut self) {
@@ -227,9 +235,10 @@
             state: ConnState::Opening,
             reader: ResponseReader::default(),
             pick,
-            buffered: 0,
+            reservation: Reservation::None,
         };
         self.pool.conns.insert(id, conn);
+        self.net.limit_read(id, self.pool.allowance);
         let mut startup = Vec::new();
         pg::put_startup(&mut startup, "api", "ledger");
         self.net.send(id, &startup);
@@ -256,7 +265,8 @@
     /// nothing ran.
     fn send_statement(&mut self, id: Id, rpc: usize, number: usize) -> bool {
         let now = self.net.now();
-        let Some(open) = self.open[rpc].as_mut() else { return false };
+        let finished = self.ids.finished(rpc);
+        let Some(open) = self.open[rpc].as_mut().filter(|_| !finished) else { return false };
         let deadline = open.picks[number].deadline;
         let mut query = Vec::with_capacity(open.text.len() + 16);
         pg::put_query(
@@ -281,7 +291,7 @@
     /// Closes a connection to a machine. Its pick is left to the caller.
     pub fn drop_machine_conn(&mut self, id: Id) {
         let Some(conn) = self.pool.conns.remove(&id) else { return };
-        self.pool.buffered -= conn.buffered;
+        self.end_answer_reservation(id, conn.reservation);
         if let ConnState::Idle(since) = conn.state {
             self.pool.idle.remove(&(since, id));
             self.pool.machines[conn.machine].idle.retain(|i| *i != id);
@@ -323,20 +333,14 @@
         while let Some(conn) = self.pool.conns.get_mut(&id) {
             let state = conn.state;
             let response = conn.reader.next_response();
-            self.pool.buffered = self.pool.buffered - conn.buffered + conn.reader.buffered_len();
-            conn.buffered = conn.reader.buffered_len();
-            let response = match response {
-                Ok(Response::Incomplete) if self.pool.buffered > MAX_BUFFERED => {
-                    Err(pg::ProtocolError("no room for more of an answer"))
-                }
-                response => response,
-            };
             match response {
                 Ok(Response::Incomplete) => {
                     // There are bytes behind an answer: the connection can't be used any further, and the answer is
                     // valid.
                     if matches!(state, ConnState::Idle(_)) && !conn.reader.is_reusable() {
                         self.drop_machine_conn(id);
+                    } else {
+                        self.reserve_large_answer(id);
                     }
                     break;
                 }
@@ -345,6 +349,9 @@
                     ends.extend(
                         conn.pick.take().map(|(rpc, n)| (rpc, n, PickEvent::Ended(Outcome::Ok, Some(row)))),
                     );
+                    let reservation = std::mem::take(&mut conn.reservation);
+                    self.end_answer_reservation(id, reservation);
+                    self.net.limit_read(id, self.pool.allowance);
                     self.set_deadline(id, now + READY_TIMEOUT);
                 }
                 Ok(Response::Error(code)) => {
@@ -399,6 +406,41 @@
         ends
     }
 
+    /// Reserves room for the next message of a machine if that is longer than the allowance, or lets it wait.
+    fn reserve_large_answer(&mut self, id: Id) {
+        let now = self.net.now();
+        let Some(conn) = self.pool.conns.get_mut(&id) else { return };
+        let bytes = conn.reader.buffered_len() + conn.reader.missing_bytes();
+        if bytes <= self.pool.allowance {
+            return;
+        }
+        if conn.reservation == Reservation::None {
+            conn.reservation = self.pool.large_answers.reserve(id, bytes, now);
+        }
+        self.read_large_answer(id);
+    }
+
+    /// Reads the rest of a large message, or nothing while its connection waits for room.
+    fn read_large_answer(&mut self, id: Id) {
+        let Some(conn) = self.pool.conns.get(&id) else { return };
+        self.net.limit_read(id, conn.reader.missing_bytes() + MAX_ANSWER_TAIL);
+        self.net.pause(id, conn.reservation.is_waiting());
+    }
+
+    /// Gives up the room that a machine's connection holds or waits for, and lets those in that wait for it.
+    fn end_answer_reservation(&mut self, id: Id, reservation: Reservation) {
+        if reservation == Reservation::None {
+            return;
+        }
+        self.pool.large_answers.end(id, reservation);
+        while let Some((id, reservation)) = self.pool.admit_next() {
+            if let Some(conn) = self.pool.conns.get_mut(&id) {
+                conn.reservation = reservation;
+            }
+            self.read_large_answer(id);
+        }
+    }
+
     /// Keeps a ready connection for reuse, or closes it; returns whether it was kept.
     fn park_connection(&mut self, id: Id) -> bool {
         let now = self.net.now();
--- a/node/src/control_links.rs
+++ b/node/src/control_links.rs
@@ -7,7 +7,6 @@
 use rockpick_net::{take_line, Call, CallEnd, Id, MS, SEC};
 use rockpick_platform::rollout_api::{self, BuildStatus, Line};
 use rockpick_platform::roster::{self, RosterMessage};
-use serde_json::Value;
 use std::net::SocketAddr;
 
 /// A link without any data for this long is considered dead. The rollout API sends something every second, but its
@@ -17,8 +16,6 @@
 /// after it fell silent; by then another one must serve, at the second attempt at the latest.
 const WATCH_TIMEOUT: Ns = 2 * SEC + SEC / 2;
 const CONNECT_TIMEOUT: Ns = SEC;
-/// Longest line of a watch: an update with ten thousand machines.
-const MAX_WATCH_LINE: usize = 2 * 1024 * 1024;
 /// Most watches, and most subscriptions, at a time: one that serves and one that is being established.
 const MAX_LINKS: usize = 2;
 /// Delay before the rollout API is dialled again. It doubles each time, and the wait is drawn at random between half of it
@@ -38,28 +35,55 @@
 }
 
 impl Watch {
+    /// Takes the complete lines that are there with these further bytes; what follows them is kept.
+    fn take_complete_lines(&mut self, bytes: &[u8]) -> Vec<u8> {
+        let Some(end) = bytes.iter().rposition(|b| *b == b'\n').map(|at| at + 1) else {
+            self.buffer.extend_from_slice(bytes);
+            return Vec::new();
+        };
+        let mut complete = std::mem::replace(&mut self.buffer, bytes[end..].to_vec());
+        complete.extend_from_slice(&bytes[..end]);
+        complete
+    }
+
+    /// Bytes of an update that is not complete yet.
+    fn incomplete_len(&self) -> usize {
+        self.buffer.len() + self.partial.len()
+    }
+
     /// Processes a line, and returns the update that it completes, if any. An update may be indented and span many
     /// lines.
     ///
     /// # Errors
     /// Malformed data.
-    fn parse_line(&mut self, line: &[u8]) -> Result<Option<Value>, ()> {
+    fn parse_line(&mut self, line: &[u8], zones: &mut Vec<String>) -> Result<Option<RosterMessage>, ()> {
         let blank = line.trim_ascii().is_empty();
         if blank || self.partial.is_empty() && !line.trim_ascii_start().starts_with(b"{") {
             // Heartbeats come between updates, never within one.
             return if blank && self.partial.is_empty() { Ok(None) } else { Err(()) };
         }
-        self.partial.extend_from_slice(line);
         // Parse only after a line that may end the update; parsing after each line would take quadratic time.
         if !line.trim_ascii_end().ends_with(b"}") {
+            self.partial.extend_from_slice(line);
             return Ok(None);
         }
-        match serde_json::from_slice(&self.partial) {
-            Ok(update) => {
-                self.partial = Vec::new();
-                Ok(Some(update))
+        // Usually the update is this line, which needs no copy then.
+        if self.partial.is_empty() {
+            return self.parse_update(line, zones);
+        }
+        let mut partial = std::mem::take(&mut self.partial);
+        partial.extend_from_slice(line);
+        self.parse_update(&partial, zones)
+    }
+
+    /// Parses what may be a whole update; if it is not, it is kept as the beginning of one.
+    fn parse_update(&mut self, json: &[u8], zones: &mut Vec<String>) -> Result<Option<RosterMessage>, ()> {
+        match roster::parse_update_bytes(json, zones) {
+            Ok(update) => Ok(Some(update)),
+            Err(err) if err.is_eof() => {
+                self.partial = json.to_vec();
+                Ok(None)
             }
-            Err(err) if err.is_eof() => Ok(None),
             Err(_) => Err(()),
         }
     }
@@ -218,17 +242,14 @@
         self.discovery.last_watch_silent = false;
         let watch = &mut self.discovery.watches[at];
         watch.has_data = true;
-        watch.buffer.extend_from_slice(bytes);
-        let mut malformed = status != 200 || watch.buffer.len() + watch.partial.len() > MAX_WATCH_LINE;
-        let received = std::mem::take(&mut watch.buffer);
-        let complete = received.iter().rposition(|b| *b == b'\n').map_or(0, |end| end + 1);
-        self.discovery.watches[at].buffer = received[complete..].to_vec();
-        for line in received[..complete].split_inclusive(|b| *b == b'\n') {
+        let received = watch.take_complete_lines(bytes);
+        let mut malformed = status != 200 || watch.incomplete_len() > self.config.memory_budget.update_len;
+        for line in received.split_inclusive(|b| *b == b'\n') {
             if malformed {
                 break;
             }
             let heartbeat = line.trim_ascii().is_empty();
-            match self.discovery.watches[at].parse_line(line) {
+            match self.discovery.watches[at].parse_line(line, &mut self.config.zones) {
                 // A heartbeat first: nothing has changed since the list that the watch continues from, so that list
                 // is current.
                 Ok(None) if heartbeat && !self.discovery.watches[at].active => {
@@ -237,14 +258,11 @@
                 }
                 Ok(None) if heartbeat => events.push(ModuleEvent::RosterConfirmed),
                 Ok(None) => {}
-                Ok(Some(json)) => match roster::parse_update(&json, &mut self.config.zones) {
-                    Some(update) => {
-                        self.watch_active(at);
-                        let roll = if update.whole { RosterUpdate::Full } else { RosterUpdate::Changes };
-                        events.push(self.apply_update(roll, update));
-                    }
-                    None => malformed = true,
-                },
+                Ok(Some(update)) => {
+                    self.watch_active(at);
+                    let roll = if update.whole { RosterUpdate::Full } else { RosterUpdate::Changes };
+                    events.push(self.apply_update(roll, update));
+                }
                 Err(()) => malformed = true,
             }
         }
@@ -283,13 +301,12 @@
         }
         self.discovery.fetch = None;
         self.end_call(call);
-        let json = match end {
+        let update = match end {
             Some(CallEnd::Answer(answer)) if answer.status == 200 => {
-                serde_json::from_slice(&answer.body).ok()
+                roster::parse_update_bytes(&answer.body, &mut self.config.zones).ok()
             }
             _ => None,
         };
-        let update = json.as_ref().and_then(|t: &Value| roster::parse_update(t, &mut self.config.zones));
         // A list that is older than a watch's updates must not undo them. In that case a watch is being established
         // and will report the current state.
         let update = update.filter(|t| t.whole && t.seq >= self.discovery.seq);
--- a/node/src/effects.rs
+++ b/node/src/effects.rs
@@ -38,6 +38,8 @@
     pub deadline_range: Range<usize>,
     pub client_deadline: Ns,
     pub picks: Vec<Pick>,
+    /// Memory that is reserved for its statement, if that is a large one.
+    pub reserved: usize,
 }
 
 pub struct Pick {
@@ -93,10 +95,14 @@
 }
 
 impl Effects {
-    pub fn new(net: Net, config: Config, wall_offset: i128) -> Effects {
+    pub fn new(mut net: Net, config: Config, wall_offset: i128) -> Effects {
+        let budget = config.memory_budget;
+        net.accepted_read_limit = budget.client_allowance;
+        net.max_read_per_turn = budget.read_per_turn;
+        net.max_unsent_dialled = budget.unsent_queries;
         Effects {
-            clients: Clients::new(config.sockets),
-            pool: Pool::new(config.sockets),
+            clients: Clients::new(budget),
+            pool: Pool::new(config.sockets, &budget),
             discovery: Discovery::new(config.discovery),
             rollout_api: RolloutApi::new(config.rollout_api),
             rng: StdRng::seed_from_u64(config.front_config.seed),
@@ -175,7 +181,7 @@
     /// Records the end of a pick, and sends the first ok answer to the client. Returns how long the pick took and
     /// whether the RPC has its final answer.
     pub fn pick_ended(
-        &mut self, rpc: usize, pick: usize, how: Outcome, row: Option<&[u8]>,
+        &mut self, rpc: usize, pick: usize, how: Outcome, row: Option<Vec<u8>>,
     ) -> Option<(Ns, bool)> {
         let now = self.net.now();
         let open = self.open.get_mut(rpc)?.as_mut()?;
@@ -191,11 +197,9 @@
         if self.counters.by_build.len() > MAX_BUILDS {
             self.counters.by_build.pop_first();
         }
-        if let Some(row) = row.filter(|_| how == Outcome::Ok && !self.ids.finished(rpc)) {
-            let mut out = Vec::with_capacity(row.len() + 6);
-            out.extend_from_slice(row);
-            pg::put_ready(&mut out);
-            if self.send_final_answer(rpc, &out) {
+        if let Some(mut answer) = row.filter(|_| how == Outcome::Ok && !self.ids.finished(rpc)) {
+            pg::put_ready(&mut answer);
+            if self.send_final_answer(rpc, answer) {
                 self.counters.ok += 1;
             }
         }
@@ -203,7 +207,7 @@
     }
 
     /// Sends an RPC's final answer, unless it has one; false if it was too late.
-    fn send_final_answer(&mut self, rpc: usize, bytes: &[u8]) -> bool {
+    fn send_final_answer(&mut self, rpc: usize, bytes: Vec<u8>) -> bool {
         let Some(open) = self.open[rpc].as_ref().filter(|_| !self.ids.finished(rpc)) else { return false };
         let late_by = self.net.clock() - open.client_deadline;
         if late_by >= LATE_LOG_THRESHOLD {
@@ -214,13 +218,22 @@
             }
         }
         let (conn, late) = (open.conn, late_by >= 0);
-        self.ids.finish(rpc);
+        self.finish_rpc(rpc);
         // A client that has given up closes its connection. One that has not gets its answer however late it is: if
         // the connection were closed without one, the client would have to guess the outcome of its RPC.
         self.counters.late += u64::from(late);
         self.send_answer(conn, rpc, bytes) && !late
     }
 
+    /// Marks an RPC as finished: it gets no more picks, so its statement is not needed any more.
+    pub fn finish_rpc(&mut self, rpc: usize) {
+        self.ids.finish(rpc);
+        let Some(open) = self.open.get_mut(rpc).and_then(Option::as_mut) else { return };
+        open.text = String::new();
+        let reserved = std::mem::take(&mut open.reserved);
+        self.release_large_command(reserved);
+    }
+
     /// Lowers the deadlines of the open RPCs, and of their outstanding picks, to `latest`.
     pub fn limit_deadlines(&mut self, latest: Ns) {
         let mut shortened = Vec::new();
@@ -275,7 +288,7 @@
             "pushed back",
             (wait > 0).then_some(ms.as_str()),
         );
-        if self.send_final_answer(rpc, &out) {
+        if self.send_final_answer(rpc, out) {
             self.counters.pushed_back += 1;
         }
     }
@@ -283,7 +296,7 @@
     fn abort(&mut self, rpc: usize) {
         let mut out = Vec::new();
         pg::put_error(&mut out, false, pg::INTERNAL_ERROR, "aborted", None);
-        if self.send_final_answer(rpc, &out) {
+        if self.send_final_answer(rpc, out) {
             self.counters.aborted += 1;
         }
     }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -3,10 +3,12 @@
 //! the module and carries out its actions; it makes no decisions itself. Design and operation: `docs/front-node.md`.
 mod clients;
 mod config;
+mod config_file;
 mod connection_pool;
 mod control_links;
 mod effects;
 mod lateness;
+mod memory;
 mod node;
 mod shutdown;
 
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -13,7 +13,7 @@
 use rockpick_net::{BoundListener, Event, Id, Net, MS, SEC};
 use rockpick_peers::{PeerService, Peers};
 use rockpick_pg as pg;
-use rockpick_platform::{roster, statement};
+use rockpick_platform::statement;
 use std::net::SocketAddr;
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -25,6 +25,7 @@
 const MAX_RELOAD_RETRIES: u32 = 20;
 /// Interval of the counts in the log and of forgetting machines that are gone.
 const TICK_INTERVAL: Ns = SEC;
+const KIB: usize = 1024;
 
 pub struct Node {
     effects: Effects,
@@ -74,15 +75,14 @@
         let unix_time = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos() as i128);
         let wall_offset = unix_time - i128::from(net.clock());
         let bound = BoundListener::bind(config.listen).map_err(|err| format!("{}: {err}", config.listen))?;
-        let (front_config, roster_json, initial_status) =
-            (config.front_config.clone(), config.initial_roster.clone(), config.initial_status);
+        let (front_config, initial_status) = (config.front_config.clone(), config.initial_status);
         let mut effects = Effects::new(net, config, wall_offset);
         let mut events = Vec::new();
         effects.net.turn(&mut events, 0).map_err(error_text)?;
         // The watch continues from the sequence number of the initial roster. If it began at 0, discovery would not
         // report a machine that came and left in between, and an initial roster that lists it as up would never be
         // corrected.
-        let initial_roster = roster::parse_update(&roster_json, &mut effects.config.zones);
+        let initial_roster = effects.config.initial_roster.take();
         effects.discovery.seq = initial_roster.as_ref().map_or(0, |update| update.seq);
         // If rosters are pushed, the module does not request a watch; this node receives them through one all the
         // same.
@@ -187,7 +187,7 @@
         }
     }
 
-    fn end_pick(&mut self, rpc: usize, pick: usize, how: Outcome, row: Option<&[u8]>) {
+    fn end_pick(&mut self, rpc: usize, pick: usize, how: Outcome, row: Option<Vec<u8>>) {
         if let Some((took, last)) = self.effects.pick_ended(rpc, pick, how, row) {
             self.front.pick_ended(&mut self.effects, rpc, pick, how, took, last);
             self.effects.release_rpc(rpc);
@@ -197,7 +197,7 @@
     fn machine_bytes(&mut self, conn: Id, bytes: &[u8]) {
         for (rpc, pick, event) in self.effects.machine_bytes(conn, bytes) {
             match event {
-                PickEvent::Ended(how, row) => self.end_pick(rpc, pick, how, row.as_deref()),
+                PickEvent::Ended(how, row) => self.end_pick(rpc, pick, how, row),
                 PickEvent::ConnectionReady => {
                     let machine = self.effects.open[rpc].as_ref().map(|open| open.picks[pick].machine);
                     let valid = machine.is_some_and(|machine| self.front.may_send(rpc, machine));
@@ -369,13 +369,22 @@
             self.effects.open.resize_with(rpc + 1, || None);
         }
         let bytes = text.len();
-        self.effects.open[rpc] =
-            Some(OpenRpc { id, conn, method, text, deadline_range, client_deadline, picks: Vec::new() });
+        self.effects.open[rpc] = Some(OpenRpc {
+            id,
+            conn,
+            method,
+            text,
+            deadline_range,
+            client_deadline,
+            picks: Vec::new(),
+            reserved: 0,
+        });
         self.effects.counters.taken += 1;
         self.effects.rpc_opened(conn, rpc, bytes);
-        if client_deadline <= self.effects.net.now() + ANSWER_MARGIN {
-            // There is no time left for a pick and the way back. Nothing was sent, so the client may safely repeat
-            // the RPC.
+        let too_late = client_deadline <= self.effects.net.now() + ANSWER_MARGIN;
+        if too_late || self.effects.lacks_room_for_answers(conn) {
+            // There is no time left for a pick and the way back, or no room for its answer. Nothing was sent, so the
+            // client may safely repeat the RPC.
             rockpick::Actions::push_back(&mut self.effects, rpc, 0);
         } else {
             self.front.rpc_received(
@@ -393,7 +402,7 @@
     fn client_disconnected(&mut self, rpc: usize) {
         if !self.effects.ids.finished(rpc) {
             self.effects.counters.left += 1;
-            self.effects.ids.finish(rpc);
+            self.effects.finish_rpc(rpc);
             self.front.rpc_closed(rpc);
         }
         self.effects.release_rpc(rpc);
@@ -411,6 +420,7 @@
         let ends = OUTCOME_NAMES.map(|(name, how)| format!("{name} {}", t.ends[how as usize])).join(", ");
         let (conns, idle) = self.effects.pool.count();
         let closed = &self.effects.clients.closed;
+        let memory = self.effects.clients_memory();
         if let Some(peers) = &self.peers {
             tracing::info!(event = "peers", counts = %peers.counts());
         }
@@ -431,6 +441,11 @@
             latest_timer_ms = worst.timer / MS,
             clients = self.effects.clients.count(),
             turned_away = self.effects.clients.refused,
+            large_commands_kib = memory.large_commands / KIB,
+            waiting = memory.waiting,
+            no_room = memory.refused,
+            incoming_kib = self.effects.pool.large_answers.used() / KIB,
+            outgoing_kib = memory.outgoing_answers / KIB,
             closed_for_room = closed.for_room,
             closed_idle = closed.idle,
             closed_in_stop = closed.in_stop,
--- a/pg/src/response.rs
+++ b/pg/src/response.rs
@@ -60,13 +60,30 @@
     }
 
     pub fn push(&mut self, bytes: &[u8]) {
+        // No more than needed: many connections may each hold a large part of an answer.
+        self.buffer.reserve_exact(bytes.len());
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Number of bytes that complete the next message, as far as its header tells it; 0 if it is complete or malformed.
+    pub fn missing_bytes(&self) -> usize {
+        crate::missing_bytes(&self.buffer[self.parsed..], self.max_body())
+    }
+
+    /// Number of bytes that are received and not taken yet.
     pub fn buffered_len(&self) -> usize {
         self.buffer.len()
     }
 
+    /// Longest message that may come next.
+    fn max_body(&self) -> usize {
+        if self.state == State::RowDescribed {
+            MAX_ROW_LEN + 6
+        } else {
+            MAX_OTHER_LEN
+        }
+    }
+
     /// Tag and declared length of the next message, for the log.
     pub fn header(&self) -> Option<(u8, u32)> {
         let next = &self.buffer[self.parsed..];
@@ -80,8 +97,7 @@
     pub fn next_response(&mut self) -> Result<Response, ProtocolError> {
         loop {
             // Messages that no query asked for are rejected by `classify`, whatever their length.
-            let max_body = if self.state == State::RowDescribed { MAX_ROW_LEN + 6 } else { MAX_OTHER_LEN };
-            let (tag, used, message) = match read_frame(&self.buffer[self.parsed..], max_body)? {
+            let (tag, used, message) = match read_frame(&self.buffer[self.parsed..], self.max_body())? {
                 Frame::Incomplete if self.buffer.len() > MAX_RESPONSE_LEN => {
                     return Err(ProtocolError("too long an answer"))
                 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -108,6 +108,8 @@
     pub rollout: Rollout,
     pub limits: SafetyLimits,
     pub permissions: Permissions,
+    /// Most one-way keys that are remembered, where memory is short; `None`: as many as the module ever remembers.
+    pub max_bound_keys: Option<usize>,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,5 +24,5 @@
 
 pub use interface::*;
 pub use latency_histogram::LatencyHistogram;
-pub use logic::{deviates, Front};
+pub use logic::{deviates, Front, MAX_BOUND_KEYS};
 pub use rank_sum::RankSum;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -218,7 +218,7 @@
 /// with three receivers, one may stall while another restarts.
 const NOTE_RECEIVERS: u32 = 3;
 
-/// Most one-way keys remembered, which takes some megabytes. Once this is reached, an unknown key counts as
+/// Most one-way keys remembered, which takes some megabytes; the configuration may name fewer. Once this is reached, an unknown key counts as
 /// answered by the build last announced, so that no key goes back to an earlier build; such RPCs wait for
 /// room within the cap instead.
 pub const MAX_BOUND_KEYS: usize = 1 << 18;
@@ -605,6 +605,10 @@
         self.send_pick(actions, rpc, if full && !self.small_share { earlier } else { trial.or(earlier) });
     }
 
+    fn max_bound_keys(&self) -> usize {
+        self.config.max_bound_keys.map_or(MAX_BOUND_KEYS, |max| max.min(MAX_BOUND_KEYS))
+    }
+
     /// The build that a one-way key is bound to; the key goes to no earlier one. An unknown key counts as
     /// bound to the newest build while peers may know of more keys, and to the build last announced once
     /// there is no room to remember more.
@@ -613,7 +617,7 @@
             // No key stays bound to a build that is being sent back.
             Some(t) if self.keys_incomplete && t.build == self.newest_build && !t.phase.stays() => 0,
             _ if self.keys_incomplete => self.newest_build,
-            Some(t) if self.bound_keys.len() >= MAX_BOUND_KEYS => t.build,
+            Some(t) if self.bound_keys.len() >= self.max_bound_keys() => t.build,
             _ => 0,
         };
         key.map_or(0, |key| self.bound_keys.get(&key).copied().unwrap_or(unknown))
@@ -621,7 +625,7 @@
 
     /// Remembers the build that answered a key; returns whether that is news.
     pub(crate) fn bind(&mut self, key: u64, build: u32) -> bool {
-        let room = self.bound_keys.len() < MAX_BOUND_KEYS || self.bound_keys.contains_key(&key);
+        let room = self.bound_keys.len() < self.max_bound_keys() || self.bound_keys.contains_key(&key);
         let news = room && self.bound_keys.get(&key).is_none_or(|known| *known < build);
         if news {
             self.bound_keys.insert(key, build);
