After SIGHUP moves discovery a roster is trusted for 4 s and the grace until heard

Cause: the node asked at the new address and told the decisions nothing; Front::trusts_roster knew the 6 s of an unheard change alone, counted from the last word of the former watch.

Change: Front::roster_service_moved as of the signal, SafetyLimits::told_within_after_move; until a watch at the new address serves, and again if it ends before, the roster is trusted until 4 s and the grace, less 0.4 s, after it. Of several moves the first unheard one counts.

--- a/cli/tests/discovery_outage.rs
+++ b/cli/tests/discovery_outage.rs
@@ -16,6 +16,40 @@
 const ASK_WITHIN_MS: u32 = 200_000;
 const NODES: usize = 6;
 
+/// Guards against a node that goes by the roster of a former discovery address for as long as after an outage: all that discovery
+/// has to tell counts as known 4 s after the signal that moves it.
+#[test]
+fn a_node_whose_discovery_has_moved_stops_using_its_roster_in_time() {
+    const KNOWN_AFTER_MOVE: Duration = Duration::from_secs(4);
+    let (machine, platform) = (machine(&[QueryAction::Answer]), Platform::begin());
+    let list = [("a", machine.at, 1, "active")];
+    let node = Node::start(&configuration(&platform, &list));
+    wait_until_polled(&platform);
+    let moved = Platform::begin();
+    moved.down.store(true, Ordering::SeqCst);
+    node.rewrite_config(&configuration(&moved, &list).to_string());
+    node.signal(rustix::process::Signal::HUP);
+    let began = Instant::now();
+    let mut client = node.client();
+    let mut id = 0;
+    let mut ask = || {
+        id += 1;
+        client.rpc(&lookup(id, 900))
+    };
+    std::thread::sleep(Duration::from_millis(1_500));
+    platform.down.store(true, Ordering::SeqCst);
+    while began.elapsed() < KNOWN_AFTER_MOVE {
+        assert!(matches!(ask(), Answer::Value(_)), "{:?}", began.elapsed());
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    std::thread::sleep((KNOWN_AFTER_MOVE + DRAIN_GRACE + SLACK).saturating_sub(began.elapsed()));
+    let queries = machine.queries();
+    assert!((0..10).all(|_| pushed_back(&ask())));
+    assert_eq!(machine.queries(), queries);
+    moved.down.store(false, Ordering::SeqCst);
+    peers::wait_until("the moved discovery is heard", || matches!(ask(), Answer::Value(_)));
+}
+
 /// Guards against a node that lost its watch and works by its old roster until it asks discovery again, however late that is: a
 /// machine that drains meanwhile gets nothing after the drain counts as known and its grace is over.
 #[test]
--- a/control/src/settings.rs
+++ b/control/src/settings.rs
@@ -356,6 +356,7 @@
             limits: SafetyLimits {
                 ask_within: ms(g.ask_within_ms),
                 told_within: 0,
+                told_within_after_move: 0,
                 drain_grace: ms(g.drain_grace_ms),
                 cold_from: g.cold_from,
                 cold_time: ms(g.cold_time_ms),
--- a/front-settings/src/lib.rs
+++ b/front-settings/src/lib.rs
@@ -202,6 +202,7 @@
         limits: SafetyLimits {
             ask_within: settings.duration("invariants.askWithinMs")?,
             told_within: 0,
+            told_within_after_move: 0,
             drain_grace: settings.duration("invariants.drainGraceMs")?,
             cold_from: settings.parse("invariants.coldFrom", 1.0, number)?,
             cold_time: settings.duration("invariants.coldMs")?,
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -105,6 +105,7 @@
             .map_err(settings_error)?;
         let mut front_config = parse_front_config(seed, &settings).map_err(settings_error)?;
         front_config.limits.told_within = roster::CHANGE_KNOWN_WITHIN;
+        front_config.limits.told_within_after_move = roster::CHANGE_KNOWN_AFTER_MOVE;
         front_config.max_bound_keys = Some(memory_budget.bound_keys);
         let mut zones = settings.strings("zones");
         let initial_roster = text.and_then(|text| text.roster(&mut zones));
--- a/node/src/control_links.rs
+++ b/node/src/control_links.rs
@@ -25,6 +25,7 @@
 
 struct Watch {
     call: Id,
+    addr: SocketAddr,
     requested_at: Ns,
     buffer: Vec<u8>,
     /// Lines of an incomplete update.
@@ -161,6 +162,8 @@
 /// A link's news for the decision module.
 pub enum ModuleEvent {
     Members(RosterUpdate, Vec<Member>),
+    /// A watch at the service's present address has begun to serve.
+    RosterServiceHeard,
     /// The watch has sent a heartbeat, or has ended after all that it had to say.
     RosterConfirmed,
     Status(Reply, Option<RolloutStatus>),
@@ -207,6 +210,7 @@
             let call = self.call_discovery(&target, true);
             self.discovery.watches.push(Watch {
                 call,
+                addr: self.discovery.addr,
                 requested_at: self.net.now(),
                 buffer: Vec::new(),
                 partial: Vec::new(),
@@ -253,13 +257,13 @@
                 // A heartbeat first: nothing has changed since the list that the watch continues from, so that list
                 // is current.
                 Ok(None) if heartbeat && !self.discovery.watches[at].active => {
-                    self.watch_active(at);
+                    events.extend(self.watch_active(at));
                     events.push(ModuleEvent::Members(RosterUpdate::Changes, Vec::new()));
                 }
                 Ok(None) if heartbeat => events.push(ModuleEvent::RosterConfirmed),
                 Ok(None) => {}
                 Ok(Some(update)) => {
-                    self.watch_active(at);
+                    events.extend(self.watch_active(at));
                     let roll = if update.whole { RosterUpdate::Full } else { RosterUpdate::Changes };
                     events.push(self.apply_update(roll, update));
                 }
@@ -280,12 +284,15 @@
         events
     }
 
-    fn watch_active(&mut self, at: usize) {
+    /// Records that a watch serves; reports the first time of a watch at the present address.
+    fn watch_active(&mut self, at: usize) -> Option<ModuleEvent> {
         let now = self.net.now();
         let watch = &mut self.discovery.watches[at];
-        if !std::mem::replace(&mut watch.active, true) {
-            tracing::info!(event = "watch serves", after_ms = (now - watch.requested_at) / MS);
+        if std::mem::replace(&mut watch.active, true) {
+            return None;
         }
+        tracing::info!(event = "watch serves", after_ms = (now - watch.requested_at) / MS);
+        (watch.addr == self.discovery.addr).then_some(ModuleEvent::RosterServiceHeard)
     }
 
     /// Handles the end of a call to discovery; `end` is `None` if it timed out.
@@ -392,9 +399,10 @@
         self.net.wake_at(self.net.now() + wait, ROLLOUT_API_TIMER);
     }
 
-    /// Establishes links to changed addresses while the old ones still serve.
-    pub fn move_links(&mut self, discovery: SocketAddr, rollout_api: Option<SocketAddr>) {
-        if std::mem::replace(&mut self.discovery.addr, discovery) != discovery {
+    /// Establishes links to changed addresses while the old ones still serve. Returns whether discovery has moved.
+    pub fn move_links(&mut self, discovery: SocketAddr, rollout_api: Option<SocketAddr>) -> bool {
+        let discovery_moved = std::mem::replace(&mut self.discovery.addr, discovery) != discovery;
+        if discovery_moved {
             self.watch_roster(true);
         }
         if std::mem::replace(&mut self.rollout_api.addr, rollout_api) != rollout_api {
@@ -407,6 +415,7 @@
                 self.dial_subscription(at);
             }
         }
+        discovery_moved
     }
 
     fn close_rollout_api(&mut self, conn: Id) {
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -35,6 +35,8 @@
     bound: Option<BoundListener>,
     listener: Option<Id>,
     shutdown: Option<Shutdown>,
+    /// When a new configuration was last announced.
+    reload_requested: Ns,
     /// Remaining attempts to read an invalid configuration again.
     reload_retries: u32,
     /// When the next tick is due.
@@ -108,6 +110,7 @@
             bound: Some(bound),
             listener: None,
             shutdown: None,
+            reload_requested: 0,
             reload_retries: 0,
             next_tick,
             lateness: Lateness::default(),
@@ -217,6 +220,7 @@
         let (front, effects) = (&mut self.front, &mut self.effects);
         match event {
             ModuleEvent::Members(roll, members) => front.roster_updated(effects, roll, &members),
+            ModuleEvent::RosterServiceHeard => front.moved_service_heard(),
             ModuleEvent::RosterConfirmed => front.roster_confirmed(effects.net.now()),
             ModuleEvent::Status(reply, news) => {
                 let news = match &mut self.peers {
@@ -301,6 +305,7 @@
             Event::Timer { tag: ROLLOUT_API_TIMER } => self.effects.subscribe(),
             Event::Timer { tag: STOP_TIMER } => self.continue_shutdown(),
             Event::Signal { number: SIGHUP } => {
+                self.reload_requested = self.effects.net.now();
                 self.reload_retries = MAX_RELOAD_RETRIES;
                 self.reload();
             }
@@ -476,7 +481,9 @@
             Ok(fresh) => {
                 tracing::info!(event = "reload", discovery = %fresh.discovery, desk = ?fresh.rollout_api);
                 self.reload_retries = 0;
-                self.effects.move_links(fresh.discovery, fresh.rollout_api);
+                if self.effects.move_links(fresh.discovery, fresh.rollout_api) {
+                    self.front.roster_service_moved(self.reload_requested);
+                }
             }
             Err(why) => {
                 tracing::error!(event = "reload failed", why, again = self.reload_retries);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -73,6 +73,9 @@
     /// How long after a change of the roster this front counts as informed of it, whether it heard of it or
     /// not; 0: only what it has heard counts.
     pub told_within: Ns,
+    /// How long after a move of the roster service to another address this front counts as informed of all changes
+    /// until then.
+    pub told_within_after_move: Ns,
     /// How long new picks may still go to a machine after its drain was announced.
     pub drain_grace: Ns,
     pub cold_from: f64,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -153,6 +153,9 @@
     roster_requested: Ns,
     /// When it was last certain that no change of the roster was missed.
     roster_confirmed: Ns,
+    /// When the roster service last moved to another address, and whether a watch there has served since.
+    service_moved: Option<Ns>,
+    moved_service_heard: bool,
     /// RPCs received and picks at builds on trial: one entry per method, or a single one if the cap is for all.
     exposure: Vec<TimeBuckets<Count>>,
     /// One-way keys and the newest build that answered each.
@@ -322,6 +325,30 @@
         self.roster_confirmed = now;
     }
 
+    /// The roster service has moved to another address: what it has to tell counts as known soon, although the
+    /// watch at the former address may go on for a while.
+    pub fn roster_service_moved(&mut self, at: Ns) {
+        // Until a watch serves again, the first of several moves is the one that counts.
+        let unheard = self.service_moved.filter(|_| self.moved_service_unheard());
+        (self.service_moved, self.moved_service_heard) = (unheard.or(Some(at)), false);
+    }
+
+    /// A watch at the service's present address has begun to serve.
+    pub fn moved_service_heard(&mut self) {
+        self.moved_service_heard = true;
+    }
+
+    /// When all changes count as known that were made until some time after a move of the roster service.
+    fn known_after_move(&self) -> Option<Ns> {
+        self.service_moved.map(|at| at + self.config.limits.told_within_after_move)
+    }
+
+    /// Whether the service has moved and changes that count as known since may have been missed.
+    fn moved_service_unheard(&self) -> bool {
+        let hears = self.watching && self.moved_service_heard;
+        !hears && self.known_after_move().is_some_and(|known| self.roster_confirmed < known)
+    }
+
     /// For how long the roster has not been confirmed.
     pub fn roster_age(&self, now: Ns) -> Ns {
         now - self.roster_confirmed
@@ -457,6 +484,8 @@
             (false, true) => self.started + told_within - MAX_RESTART,
             (false, false) => self.started,
         };
+        let known_after_move = self.known_after_move().filter(|_| self.moved_service_unheard());
+        let certain_until = certain_until.min(known_after_move.unwrap_or(Ns::MAX));
         let trusted_until = certain_until.saturating_add(drain_grace) - MAX_SEND_DELAY;
         told_within == 0 || now < trusted_until
     }
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -82,6 +82,7 @@
         limits: SafetyLimits {
             ask_within: 10 * SEC,
             told_within: 0,
+            told_within_after_move: 0,
             drain_grace: SEC,
             cold_from: 0.5,
             cold_time: 4 * SEC,
@@ -732,6 +733,40 @@
     assert_eq!([136, 137].map(|at| picks_at(&mut front, at * SEC)), [1, 0]);
 }
 
+/// After a move of the roster service all that it has to tell counts as known 4 s later. Guards against picks at a drained
+/// machine by a front whose calls at the new address are refused, while the watch at the former one still served.
+#[test]
+fn a_roster_is_trusted_for_a_shorter_time_after_its_service_has_moved() {
+    let limits = SafetyLimits { told_within: 6 * SEC, told_within_after_move: 4 * SEC, ..config().limits };
+    let setting = FrontConfig { ask_roster: true, limits, ..config() };
+    let moved = || {
+        let mut recorder = Recorder { now: 100 * SEC, ..Recorder::default() };
+        let mut front = front(setting.clone(), &[member(0, 1, None)], &mut recorder);
+        front.roster_service_moved(101 * SEC);
+        front
+    };
+    let trusts = |front: &Front| [105_500, 105_700].map(|at| front.trusts_roster(at * MS));
+    // The former watch confirms, and ends.
+    let mut unheard = moved();
+    unheard.roster_confirmed(102 * SEC + SEC / 2);
+    assert_eq!(trusts(&unheard), [true, false]);
+    // A second move does not extend it.
+    unheard.roster_service_moved(104 * SEC);
+    assert_eq!(trusts(&unheard), [true, false]);
+    // A watch at the new address tells changes itself, for as long as it serves.
+    let mut heard = moved();
+    let mut recorder = Recorder { now: 103 * SEC, ..Recorder::default() };
+    heard.moved_service_heard();
+    heard.roster_updated(&mut recorder, RosterUpdate::Changes, &[]);
+    assert_eq!(trusts(&heard), [true, true]);
+    recorder.now = 104 * SEC;
+    heard.roster_updated(&mut recorder, RosterUpdate::Failed, &[]);
+    assert_eq!(trusts(&heard), [true, false]);
+    // What is heard later than the changes that count then is trusted as ever.
+    heard.roster_confirmed(105 * SEC);
+    assert_eq!([111, 112].map(|at| heard.trusts_roster(at * SEC)), [true, false]);
+}
+
 /// Guards against picks at a build that was announced as sent back, because the reply to a vote, written before that,
 /// arrives after it and puts the build on trial again.
 #[test]
