A turn handles at most 8 commands of a connection, also of those answered at once

Found beside the flood of the memory limit: turns of up to 1.0 s with 482 clients (line of counts, longest_turn_ms).

Cause: read_commands returns each statement to its caller, which called it again, so that its count began anew; and each answer queued one more event that reads on. Commands that are pushed back at once were all handled in one turn.

Change: a connection counts its commands by turn; what is left is read in the next one, queued once. Node::run_turn is the body of the event loop. Result: a_turn_handles_few_commands_of_one_connection_and_the_next_ones_the_rest (8 to 50 in a turn before); node, moments, pipelining, answers, shutdown, discovery_outage, memory, node_soak pass.

--- a/node/src/clients.rs
+++ b/node/src/clients.rs
@@ -26,7 +26,7 @@
 /// Most arrival times that are stored for a client's unread bytes; at the limit, later bytes share the last one.
 const MAX_ARRIVALS: usize = 64;
 /// Most commands of a connection per turn, so that a client with hundreds of them does not delay the others.
-const MAX_COMMANDS_PER_TURN: usize = 8;
+pub const MAX_COMMANDS_PER_TURN: usize = 8;
 /// How long RPCs of a client are pushed back after an answer to it was discarded for want of room.
 const DISCARD_PENALTY: Ns = SEC;
 /// How many malformed commands an encryption request counts as: at most three come before the startup message.
@@ -76,6 +76,9 @@
     bad_commands: u32,
     /// Room for its next command, if that is longer than the allowance.
     reservation: Reservation,
+    /// The last turn that read commands of it, and how many.
+    turn: u64,
+    commands_in_turn: usize,
     /// When an answer to it was last discarded for want of room.
     answer_discarded: Option<Ns>,
 }
@@ -182,6 +185,15 @@
         self.replies.iter().map(|reply| if let Reply::Held(bytes) = reply { bytes.len() } else { 0 }).sum()
     }
 
+    /// Counts a command of this turn; false if there were as many as a turn may read.
+    fn may_read_command(&mut self, turn: u64) -> bool {
+        if self.turn != turn {
+            (self.turn, self.commands_in_turn) = (turn, 0);
+        }
+        self.commands_in_turn += 1;
+        self.commands_in_turn <= MAX_COMMANDS_PER_TURN
+    }
+
     /// Whether the connection's limits allow another command.
     fn accepts_command(&self, budget: &MemoryBudget) -> bool {
         let open = |reply: &Reply| if let Reply::Open(_, bytes) = reply { *bytes } else { 0 };
@@ -417,11 +429,16 @@
     /// Reads the client's next commands; statements are returned to the caller. A statement behind an open RPC waits
     /// while there is no `room` for it.
     pub fn read_commands(&mut self, id: Id, room: impl Fn(&Config, &str) -> bool) -> ClientInput {
-        for _ in 0..MAX_COMMANDS_PER_TURN {
+        loop {
             let backlog = self.net.backlog(id).unwrap_or(0);
+            let turn = self.turn;
             let Some(client) = self.clients.all.get_mut(&id).filter(|c| !c.closing) else {
                 return ClientInput::Nothing;
             };
+            if !client.may_read_command(turn) {
+                self.read_next_turn(id);
+                break;
+            }
             // Answers that a client does not read would fill the memory.
             if backlog > 0 || !client.accepts_command(&self.clients.budget) {
                 return self.pause_reading(id);
@@ -465,6 +482,13 @@
         ClientInput::Nothing
     }
 
+    /// Reads the client's next commands in the next turn, after those of the other connections.
+    fn read_next_turn(&mut self, id: Id) {
+        if self.queued_reads.insert(id) {
+            self.queued_events.push(Event::StreamFlushed { conn: id });
+        }
+    }
+
     /// Reads from a client as much as its limits allow, or does not. Once reading is stopped, only the rest of an
     /// incomplete command is read.
     fn set_reading(&mut self, id: Id, wanted: bool) {
@@ -489,15 +513,16 @@
         let now = self.net.now();
         let waits_for_event = |c: &&mut Client| c.replies.is_empty() && !c.reservation.is_waiting();
         let Some(client) = self.clients.all.get_mut(&id).filter(waits_for_event) else { return };
-        if client.has_complete_command() {
-            self.queued_events.push(Event::StreamFlushed { conn: id });
-        }
+        let has_complete_command = client.has_complete_command();
         let at = match (client.sent_command, client.buffer.is_empty()) {
             (false, _) => client.since + FIRST_COMMAND_TIMEOUT,
             (true, true) => now + IDLE_TIMEOUT,
             (true, false) => now + PARTIAL_COMMAND_TIMEOUT,
         };
         self.set_deadline(id, at);
+        if has_complete_command {
+            self.read_next_turn(id);
+        }
     }
 
     /// Answers an invalid command by an error. The connection stays open up to a limit of such commands.
@@ -560,7 +585,7 @@
             }
         }
         if more {
-            self.queued_events.push(Event::StreamFlushed { conn: id });
+            self.read_next_turn(id);
         }
         room
     }
--- a/node/src/effects.rs
+++ b/node/src/effects.rs
@@ -83,6 +83,10 @@
     /// Open RPCs whose client has disconnected; reported to the module afterwards.
     pub disconnected: VecDeque<usize>,
     pub queued_events: Vec<Event>,
+    /// Clients whose next commands the next turn reads.
+    pub queued_reads: HashSet<Id>,
+    /// Counts the turns of the event loop.
+    pub turn: u64,
     /// Connections whose data this turn has read and not handled yet.
     pub unhandled_data: HashSet<Id>,
     pub rng: StdRng,
@@ -114,6 +118,8 @@
             pending_ends: VecDeque::new(),
             disconnected: VecDeque::new(),
             queued_events: Vec::new(),
+            queued_reads: HashSet::new(),
+            turn: 0,
             unhandled_data: HashSet::new(),
             counters: Counters::default(),
             log_limit: LogLimiter::new(LOG_LINES_PER_SECOND),
@@ -152,8 +158,10 @@
         }
     }
 
-    /// Records the data that a turn has read, before its events are handled one by one.
+    /// Begins a turn: records the data that it has read, before its events are handled one by one.
     pub fn turn_began(&mut self, events: &[Event]) {
+        self.turn += 1;
+        self.queued_reads.clear();
         self.unhandled_data.clear();
         self.unhandled_data.extend(events.iter().filter_map(|event| match event {
             Event::StreamData { conn, .. } => Some(*conn),
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -28,7 +28,7 @@
 const KIB: usize = 1024;
 
 pub struct Node {
-    effects: Effects,
+    pub(crate) effects: Effects,
     front: Front,
     pub at: SocketAddr,
     /// The bound socket until `listen` is called; no client can connect to it.
@@ -146,16 +146,7 @@
     fn run_loop(mut self) -> Result<(), String> {
         let mut events = Vec::new();
         loop {
-            events.append(&mut self.effects.queued_events);
-            self.effects.net.turn(&mut events, SEC).map_err(|err| err.to_string())?;
-            let count = events.len();
-            events.sort_by_cached_key(|event| self.effects.event_priority(event));
-            self.effects.turn_began(&events);
-            for event in events.drain(..) {
-                self.handle(event);
-                self.process_pending();
-            }
-            self.lateness.turn_ended(self.effects.net.now(), self.effects.net.clock(), count);
+            self.run_turn(&mut events).map_err(error_text)?;
             if self.shutdown_done() {
                 let (open, clients) = (self.effects.ids.open_rpcs(), self.effects.clients.count());
                 let unsent = self.effects.net.unflushed_closing();
@@ -165,6 +156,24 @@
         }
     }
 
+    /// Waits for events, at most for a second, and handles them. `events` is empty before and after it.
+    ///
+    /// # Errors
+    /// A failure of the event loop.
+    pub(crate) fn run_turn(&mut self, events: &mut Vec<Event>) -> std::io::Result<()> {
+        events.append(&mut self.effects.queued_events);
+        self.effects.net.turn(events, SEC)?;
+        let count = events.len();
+        events.sort_by_cached_key(|event| self.effects.event_priority(event));
+        self.effects.turn_began(events);
+        for event in events.drain(..) {
+            self.handle(event);
+            self.process_pending();
+        }
+        self.lateness.turn_ended(self.effects.net.now(), self.effects.net.clock(), count);
+        Ok(())
+    }
+
     /// Reports to the module what ended while it was processing an event.
     fn process_pending(&mut self) {
         while let Some((rpc, pick, how)) = self.effects.pending_ends.pop_front() {
--- a/node/src/tests.rs
+++ b/node/src/tests.rs
@@ -1,5 +1,5 @@
 //! Tests of races within one turn of the event loop, such as bytes that arrive after the turn has read its sockets.
-use crate::clients::MIN_IDLE;
+use crate::clients::{MAX_COMMANDS_PER_TURN, MIN_IDLE};
 use crate::control_links::ModuleEvent;
 use crate::effects::Effects;
 use crate::lateness::{Lateness, WorstDelays};
@@ -282,6 +282,33 @@
     assert_eq!(lateness.take_worst(), WorstDelays::default());
 }
 
+/// Guards against a flood of commands that are answered at once: one connection's would be handled all in one turn, while the
+/// others wait.
+#[test]
+fn a_turn_handles_few_commands_of_one_connection_and_the_next_ones_the_rest() {
+    const COMMANDS: u64 = 50;
+    let mut node = Node::prepare(config(64)).unwrap();
+    node.listen().unwrap();
+    let mut io = TcpStream::connect(node.at).unwrap();
+    let mut bytes = Vec::new();
+    pg::put_startup(&mut bytes, "api", "ledger");
+    for id in 1..=COMMANDS {
+        // Its time is over: it is pushed back without a pick.
+        let text =
+            format!("SELECT blob FROM rows WHERE handle = 'aa' /* id={id:016x},c=lookup,t=acme,d=0 */");
+        pg::put_query(&mut bytes, &text);
+    }
+    io.write_all(&bytes).unwrap();
+    let mut events = Vec::new();
+    let mut handled = 0;
+    while handled < COMMANDS {
+        node.run_turn(&mut events).unwrap();
+        let before =
+            std::mem::replace(&mut handled, node.effects.counters.pushed_back + node.effects.counters.late);
+        assert!(handled - before <= MAX_COMMANDS_PER_TURN as u64, "{before} to {handled}");
+    }
+}
+
 /// Guards against requests without an answer at a node whose start is delayed: no client can connect before the start
 /// is complete.
 #[test]
