Memory shares: updates of the roster have one, and the largest fleet fits at 32 MB

Found by reading the shares again: at 32 MB the bounds allowed 3,072 machines and 639 KB of an update, where fleets have up to 3,200 and an indented list of those takes some 800 KB; a node there would never hear its roster. What an update takes while it is read was not in the sum. And a connection that is closing was read one byte a turn if it had waited for room.

Change: 960 bytes a machine, updates have a share of their own (1 MiB at 32 MB, held twice), out of those for outgoing answers and unsent queries; closing connections are read without a limit and dropped. Result: the_largest_fleet_fits_at_the_smallest_usual_limit, all_bounds_together_leave_an_eighth_of_the_memory_limit with updates; node, moments, pipelining, answers, memory pass.

--- a/node/src/clients.rs
+++ b/node/src/clients.rs
@@ -343,11 +343,12 @@
         let Some(client) = self.clients.all.get_mut(&id) else { return };
         client.closing = true;
         if !client.replies.is_empty() {
-            // Nothing more is read from it, but its close is still noticed.
+            // What it sends from now on is read and dropped, so that its close is noticed.
             client.buffer = Vec::new();
             client.arrivals = VecDeque::new();
             self.release_reservation(id);
             self.clients.remove_evictable(id);
+            self.net.limit_read(id, usize::MAX);
             return self.net.pause(id, false);
         }
         self.forget_client(id);
--- a/node/src/memory.rs
+++ b/node/src/memory.rs
@@ -21,9 +21,10 @@
 const CLIENTS_SHARE: usize = 8;
 const LARGE_COMMANDS_SHARE: usize = 4;
 const INCOMING_ANSWERS_SHARE: usize = 4;
-const OUTGOING_ANSWERS_SHARE: usize = 4;
-const UNSENT_QUERIES_SHARE: usize = 2;
+const OUTGOING_ANSWERS_SHARE: usize = 3;
+const UNSENT_QUERIES_SHARE: usize = 1;
 const MACHINES_SHARE: usize = 3;
+const UPDATE_SHARE: usize = 2;
 const BOUND_KEYS_SHARE: usize = 2;
 const TURN_SHARE: usize = 1;
 
@@ -45,13 +46,13 @@
 /// A stream that leaves 4 MiB unsent is closed.
 const MAX_OUTGOING_PER_CLIENT: usize = 3 * MIB;
 /// Memory of a machine: its records here and in the decision module, its name, and its part of a parsed list.
-const MACHINE_BYTES: usize = KIB;
+const MACHINE_BYTES: usize = 960;
 /// Memory of a key's entry in an ordered map.
 const BOUND_KEY_BYTES: usize = 28;
 /// Longest line of a watch: an update with ten thousand machines.
 const MAX_UPDATE_LEN: usize = 2 * MIB;
-/// Bytes that a list takes for each machine on it.
-const HOST_LEN: usize = 208;
+/// How many times an update is held while it is read: as received, and as lines of an incomplete one.
+const UPDATE_COPIES: usize = 2;
 
 /// The most that a node holds of each kind, in bytes where nothing else is said.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -105,7 +106,7 @@
             unsent_queries: share(UNSENT_QUERIES_SHARE),
             read_per_turn: share(TURN_SHARE),
             machines,
-            update_len: (machines * HOST_LEN).min(MAX_UPDATE_LEN),
+            update_len: (share(UPDATE_SHARE) / UPDATE_COPIES).min(MAX_UPDATE_LEN),
             bound_keys: (share(BOUND_KEYS_SHARE) / BOUND_KEY_BYTES).min(MAX_BOUND_KEYS),
         }
     }
@@ -263,6 +264,7 @@
             + budget.unsent_queries
             + budget.read_per_turn
             + budget.machines * MACHINE_BYTES
+            + budget.update_len * UPDATE_COPIES
             + budget.bound_keys * BOUND_KEY_BYTES
     }
 
@@ -287,6 +289,13 @@
         }
     }
 
+    /// Fleets have up to 3,200 machines, and an indented list takes some 250 bytes for each.
+    #[test]
+    fn the_largest_fleet_fits_at_the_smallest_usual_limit() {
+        let budget = MemoryBudget::new(32 * MIB, 106);
+        assert!(budget.machines >= 3_200 && budget.update_len >= 3_200 * 300, "{budget:?}");
+    }
+
     #[test]
     fn slow_readers_leave_room_for_clients_that_read() {
         let answers = OutgoingAnswers::new(8 * MIB, MAX_CLIENT_ALLOWANCE);
