A second SIGHUP does not extend the time of a move while the first is still being read

Cause: found by reading: the time of the last signal was taken, also where the configuration of the first could not be read yet; what discovery has to tell counts from the first. Change: the first signal stands until a configuration is read.

--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -314,7 +314,10 @@
             Event::Timer { tag: ROLLOUT_API_TIMER } => self.effects.subscribe(),
             Event::Timer { tag: STOP_TIMER } => self.continue_shutdown(),
             Event::Signal { number: SIGHUP } => {
-                self.reload_requested = self.effects.net.now();
+                // While a configuration can't be read yet, the first signal is the one that counts.
+                if self.reload_retries == 0 {
+                    self.reload_requested = self.effects.net.now();
+                }
                 self.reload_retries = MAX_RELOAD_RETRIES;
                 self.reload();
             }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -219,9 +219,9 @@
 /// with three receivers, one may stall while another restarts.
 const NOTE_RECEIVERS: u32 = 3;
 
-/// Most one-way keys remembered, which takes some megabytes; the configuration may name fewer. Once this is reached, an unknown key counts as
-/// answered by the build last announced, so that no key goes back to an earlier build; such RPCs wait for
-/// room within the cap instead.
+/// Most one-way keys remembered, which takes some megabytes; the configuration may name fewer. Once this is
+/// reached, an unknown key counts as answered by the build last announced, so that no key goes back to an
+/// earlier build; such RPCs wait for room within the cap instead.
 pub const MAX_BOUND_KEYS: usize = 1 << 18;
 
 /// Longest restart of a front: changes made meanwhile are not on the roster it starts with.
