--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod http;
 mod log_limiter;
 mod net;
+mod poller;
 mod streams;
 mod timers;
 pub mod tls;
--- a/net/src/net.rs
+++ b/net/src/net.rs
@@ -4,6 +4,7 @@
 mod requests;
 
 use crate::http::{self, Body, Refusal, Request, Response};
+use crate::poller::Poller;
 use crate::timers::{Ns, Timers};
 use crate::SEC;
 use rustix::event::epoll;
@@ -43,10 +44,8 @@
 const READ_SIZE: usize = 64 * 1024;
 /// Fewest bytes that one read asks for, however many sockets share the limit of a turn.
 const MIN_READ_SIZE: usize = 2 * 1024;
-/// Maximum number of sockets accepted and of epoll events handled in one turn, so that no side starves the
-/// other.
+/// Maximum number of sockets accepted in one turn, so that new connections do not starve the others.
 pub(crate) const MAX_ACCEPTS_PER_TURN: usize = 64;
-const MAX_EVENTS_PER_TURN: usize = 256;
 /// Length of the accept queue: about a second's stall at some thousand new connections per second. If it is
 /// full, clients retry only a second later (the standard library asks for 128). The system may grant less.
 const ACCEPT_BACKLOG: i32 = 4_096;
@@ -277,7 +276,7 @@
 }
 
 pub struct Net {
-    poll: OwnedFd,
+    poller: Poller,
     sockets: Slab<Slot>,
     generation: u32,
     timers: Timers,
@@ -393,7 +392,7 @@
             [("Rockpick-Answer", "pushed-back"), ("Retry-After", "1"), ("Rockpick-Retry-After-Ms", "250")];
         http::write_response(&mut full, 503, &headers, Some(b"too many connections\n"), false, false);
         Ok(Net {
-            poll: epoll::create(epoll::CreateFlags::CLOEXEC)?,
+            poller: Poller::new()?,
             sockets: Slab::new(),
             generation: 0,
             timers: Timers::default(),
@@ -461,7 +460,7 @@
         let generation = self.generation;
         let slot = self.sockets.vacant_entry();
         let id = u64::from(generation) << 32 | slot.key() as u64;
-        epoll::add(&self.poll, socket.fd(), epoll::EventData::new_u64(id), flags)?;
+        self.poller.register(socket.fd(), id, flags)?;
         slot.insert(Slot { generation, registered: generation, flags, socket });
         Ok(id)
     }
@@ -489,7 +488,7 @@
             return;
         }
         let slot = self.sockets.remove((id & 0xffff_ffff) as usize);
-        let _ = epoll::delete(&self.poll, slot.socket.fd());
+        let _ = self.poller.remove(slot.socket.fd());
         match slot.socket {
             Socket::Client(c) if matches!(c.state, ClientState::Lingering) => self.lingering -= 1,
             Socket::Client(_) => self.clients -= 1,
@@ -515,8 +514,8 @@
         let index = (id & 0xffff_ffff) as usize;
         if let Some(slot) = self.sockets.get_mut(index).filter(|s| s.flags != flags) {
             slot.flags = flags;
-            let data = epoll::EventData::new_u64(u64::from(slot.registered) << 32 | index as u64);
-            let _ = epoll::modify(&self.poll, slot.socket.fd(), data, flags);
+            let token = u64::from(slot.registered) << 32 | index as u64;
+            let _ = self.poller.change(slot.socket.fd(), token, flags);
         }
     }
 
@@ -599,18 +598,12 @@
         }
         let due = self.timers.next().unwrap_or(Ns::MAX).min(self.swept_at + SWEEP_INTERVAL);
         let wait = if events.is_empty() { (due - self.now).clamp(0, most) } else { 0 };
-        let wait = rustix::event::Timespec { tv_sec: wait / SEC, tv_nsec: wait % SEC };
-        let mut space = [const { std::mem::MaybeUninit::<epoll::Event>::uninit() }; MAX_EVENTS_PER_TURN];
-        let ready: &[epoll::Event] = match epoll::wait(&self.poll, &mut space[..], Some(&wait)) {
-            Ok((ready, _)) => ready,
-            Err(Errno::INTR) => &[],
-            Err(err) => return Err(err.into()),
-        };
+        let ready = self.poller.wait(wait)?;
         self.now = self.clock();
         let readable = ready.iter().filter(|event| event.flags.contains(epoll::EventFlags::IN)).count();
         self.read_size = (self.max_read_per_turn / readable.max(1)).clamp(MIN_READ_SIZE, READ_SIZE);
         for event in ready {
-            self.ready(events, event.data.u64(), event.flags);
+            self.ready(events, event.token, event.flags);
         }
         if self.now >= self.swept_at + SWEEP_INTERVAL {
             self.expire_idle(events);
