A late copy of an answer is never served to another request, however late it comes

Cause: `machine_bytes` took whatever answer came next on a connection for that of the open query. A rest of 8 ms after each answer kept most copies apart; nothing tied an answer to its query, so a copy 9 ms late passed. Evidence: `a_copy_that_comes_after_the_next_query_is_not_served_to_it` failed before the change on its first reuse of a connection (value of RPC 1 for RPC 2).

Change: a connection remembers the digests of its answers of the last second. One that equals any of them is held back, with its room in memory, and an empty query is sent behind it, which the protocol page allows and machines answer in order: another answer before that one is the answer to the open query, and the connection is closed; none means that the value is the same by right. So the promise no longer rests on how late copies come; the rest of 8 ms only saves round trips. What machines send has a file of its own, a function each response. Scripted machines answer empty queries. Log fields `doubtful_answers`, `late_copies`.

--- a/cli/tests/moments.rs
+++ b/cli/tests/moments.rs
@@ -493,3 +493,56 @@
     (0..10).for_each(|_| assert_eq!(probe.rpc(""), Answer::Empty));
     assert_eq!(good.rpc(&lookup(2, 900)), value());
 }
+
+/// A machine that answers with the id of each RPC. Once a query has arrived behind an answer, it sends that answer once more,
+/// `delay` before the one that is asked for.
+fn machine_with_late_copies(delay: Duration) -> SocketAddr {
+    machine_served_by(move |_, mut line| {
+        line.io.set_nodelay(true).ok()?;
+        line.read_startup()?;
+        line.send_startup_response()?;
+        let mut last: Option<[u8; 8]> = None;
+        while let Some(text) = line.query() {
+            let id = u64::from_str_radix(&text.split_once("id=")?.1[..16], 16).ok()?.to_be_bytes();
+            if let Some(copy) = last.replace(id) {
+                line.answers(&copy)?;
+                std::thread::sleep(delay);
+            }
+            line.answers(&id)?;
+        }
+        None
+    })
+}
+
+/// Guards against serving a request with the value of another one: a late copy of an answer arrives once the connection is in
+/// use again, however long it rested.
+#[test]
+fn a_copy_that_comes_after_the_next_query_is_not_served_to_it() {
+    for delay in [Duration::ZERO, Duration::from_millis(30)] {
+        let platform = Platform::begin();
+        let machine = machine_with_late_copies(delay);
+        let node = Node::start(&configuration(&platform, &[("a", machine, 1, "active")]));
+        let mut client = node.client();
+        for id in 1..=20u64 {
+            assert_eq!(client.rpc(&save(id, 900)), Answer::Value(id.to_be_bytes().to_vec()), "{delay:?}");
+            // Longer than a connection rests, so that it is used again.
+            std::thread::sleep(Duration::from_millis(12));
+        }
+    }
+}
+
+/// Guards against taking an answer for a late copy because it has the same value: all are served, on one connection.
+#[test]
+fn answers_of_the_same_value_are_all_served() {
+    let machine = machine(&[QueryAction::Answer]);
+    let platform = Platform::begin();
+    let node = Node::start(&configuration(&platform, &[("a", machine.at, 1, "active")]));
+    let mut client = node.client();
+    for id in 1..=20 {
+        assert_eq!(client.rpc(&save(id, 900)), value());
+        std::thread::sleep(Duration::from_millis(12));
+    }
+    assert_eq!(machine.queries(), 20);
+    let connections = machine.got.lock().unwrap().iter().map(|(number, _)| *number).max();
+    assert!(connections < Some(3), "{connections:?}");
+}
--- a/fakes/src/scripted.rs
+++ b/fakes/src/scripted.rs
@@ -111,10 +111,16 @@
         self.io.write_all(&out).ok()
     }
 
-    /// Reads the text of the next query.
+    /// Reads the text of the next query. Empty queries are answered at once and not returned.
     pub fn query(&mut self) -> Option<String> {
-        let (_, body) = read_message(&mut self.io, &mut self.received)?;
-        Some(pg::read_cstr(&body)?.to_string())
+        loop {
+            let (_, body) = read_message(&mut self.io, &mut self.received)?;
+            let text = pg::read_cstr(&body)?;
+            if !text.is_empty() {
+                return Some(text.to_string());
+            }
+            answer_empty_query(&mut self.io)?;
+        }
     }
 
     pub fn answers(&mut self, value: &[u8]) -> Option<()> {
@@ -160,6 +166,12 @@
     }
 }
 
+fn answer_empty_query(io: &mut TcpStream) -> Option<()> {
+    let mut out = Vec::new();
+    pg::put_empty_query_response(&mut out);
+    io.write_all(&out).ok()
+}
+
 pub fn row(value: &[u8]) -> Vec<u8> {
     let mut out = Vec::new();
     pg::put_row(&mut out, "blob", value, "SELECT 1");
@@ -191,6 +203,10 @@
         }
         io.write_all(&out).ok()?;
         while let Some((b'Q', body)) = read_message(&mut io, &mut received) {
+            if body == [0] {
+                answer_empty_query(&mut io)?;
+                continue;
+            }
             self.got.lock().unwrap().push((number, pg::read_cstr(&body).unwrap().to_string()));
             let does = {
                 let mut script = self.script.lock().unwrap();
--- a/node/src/connection_pool.rs
+++ b/node/src/connection_pool.rs
@@ -1,9 +1,12 @@
 //! Pool of connections to machines, with a limit on their number. It does not choose the machines.
+mod responses;
+
 use crate::effects::{Effects, Pick};
 use crate::memory::{MemoryBudget, Reservation, SharedMemory};
+use crate::recent_answers::RecentAnswers;
 use rockpick::{Idempotency, Ns, Outcome};
 use rockpick_net::{Id, MS, SEC};
-use rockpick_pg::{self as pg, Response, ResponseReader};
+use rockpick_pg::{self as pg, ResponseReader};
 use rockpick_platform::statement;
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -13,10 +16,8 @@
 /// streams that are closing.
 pub const RESERVED_DESCRIPTORS: usize = OWN_DESCRIPTORS + rockpick_net::MAX_CLOSING_STREAMS;
 pub const OWN_DESCRIPTORS: usize = 28;
-/// How long after its answer a connection is not used again: a duplicate of the answer may still arrive and would be
-/// taken for the answer to the next query. In six small days of the operators' benchmark 32 duplicates arrived 1.1 to
-/// 3.9 ms late, so this is twice as long. At 20 ms a busy node held 26 connections instead of 17, and each costs the
-/// machines.
+/// How long after its answer a connection is not used again. A copy of the answer that comes meanwhile ends the connection;
+/// one that comes later is told apart from the next answer, which takes another round trip.
 const REUSE_DELAY: Ns = 8 * MS;
 /// After an answer the machine must be ready within this time; machines send both together.
 const READY_TIMEOUT: Ns = SEC;
@@ -66,6 +67,9 @@
     pick: Option<(usize, usize)>,
     /// Room for its next message, if that is longer than the allowance.
     reservation: Reservation,
+    recent_answers: RecentAnswers,
+    /// An answer to the open query that may be a late copy of an earlier answer; an empty query was sent to find out.
+    doubtful_answer: Option<Vec<u8>>,
 }
 
 pub struct Pool {
@@ -82,6 +86,9 @@
     pub exhausted: u64,
     pub dialled: u64,
     pub malformed: u64,
+    /// Answers that might have been late copies of earlier ones, and those that were.
+    pub doubtful_answers: u64,
+    pub late_copies: u64,
 }
 
 impl Pool {
@@ -97,6 +104,8 @@
             exhausted: 0,
             dialled: 0,
             malformed: 0,
+            doubtful_answers: 0,
+            late_copies: 0,
         }
     }
 
@@ -236,6 +245,8 @@
             reader: ResponseReader::default(),
             pick,
             reservation: Reservation::None,
+            recent_answers: RecentAnswers::default(),
+            doubtful_answer: None,
         };
         self.pool.conns.insert(id, conn);
         self.net.limit_read(id, self.pool.allowance);
@@ -312,100 +323,6 @@
         sent
     }
 
-    /// Processes data of a machine, and returns what it means for picks.
-    pub fn machine_bytes(&mut self, id: Id, bytes: &[u8]) -> Vec<(usize, usize, PickEvent)> {
-        let mut ends = Vec::new();
-        let now = self.net.now();
-        if let Some(conn) = self.pool.conns.get_mut(&id) {
-            conn.reader.push(bytes);
-            if let ConnState::Idle(since) = conn.state {
-                let late_us = (now - since) / 1_000;
-                if let Some(left_out) = self.log_limit.allow(now) {
-                    tracing::warn!(
-                        event = "unexpected data on an idle machine connection",
-                        late_us,
-                        bytes = bytes.len(),
-                        left_out
-                    );
-                }
-            }
-        }
-        while let Some(conn) = self.pool.conns.get_mut(&id) {
-            let state = conn.state;
-            let response = conn.reader.next_response();
-            match response {
-                Ok(Response::Incomplete) => {
-                    // There are bytes behind an answer: the connection can't be used any further, and the answer is
-                    // valid.
-                    if matches!(state, ConnState::Idle(_)) && !conn.reader.is_reusable() {
-                        self.drop_machine_conn(id);
-                    } else {
-                        self.reserve_large_answer(id);
-                    }
-                    break;
-                }
-                Ok(Response::Row(row)) => {
-                    conn.state = ConnState::AwaitingReady;
-                    ends.extend(
-                        conn.pick.take().map(|(rpc, n)| (rpc, n, PickEvent::Ended(Outcome::Ok, Some(row)))),
-                    );
-                    let reservation = std::mem::take(&mut conn.reservation);
-                    self.end_answer_reservation(id, reservation);
-                    self.net.limit_read(id, self.pool.allowance);
-                    self.set_deadline(id, now + READY_TIMEOUT);
-                }
-                Ok(Response::Error(code)) => {
-                    let full = code == pg::TOO_MANY_CONNECTIONS;
-                    conn.state = ConnState::AwaitingReady;
-                    let how = match state {
-                        _ if full => Outcome::Full,
-                        ConnState::Opening => Outcome::Unreachable,
-                        _ => Outcome::Error,
-                    };
-                    ends.extend(conn.pick.take().map(|(rpc, n)| (rpc, n, PickEvent::Ended(how, None))));
-                    if state == ConnState::Opening {
-                        self.drop_machine_conn(id);
-                        break;
-                    }
-                    self.set_deadline(id, now + READY_TIMEOUT);
-                }
-                Ok(Response::Ready) => {
-                    if state == ConnState::Opening {
-                        let entry = &self.pool.machines[conn.machine];
-                        let same_process = conn.incarnation == entry.incarnation && entry.gone.is_none();
-                        if let Some((rpc, n)) = conn.pick {
-                            let in_time = self.open[rpc].as_ref().is_some_and(|o| o.picks[n].deadline > now);
-                            if in_time && same_process && !self.ids.finished(rpc) {
-                                ends.push((rpc, n, PickEvent::ConnectionReady));
-                                break;
-                            }
-                            // The RPC is finished, or another process has taken the machine's name: the pick is void.
-                            ends.push((rpc, n, PickEvent::Ended(Outcome::Void, None)));
-                        }
-                    }
-                    if !self.park_connection(id) {
-                        break;
-                    }
-                }
-                Err(error) => {
-                    // A statement that was sent may have run; one that was not can't have.
-                    let how =
-                        if state == ConnState::Opening { Outcome::Unreachable } else { Outcome::Broken };
-                    let pick = conn.pick.take();
-                    let (tag, len) = conn.reader.header().unwrap_or_default();
-                    self.pool.malformed += 1;
-                    if let Some(left_out) = self.log_limit.allow(now) {
-                        tracing::warn!(event = "malformed answer from a machine", why = error.0, tag = %char::from(tag), long = len, step = ?state, asked = pick.is_some(), left_out);
-                    }
-                    ends.extend(pick.map(|(rpc, n)| (rpc, n, PickEvent::Ended(how, None))));
-                    self.drop_machine_conn(id);
-                    break;
-                }
-            }
-        }
-        ends
-    }
-
     /// Reserves room for the next message of a machine if that is longer than the allowance, or lets it wait.
     fn reserve_large_answer(&mut self, id: Id) {
         let now = self.net.now();
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -10,6 +10,7 @@
 mod lateness;
 mod memory;
 mod node;
+mod recent_answers;
 mod shutdown;
 
 pub use config::Config;
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -471,6 +471,8 @@
             dialled = self.effects.pool.dialled,
             scarce = self.effects.pool.exhausted,
             spoilt = self.effects.pool.malformed,
+            doubtful_answers = self.effects.pool.doubtful_answers,
+            late_copies = self.effects.pool.late_copies,
             streams = self.effects.net.streams(),
             watching = self.effects.discovery.is_watching(),
             roster_age_ms = self.front.roster_age(now) / MS,
--- a/pg/src/response.rs
+++ b/pg/src/response.rs
@@ -21,6 +21,8 @@
     RowReceived,
     /// The answer is complete; ReadyForQuery is awaited.
     Complete,
+    /// The machine is ready; what answers the empty query behind the last one is awaited.
+    EmptyQuerySent,
 }
 
 /// The next complete thing that a machine has sent.
@@ -32,6 +34,8 @@
     Row(Vec<u8>),
     /// An error's SQLSTATE code. Either ReadyForQuery follows or the machine closes the connection.
     Error(String),
+    /// The answer to an empty query.
+    Empty,
 }
 
 #[derive(Default)]
@@ -41,6 +45,8 @@
     parsed: usize,
     state: State,
     async_messages: u32,
+    /// An empty query was sent behind the last one and is not answered yet.
+    empty_query_open: bool,
 }
 
 impl ResponseReader {
@@ -49,6 +55,12 @@
         self.async_messages = 0;
     }
 
+    /// An empty query was sent behind a query whose answer is complete. Since a machine answers in order, whatever it
+    /// sends before [`Response::Empty`] was sent before it came to the empty query.
+    pub fn empty_query_sent(&mut self) {
+        self.empty_query_open = true;
+    }
+
     /// Whether another query may be sent: the machine is ready, and nothing follows its last answer.
     pub fn is_reusable(&self) -> bool {
         self.state == State::Idle && self.buffer.is_empty()
@@ -123,13 +135,19 @@
                 }
                 Message::Ready => {
                     self.buffer.drain(..used);
-                    self.state = State::Idle;
+                    self.state = if self.empty_query_open { State::EmptyQuerySent } else { State::Idle };
                     self.async_messages = 0;
                     if self.buffer.is_empty() {
                         self.buffer = Vec::new();
                     }
                     return Ok(Response::Ready);
                 }
+                Message::Empty => {
+                    self.buffer.drain(..used);
+                    self.empty_query_open = false;
+                    self.state = State::Complete;
+                    return Ok(Response::Empty);
+                }
                 Message::Error(code) => {
                     self.buffer.drain(..self.parsed + used);
                     self.parsed = 0;
@@ -148,6 +166,7 @@
     /// A part of the answer, and the state after it.
     Part(State),
     Ready,
+    Empty,
     Error(String),
 }
 
@@ -158,12 +177,22 @@
         (State::Startup, b'R') if body == [0; 4] => Message::Async,
         (State::Startup, b'K') => Message::Async,
         (State::Startup | State::Complete, b'Z') if matches!(body, [b'I']) => Message::Ready,
-        (State::QuerySent, b'T') if is_row_description(body) => Message::Part(State::RowDescribed),
+        (State::EmptyQuerySent, b'I') if body.is_empty() => Message::Empty,
+        (State::QuerySent | State::EmptyQuerySent, b'T') if is_row_description(body) => {
+            Message::Part(State::RowDescribed)
+        }
         (State::RowDescribed, b'D') if is_data_row(body) => Message::Part(State::RowReceived),
         (State::RowReceived, b'C') if read_cstr(body).is_some_and(|t| !t.is_empty()) => {
             Message::Part(State::Complete)
         }
-        (State::Startup | State::QuerySent | State::RowDescribed | State::RowReceived, b'E') => {
+        (
+            State::Startup
+            | State::QuerySent
+            | State::EmptyQuerySent
+            | State::RowDescribed
+            | State::RowReceived,
+            b'E',
+        ) => {
             let code = error_field(body, b'C').filter(|c| c.len() == 5 && body.ends_with(b"\0"));
             Message::Error(code.ok_or(ProtocolError("an error without a code"))?.to_string())
         }
