An insistent client is admitted while the queue is empty, however small the fleet

Change: it asks whether the queue is less than half full now. Result: `an_insistent_client_is_admitted_up_to_half_of_the_queue` is new: 4 of 8, and one on a fleet of one.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -593,9 +593,10 @@
         self.queue_fullness(now, method, 1) <= 1.0
     }
 
-    /// Whether one more RPC would be admitted from a client that asks on although it is pushed back.
+    /// Whether one more RPC would be admitted from a client that asks on although it is pushed back. While none is open
+    /// it would, however small the fleet.
     pub fn admits_insistent(&self, now: Ns, method: usize) -> bool {
-        self.queue_fullness(now, method, 1) <= INSISTENT_FULLNESS
+        self.queue_fullness(now, method, 0) < INSISTENT_FULLNESS
     }
 
     /// The wait suggested to a client that is pushed back. It is short, as longer waits lost more utility.
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -767,6 +767,22 @@
     assert_eq!([111, 112].map(|at| heard.trusts_roster(at * SEC)), [true, false]);
 }
 
+/// Guards against a client that is pushed back for ever because it asks too often, and against one that leaves no room to others.
+#[test]
+fn an_insistent_client_is_admitted_up_to_half_of_the_queue() {
+    let mut recorder = Recorder { now: 100 * SEC, ..Recorder::default() };
+    let mut front = front(config(), &fleet(8), &mut recorder);
+    let mut admitted = 0;
+    while front.admits_insistent(recorder.now, 0) {
+        receive(&mut front, &mut recorder, admitted, 0);
+        admitted += 1;
+    }
+    assert_eq!((admitted, front.has_room(recorder.now, 0)), (4, true));
+    let mut single = Recorder { now: 100 * SEC, ..Recorder::default() };
+    let small = self::front(config(), &[member(0, 1, None)], &mut single);
+    assert!(small.admits_insistent(single.now, 0));
+}
+
 /// Guards against picks at a build that was announced as sent back, because the reply to a vote, written before that,
 /// arrives after it and puts the build on trial again.
 #[test]
