Pushed lists: a front uses its roster for the grace alone once its watch has ended

Cause: `trusts_roster` gave a front without a watch 6 s and the grace whatever `ask_roster` said. Two tests failed before the change: `a_pushed_roster_is_trusted_for_the_grace_alone_once_its_watch_has_ended` (trusted 0.7 s after the end) and `a_node_whose_pushed_lists_are_cut_off_stops_using_its_roster_within_the_grace` (a node, outage of 1 s).

Change: the end of the last watch bounds the trust where lists are pushed, or 4 s after a move of discovery while the new one is unheard. A lost pushed watch is asked for again after 0.1 to 0.3 s, within what is left of the grace, so that a watch that merely broke rejects nothing. Where lists are asked for nothing changes.

--- a/cli/tests/discovery_outage.rs
+++ b/cli/tests/discovery_outage.rs
@@ -50,6 +50,36 @@
     peers::wait_until("the moved discovery is heard", || matches!(ask(), Answer::Value(_)));
 }
 
+/// Where lists are pushed, a change counts as told whether or not a watch is open. Guards against a node that lost its watch in
+/// a short outage and gives new work to a machine that is taken out right after it.
+#[test]
+fn a_node_whose_pushed_lists_are_cut_off_stops_using_its_roster_within_the_grace() {
+    let (machine, platform) = (machine(&[QueryAction::Answer]), Platform::begin());
+    let mut config = configuration(&platform, &[("a", machine.at, 1, "active")]);
+    config["settings"]["discovery"] = "automatic".into();
+    config["settings"]["invariants"]["askWithinMs"] = ASK_WITHIN_MS.into();
+    let node = Node::start(&config);
+    wait_until_polled(&platform);
+    let (mut client, mut id) = (node.client(), 0);
+    let mut ask = || {
+        id += 1;
+        client.rpc(&lookup(id, 900))
+    };
+    assert!(matches!(ask(), Answer::Value(_)));
+    platform.down.store(true, Ordering::SeqCst);
+    // Longer than until the first further call, which is refused; the next one comes late.
+    std::thread::sleep(Duration::from_secs(1));
+    platform.down.store(false, Ordering::SeqCst);
+    platform.list(false, &[("a", machine.at, 1, "leaving")]);
+    std::thread::sleep(DRAIN_GRACE + SLACK);
+    let queries = machine.queries();
+    for _ in 0..20 {
+        assert!(pushed_back(&ask()));
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(machine.queries(), queries, "nothing goes to a drained machine");
+}
+
 /// Guards against a node that lost its watch and works by its old roster until it asks discovery again, however late that is: a
 /// machine that drains meanwhile gets nothing after the drain counts as known and its grace is over.
 #[test]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -147,6 +147,8 @@
     /// Whether a current roster was received since the start.
     roster_heard: bool,
     watching: bool,
+    /// When the last watch ended, if none has served since.
+    watch_ended: Option<Ns>,
     /// Late refusals by discovery in a row since the roster was last heard.
     late_refusals: usize,
     /// When the roster was last requested.
@@ -239,6 +241,9 @@
 const ROSTER_RETRY_AT_START: [Ns; 4] = [1, 6, 8, 16];
 /// The same after an immediate refusal, which costs discovery no work.
 const ROSTER_RETRY_FAST: Ns = 2;
+/// The wait and the longest random wait before a lost watch is requested again where rosters are pushed: well
+/// within the drain grace, which is all that is left to a front without a watch.
+const ROSTER_RETRY_PUSHED: [Ns; 2] = [100 * MS, 200 * MS];
 
 /// How full the queue may be for RPCs of a client that asks on although it is pushed back; the rest is for others.
 const INSISTENT_FULLNESS: f64 = 0.5;
@@ -292,12 +297,13 @@
         if update == RosterUpdate::Failed {
             // A change counts as known to this front even if it failed to get the list, so it asks again,
             // at a random time to avoid a rush of requests.
-            let spread = self.config.limits.ask_within / 8 * self.roster_retry_wait(now);
+            let [pause, spread] = self.roster_retry_wait(now);
             let drawn = self.rng.below(spread.max(1) as usize) as Ns;
-            return actions.wake_at(now + INTERVAL + drawn, TICK_TIMER + 1);
+            return actions.wake_at(now + pause + drawn, TICK_TIMER + 1);
         }
         if update != RosterUpdate::Saved {
             (self.roster_heard, self.watching, self.roster_confirmed) = (true, true, now);
+            self.watch_ended = None;
         }
         self.machines
             .iter_mut()
@@ -357,17 +363,25 @@
         now - self.roster_confirmed
     }
 
-    /// The longest wait until the roster is requested again, in eighths of `ask_within`. A call that is
+    /// The wait until the roster is requested again, and the longest random wait added to it. A call that is
     /// refused late has already cost discovery its work: if all fronts retried at a constant pace, they
     /// would keep it overloaded and none would be served.
-    fn roster_retry_wait(&mut self, now: Ns) -> Ns {
+    fn roster_retry_wait(&mut self, now: Ns) -> [Ns; 2] {
+        let eighth = self.config.limits.ask_within / 8;
         let served = std::mem::take(&mut self.watching);
+        if served {
+            self.watch_ended = Some(now);
+        }
+        if served && !self.config.ask_roster {
+            self.late_refusals = 0;
+            return ROSTER_RETRY_PUSHED;
+        }
         if !served && now - self.roster_requested < INTERVAL {
-            return ROSTER_RETRY_FAST;
+            return [INTERVAL, ROSTER_RETRY_FAST * eighth];
         }
         self.late_refusals = if served { 0 } else { self.late_refusals + 1 };
         let waits: &[Ns] = if self.roster_heard { &ROSTER_RETRY } else { &ROSTER_RETRY_AT_START };
-        waits[self.late_refusals.min(waits.len() - 1)]
+        [INTERVAL, waits[self.late_refusals.min(waits.len() - 1)] * eighth]
     }
 
     pub fn rollout_updated(&mut self, actions: &mut dyn Actions, reply: Reply, news: Option<RolloutStatus>) {
@@ -489,6 +503,10 @@
         };
         let known_after_move = self.known_after_move().filter(|_| self.moved_service_unheard());
         let certain_until = certain_until.min(known_after_move.unwrap_or(Ns::MAX));
+        // Pushed changes count as known at once, whether or not a watch is open; after a move, some time later.
+        let watch_ended = self.watch_ended.filter(|_| !self.config.ask_roster);
+        let pushed_until = watch_ended.map_or(Ns::MAX, |ended| ended.max(known_after_move.unwrap_or(ended)));
+        let certain_until = certain_until.min(pushed_until);
         let trusted_until = certain_until.saturating_add(drain_grace) - MAX_SEND_DELAY;
         told_within == 0 || now < trusted_until
     }
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -767,6 +767,36 @@
     assert_eq!([111, 112].map(|at| heard.trusts_roster(at * SEC)), [true, false]);
 }
 
+/// Where rosters are pushed, a change counts as known at once, also while no watch is open. Guards against picks at a drained
+/// machine by a front whose watch has ended: from then on it may use its roster for the grace alone.
+#[test]
+fn a_pushed_roster_is_trusted_for_the_grace_alone_once_its_watch_has_ended() {
+    let limits = SafetyLimits { told_within: 6 * SEC, told_within_after_move: 4 * SEC, ..config().limits };
+    let mut recorder = Recorder { now: 100 * SEC, ..Recorder::default() };
+    let pushed = FrontConfig { ask_roster: false, limits, ..config() };
+    let mut front = front(pushed, &[member(0, 1, None)], &mut recorder);
+    let mut update = |front: &mut Front, at: Ns, update: RosterUpdate| {
+        recorder.now = at * MS;
+        front.roster_updated(&mut recorder, update, &[]);
+    };
+    let trusts = |front: &Front, at: [Ns; 2]| at.map(|at| front.trusts_roster(at * MS));
+    update(&mut front, 103_000, RosterUpdate::Failed);
+    assert_eq!(trusts(&front, [103_500, 103_700]), [true, false]);
+    // Further refused calls change nothing.
+    update(&mut front, 104_000, RosterUpdate::Failed);
+    assert_eq!(trusts(&front, [103_500, 103_700]), [true, false]);
+    update(&mut front, 110_000, RosterUpdate::Changes);
+    assert_eq!(trusts(&front, [116_500, 116_700]), [true, false]);
+    // It fell silent, and is given up.
+    update(&mut front, 112_500, RosterUpdate::Failed);
+    assert_eq!(trusts(&front, [113_000, 113_200]), [true, false]);
+    // What a moved service has to tell counts 4 s after the move, although the former watch ends sooner.
+    update(&mut front, 120_000, RosterUpdate::Changes);
+    front.roster_service_moved(120_000 * MS);
+    update(&mut front, 121_500, RosterUpdate::Failed);
+    assert_eq!(trusts(&front, [124_500, 124_700]), [true, false]);
+}
+
 /// Guards against a client that is pushed back for ever because it asks too often, and against one that leaves no room to others.
 #[test]
 fn an_insistent_client_is_admitted_up_to_half_of_the_queue() {
