What a client left unread is dropped once it has closed, and no longer carried out

Cause: a stream was read on, a piece a turn, after its peer had closed, and each piece's commands were started; only a stream that was not being read noticed the close. Change: an accepted stream whose peer has closed (RDHUP, HUP or an error) is closed without another read. Streams that this process dialled are still read to their end: what a machine sent before it closed are answers.

--- a/net/src/streams.rs
+++ b/net/src/streams.rs
@@ -291,8 +291,9 @@
         if !hung_up && (stream.paused || !flags.contains(EventFlags::IN)) {
             return;
         }
-        if stream.paused {
-            // Closed or reset by the peer: left open, it would wake the loop continuously.
+        // A client that has closed waits for no answer, so what it left unread is dropped. A stream that is not read, and was
+        // closed or reset by its peer, would wake the loop continuously.
+        if stream.paused || stream.accepted && hung_up && !stream.closing {
             return self.stream_closed(events, id);
         }
         let mut read_buf = std::mem::take(&mut self.read_buf);
--- a/net/tests/streams.rs
+++ b/net/tests/streams.rs
@@ -139,3 +139,19 @@
         .collect();
     assert!(lengths.len() == STREAMS && lengths.iter().sum::<usize>() <= LIMIT, "{lengths:?}");
 }
+
+/// Guards against requests that are carried out after their client has closed: what it left unread is not read any more.
+#[test]
+fn what_a_peer_left_unread_is_dropped_once_it_has_closed() {
+    let mut net = Net::new(0).unwrap();
+    let (mut peer, conn) = streams(&mut net, 1).remove(0);
+    net.limit_read(conn, 10);
+    peer.write_all(&[7; 1_000]).unwrap();
+    drop(peer);
+    std::thread::sleep(std::time::Duration::from_millis(20));
+    let mut events = Vec::new();
+    while !events.iter().any(|event| matches!(event, Event::StreamClosed { .. })) {
+        net.turn(&mut events, 10 * MS).unwrap();
+    }
+    assert!(!events.iter().any(|event| matches!(event, Event::StreamData { .. })), "{}", events.len());
+}
