Incomplete HTTP requests of all clients take 64 MiB at most, in front and controller

Cause: head and body had bounds for each connection, and nothing bounded their sum. Change: the loop counts what clients make it hold for requests, by capacity, until they are answered. Over 64 MiB an incomplete request that holds more than 2 KiB is told 503 and closed; nothing of it was taken. A client that has closed is read no further than the request that it may have completed, so that its unread rest can't grow the buffer either. `peers` has no listener of its own for clients: its pages are the front's.

--- /dev/null
+++ b/cli/tests/http_floods.rs
@@ -0,0 +1,98 @@
+//! The front and the controller under floods of HTTP clients, as processes: their memory stays bounded, and usual clients are
+//! served meanwhile.
+mod peers;
+
+use peers::{front, start, Proc};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+const CLIENTS: usize = 400;
+/// Memory for requests that are incomplete or not answered yet, of all clients, and what the program itself takes.
+const MEMORY_LIMIT_KIB: u64 = (64 + 32) * 1024;
+const FLOOD_TIME: Duration = Duration::from_secs(3);
+/// How long a usual client waits for its answer.
+const ANSWER_TIME: Duration = Duration::from_secs(1);
+
+fn own_memory_kib(process: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
+    let line = status.lines().find(|line| line.starts_with("RssAnon:")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse().unwrap()
+}
+
+/// Sends the beginning of a request and keeps the connection; returns none if the server has refused it.
+fn stalls(at: SocketAddr, head: &[u8], body: &[u8]) -> Option<TcpStream> {
+    let mut io = TcpStream::connect(at).ok()?;
+    io.set_write_timeout(Some(Duration::from_millis(500))).ok()?;
+    io.write_all(head).ok()?;
+    for piece in body.chunks(64 * 1024) {
+        io.write_all(piece).ok()?;
+    }
+    Some(io)
+}
+
+/// Asks for a small page, and returns whether an answer came in time.
+fn is_served(at: SocketAddr, path: &str) -> bool {
+    let Ok(mut io) = TcpStream::connect(at) else { return false };
+    io.set_read_timeout(Some(ANSWER_TIME)).unwrap();
+    let request = format!("GET {path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    let mut answer = [0; 64];
+    io.write_all(request.as_bytes()).is_ok() && matches!(io.read(&mut answer), Ok(1..))
+}
+
+/// Floods a server and returns its largest memory, and how many of the usual requests were served and asked.
+fn flood(server: &Proc, path: &str, head: &[u8], body: &[u8]) -> (u64, usize, usize) {
+    let (mut most, mut served, mut asked) = (0, 0, 0);
+    let over = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        for _ in 0..CLIENTS / 8 {
+            let over = &over;
+            scope.spawn(move || {
+                let mut held = Vec::new();
+                while !over.load(Ordering::SeqCst) {
+                    if held.len() < 8 {
+                        held.extend(stalls(server.at, head, body));
+                    }
+                    std::thread::sleep(Duration::from_millis(20));
+                }
+            });
+        }
+        let began = Instant::now();
+        while began.elapsed() < FLOOD_TIME {
+            most = most.max(own_memory_kib(server.child.id()));
+            asked += 1;
+            served += usize::from(is_served(server.at, path));
+            std::thread::sleep(Duration::from_millis(30));
+        }
+        over.store(true, Ordering::SeqCst);
+    });
+    (most, served, asked)
+}
+
+fn assert_unharmed(server: &Proc, path: &str) {
+    let large = b"PUT /settings HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n";
+    let fields: String = (0..1_300).map(|_| "a:b\r\n").collect();
+    let short_fields = format!("GET / HTTP/1.1\r\nHost: a\r\n{fields}");
+    for (head, body) in [(&large[..], vec![b' '; 990_000]), (short_fields.as_bytes(), Vec::new())] {
+        let (memory_kib, served, asked) = flood(server, path, head, &body);
+        println!("{path}: {memory_kib} KiB, {served} of {asked} served");
+        assert!(memory_kib < MEMORY_LIMIT_KIB, "{path}: {memory_kib} KiB");
+        assert_eq!(served, asked, "{path}");
+    }
+}
+
+/// Guards against a controller that is killed for its memory by clients that stop in the middle of a large request.
+#[test]
+fn hundreds_of_incomplete_requests_do_not_fill_the_memory_of_a_controller() {
+    let controller = start(&["controller", "--listen", "127.0.0.1:0"]);
+    assert_unharmed(&controller, "/stage");
+}
+
+/// The same for a front.
+#[test]
+fn hundreds_of_incomplete_requests_do_not_fill_the_memory_of_a_front() {
+    let controller = start(&["controller", "--listen", "127.0.0.1:0"]);
+    let front = front(controller.at, &[]);
+    assert_unharmed(&front, "/status");
+}
--- a/net/src/net.rs
+++ b/net/src/net.rs
@@ -26,6 +26,10 @@
 pub const MAX_CALLS: usize = 16 * 1024;
 /// Maximum number of idle connections kept to an address; further ones are closed.
 pub const MAX_IDLE: usize = 256;
+/// Maximum memory for requests of all clients that are incomplete or not answered yet, beyond their allowances.
+pub const MAX_REQUEST_BYTES: usize = 64 * 1024 * 1024;
+/// Memory for requests that each client may take, whatever others take: small requests are never rejected for want of it.
+const REQUEST_ALLOWANCE: usize = 2 * 1024;
 /// How long a closing connection waits for the peer to read the last response.
 pub const LINGER: Ns = SEC;
 /// Maximum number of lingering connections; a further one is closed at once.
@@ -168,9 +172,20 @@
     /// When the connection expires.
     expires_at: Ns,
     close: bool,
+    /// Memory of the request that awaits its answer.
+    request_bytes: usize,
+    /// Its part of [`Net::request_bytes`].
+    counted: usize,
 }
 
 impl Client {
+    /// Memory that the client makes the process hold for requests.
+    fn request_memory(&self) -> usize {
+        let incomplete = if let ClientState::Body(state) = &self.state { state.0.body.capacity() } else { 0 };
+        let unanswered = matches!(self.state, ClientState::AwaitingAnswer { .. });
+        self.buf.capacity() + incomplete + if unanswered { self.request_bytes } else { 0 }
+    }
+
     /// Whether part of a response is still unsent.
     fn has_unsent(&self) -> bool {
         self.sent < self.out.len() || self.file.is_some()
@@ -322,6 +337,9 @@
     pub unexpected_data: u64,
     /// The response to a connection over the limit.
     full_response: Vec<u8>,
+    /// Memory for requests of all clients, incomplete or not answered yet. A request that needs more than
+    /// [`REQUEST_ALLOWANCE`] is rejected while all together take more than [`MAX_REQUEST_BYTES`].
+    request_bytes: usize,
 }
 
 pub(crate) fn would_block(err: &io::Error) -> bool {
@@ -423,6 +441,7 @@
             refused: 0,
             unexpected_data: 0,
             full_response: full,
+            request_bytes: 0,
         })
     }
 
@@ -488,6 +507,9 @@
             return;
         }
         let slot = self.sockets.remove((id & 0xffff_ffff) as usize);
+        if let Socket::Client(client) = &slot.socket {
+            self.request_bytes -= client.counted;
+        }
         let _ = self.poller.remove(slot.socket.fd());
         match slot.socket {
             Socket::Client(c) if matches!(c.state, ClientState::Lingering) => self.lingering -= 1,
--- a/net/src/net/requests.rs
+++ b/net/src/net/requests.rs
@@ -1,6 +1,9 @@
 //! Requests of HTTP clients and the responses to them.
 use super::{open_spare_fd, would_block, Client, ClientState, Event, Id, Net, Slot, Socket};
-use super::{CLIENT_IDLE, LINGER, MAX_ACCEPTS_PER_TURN, MAX_BACKLOG, MAX_LINGERING, READ_SIZE};
+use super::{
+    CLIENT_IDLE, LINGER, MAX_ACCEPTS_PER_TURN, MAX_BACKLOG, MAX_LINGERING, MAX_REQUEST_BYTES, READ_SIZE,
+    REQUEST_ALLOWANCE,
+};
 use crate::http::{self, Body, Framing, Refusal};
 use crate::Ns;
 use rustix::event::epoll;
@@ -83,6 +86,7 @@
     }
 
     pub(super) fn flush_client(&mut self, id: Id) {
+        self.count_request_memory(id);
         let by = self.now + self.write_timeout;
         let Some(client) = self.client(id) else { return };
         let had_unsent = client.has_unsent();
@@ -186,6 +190,8 @@
             file: None,
             expires_at: self.now + CLIENT_IDLE,
             close: full,
+            request_bytes: 0,
+            counted: 0,
         };
         self.refused += u64::from(full);
         self.clients += 1;
@@ -200,17 +206,27 @@
         if flags.contains(epoll::EventFlags::OUT) {
             self.flush_client(id);
         }
+        let hung_up =
+            flags.intersects(epoll::EventFlags::HUP | epoll::EventFlags::ERR | epoll::EventFlags::RDHUP);
+        let awaits_request =
+            self.client(id).is_some_and(|c| matches!(c.state, ClientState::Head | ClientState::Body(_)));
+        if flags.contains(epoll::EventFlags::IN) && (awaits_request || !hung_up) {
+            self.read_client(events, id);
+        }
+        // What a client that has closed left unread is dropped: nobody waits for its answers.
+        if hung_up {
+            self.client_hung_up(events, id);
+        }
+    }
+
+    fn read_client(&mut self, events: &mut Vec<Event>, id: Id) {
         let by = self.now + self.head_timeout;
         let mut read_buf = std::mem::take(&mut self.read_buf);
         let Some(client) = self.client(id) else {
             self.read_buf = read_buf;
             return;
         };
-        let hung_up = flags.intersects(epoll::EventFlags::HUP | epoll::EventFlags::ERR);
-        let reads = flags.intersects(epoll::EventFlags::IN | epoll::EventFlags::RDHUP);
-        let read = if reads || hung_up { client.io.read(&mut read_buf) } else { Ok(usize::MAX) };
-        match read {
-            Ok(usize::MAX) => {}
+        match client.io.read(&mut read_buf) {
             Ok(0) => self.client_hung_up(events, id),
             Ok(n) => {
                 if !matches!(client.state, ClientState::Lingering | ClientState::Streaming) {
@@ -220,6 +236,7 @@
                         client.expires_at = by;
                     }
                     self.parse(events, id);
+                    self.limit_request_memory(id);
                 }
             }
             Err(err) if would_block(&err) => {}
@@ -228,6 +245,30 @@
         self.read_buf = read_buf;
     }
 
+    /// Updates the count of memory that requests take after a change of this client's.
+    fn count_request_memory(&mut self, id: Id) {
+        let mut all = self.request_bytes;
+        if let Some(client) = self.client(id) {
+            let memory = client.request_memory();
+            all = all - client.counted + memory;
+            client.counted = memory;
+        }
+        self.request_bytes = all;
+    }
+
+    /// Rejects an incomplete request if the requests of all clients together take too much memory.
+    fn limit_request_memory(&mut self, id: Id) {
+        self.count_request_memory(id);
+        let scarce = self.request_bytes > MAX_REQUEST_BYTES;
+        let Some(client) = self.client(id) else { return };
+        let incomplete = matches!(client.state, ClientState::Head | ClientState::Body(_)) && !client.close;
+        if scarce && incomplete && client.counted > REQUEST_ALLOWANCE {
+            client.buf = Vec::new();
+            self.refused += 1;
+            self.reject(id, Refusal { status: 503, why: "too many large requests" });
+        }
+    }
+
     pub(super) fn client_hung_up(&mut self, events: &mut Vec<Event>, id: Id) {
         let Some(client) = self.client(id) else { return };
         if matches!(client.state, ClientState::AwaitingAnswer { .. } | ClientState::Streaming) {
@@ -269,6 +310,7 @@
                         head_only: request.head_only,
                     };
                     client.expires_at = Ns::MAX;
+                    client.request_bytes = request.body.capacity();
                     events.push(Event::Request { conn: id, request });
                 }
             }
