One place decides what the node may start, send, repeat, answer and close, and counts

Whether a statement may go out was decided where it was sent, by the module, in the pool and on a connection's readiness, each with a part of the rule; nothing checked the sum at run time. `an_id_that_comes_again_after_its_client_ left_does_not_run_twice` failed before ("after its pick").

Change: `node/src/rules.rs`, without clock and I/O. Every statement, pushback, final answer and close of an idle connection passes it; what it refuses is left out, logged as `rule violated` and counted (`violations` in `counts` and `node down`). Every test that starts a node fails if its log tells a violation.

--- a/cli/tests/moments.rs
+++ b/cli/tests/moments.rs
@@ -546,3 +546,36 @@
     let connections = machine.got.lock().unwrap().iter().map(|(number, _)| *number).max();
     assert!(connections < Some(3), "{connections:?}");
 }
+
+/// Guards against an effect that happens twice: the id of an RPC comes again after its client has left and its machine has
+/// answered. What may run twice runs again.
+#[test]
+fn an_id_that_comes_again_after_its_client_left_does_not_run_twice() {
+    let gate = Gate::default();
+    let received = Arc::<Mutex<Vec<String>>>::default();
+    let (held, queries) = (gate.clone(), received.clone());
+    let machine = machine_served_by(move |_, mut line| {
+        line.read_startup()?;
+        line.send_startup_response()?;
+        while let Some(text) = line.query() {
+            queries.lock().unwrap().push(text);
+            held.pass();
+            line.answers(VALUE)?;
+        }
+        None
+    });
+    let platform = Platform::begin();
+    let node = Node::start(&configuration(&platform, &[("a", machine, 1, "active")]));
+    let runs = || received.lock().unwrap().len();
+    let mut leaves = node.client();
+    leaves.ask(&save(7, 900));
+    wait_until("the machine has the RPC", || runs() == 1);
+    drop(leaves);
+    let mut other = node.client();
+    assert!(failed(&other.rpc(&save(7, 900))), "while its pick is open");
+    gate.open();
+    std::thread::sleep(Duration::from_millis(50));
+    assert!(failed(&other.rpc(&save(7, 900))), "after its pick");
+    assert_eq!(runs(), 1);
+    assert_eq!([other.rpc(&lookup(8, 900)), other.rpc(&lookup(8, 900))], [value(), value()]);
+}
--- a/cli/tests/peers/platform.rs
+++ b/cli/tests/peers/platform.rs
@@ -12,6 +12,15 @@
     log: tempfile::NamedTempFile,
 }
 
+impl Drop for Node {
+    /// No test may bring a node to the point of breaking a rule.
+    fn drop(&mut self) {
+        let log = std::fs::read_to_string(self.log.path()).unwrap_or_default();
+        let violation = log.lines().find(|line| line.contains("rule violated"));
+        assert!(violation.is_none() || std::thread::panicking(), "{violation:?}");
+    }
+}
+
 impl Node {
     pub fn start(config: &Value) -> Node {
         Node::start_with(config, &[])
--- a/node/src/clients.rs
+++ b/node/src/clients.rs
@@ -370,6 +370,10 @@
     /// bytes; the kernel then resets the connection instead of ending it, which tells the client that its request was
     /// not read.
     pub fn close_idle(&mut self, id: Id) {
+        let outstanding = self.clients.all.get(&id).map_or(0, |client| client.replies.len());
+        if !self.rules.may_close(outstanding) {
+            return;
+        }
         // A reset would discard an answer that a slow reader has not received yet. Where reading is stopped, requests are
         // expected to be unread.
         if self.clients.reading_stopped && !self.net.nothing_unread(id) {
--- a/node/src/connection_pool.rs
+++ b/node/src/connection_pool.rs
@@ -4,6 +4,7 @@
 use crate::effects::{Effects, Pick};
 use crate::memory::{MemoryBudget, Reservation, SharedMemory};
 use crate::recent_answers::RecentAnswers;
+use crate::rules::{EarlierPick, Send};
 use rockpick::{Idempotency, Ns, Outcome};
 use rockpick_net::{Id, MS, SEC};
 use rockpick_pg::{self as pg, ResponseReader};
@@ -272,12 +273,31 @@
         first_run.map_or(max, |at| window_left(at).min(max))
     }
 
-    /// Sends a pick's statement on a ready connection. Returns false if the connection is closed, in which case
-    /// nothing ran.
+    /// Whether a pick's statement may be sent on a connection now.
+    fn may_send(&mut self, id: Id, rpc: usize, number: usize) -> bool {
+        let (Some(conn), Some(open)) = (self.pool.conns.get(&id), self.open[rpc].as_ref()) else {
+            return false;
+        };
+        let entry = &self.pool.machines[conn.machine];
+        let send = Send {
+            now: self.net.now(),
+            finished: self.ids.finished(rpc),
+            deadline: open.picks[number].deadline,
+            same_process: conn.incarnation == entry.incarnation && entry.gone.is_none(),
+            method: &self.config.front_config.methods[open.method],
+        };
+        let others = open.picks.iter().enumerate().filter(|(other, _)| *other != number);
+        self.rules.may_send(&send, others.map(|(_, pick)| EarlierPick::from(pick)))
+    }
+
+    /// Sends a pick's statement on a ready connection. Returns false if it may not be sent or the connection is closed, in
+    /// which case nothing ran.
     fn send_statement(&mut self, id: Id, rpc: usize, number: usize) -> bool {
         let now = self.net.now();
-        let finished = self.ids.finished(rpc);
-        let Some(open) = self.open[rpc].as_mut().filter(|_| !finished) else { return false };
+        if !self.may_send(id, rpc, number) {
+            return false;
+        }
+        let Some(open) = self.open[rpc].as_mut() else { return false };
         let deadline = open.picks[number].deadline;
         let mut query = Vec::with_capacity(open.text.len() + 16);
         pg::put_query(
--- a/node/src/effects.rs
+++ b/node/src/effects.rs
@@ -2,6 +2,7 @@
 use crate::clients::{Clients, ANSWER_MARGIN};
 use crate::connection_pool::Pool;
 use crate::control_links::{Discovery, RolloutApi};
+use crate::rules::{EarlierPick, Rules};
 use crate::Config;
 use rand::rngs::StdRng;
 use rand::SeedableRng;
@@ -52,6 +53,12 @@
     pub conn: Option<Id>,
 }
 
+impl From<&Pick> for EarlierPick {
+    fn from(pick: &Pick) -> EarlierPick {
+        EarlierPick { sent: pick.sent, outstanding: pick.outstanding, may_have_run: pick.may_have_run }
+    }
+}
+
 #[derive(Default)]
 pub struct Counters {
     pub taken: u64,
@@ -93,6 +100,7 @@
     pub unhandled_data: HashSet<Id>,
     pub rng: StdRng,
     pub counters: Counters,
+    pub rules: Rules,
     pub log_limit: LogLimiter,
     /// Keys that a build has answered here for the first time, to be sent to the peers.
     pub bound_keys: Vec<(u64, u32)>,
@@ -125,6 +133,7 @@
             turn: 0,
             unhandled_data: HashSet::new(),
             counters: Counters::default(),
+            rules: Rules::default(),
             log_limit: LogLimiter::new(LOG_LINES_PER_SECOND),
             bound_keys: Vec::new(),
             wall_offset,
@@ -209,6 +218,10 @@
         let p = open.picks.get_mut(pick).filter(|p| p.outstanding)?;
         (p.outstanding, p.conn) = (false, None);
         p.may_have_run = how.may_have_run();
+        if p.may_have_run {
+            let method = &self.config.front_config.methods[open.method];
+            self.rules.may_have_run(open.id, method, now);
+        }
         let took = now - p.sent;
         self.pool.pick_ended(p.machine);
         self.ids.pick_ended(rpc);
@@ -227,9 +240,12 @@
         Some((took, self.ids.finished(rpc)))
     }
 
-    /// Sends an RPC's final answer, unless it has one; false if it was too late.
+    /// Sends an RPC's final answer; false if it was too late.
     fn send_final_answer(&mut self, rpc: usize, bytes: Vec<u8>) -> bool {
-        let Some(open) = self.open[rpc].as_ref().filter(|_| !self.ids.finished(rpc)) else { return false };
+        let Some(open) = self.open[rpc].as_ref() else { return false };
+        if !self.rules.may_answer(self.ids.finished(rpc)) {
+            return false;
+        }
         let late_by = self.net.clock() - open.client_deadline;
         if late_by >= LATE_LOG_THRESHOLD {
             if let Some(left_out) = self.log_limit.allow(self.net.now()) {
@@ -300,9 +316,12 @@
     }
 
     fn push_back(&mut self, rpc: usize, wait: Ns) {
-        if let Some(conn) = self.open[rpc].as_ref().map(|open| open.conn) {
-            self.pushed_back(conn);
+        let Some(open) = self.open[rpc].as_ref() else { return };
+        let method = &self.config.front_config.methods[open.method];
+        if !self.rules.may_push_back(method, open.picks.iter().map(EarlierPick::from)) {
+            return self.abort(rpc);
         }
+        self.pushed_back(open.conn);
         let mut out = Vec::new();
         let ms = ((wait + MS - 1) / MS).to_string();
         pg::put_error(
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -7,10 +7,12 @@
 mod connection_pool;
 mod control_links;
 mod effects;
+mod executed_ids;
 mod lateness;
 mod memory;
 mod node;
 mod recent_answers;
+mod rules;
 mod shutdown;
 
 pub use config::Config;
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -150,7 +150,8 @@
             if self.shutdown_done() {
                 let (open, clients) = (self.effects.ids.open_rpcs(), self.effects.clients.count());
                 let unsent = self.effects.net.unflushed_closing();
-                tracing::info!(event = "node down", open, clients, unsent);
+                let violations = self.effects.rules.violations();
+                tracing::info!(event = "node down", open, clients, unsent, violations);
                 return Ok(());
             }
         }
@@ -368,9 +369,10 @@
     fn accept_statement(&mut self, conn: Id, text: String, received: Ns) {
         let read = statement::parse(&text).map_err(str::to_string).and_then(|s| {
             let method = self.effects.config.method(s.method).ok_or_else(|| "no such method".to_string())?;
-            if self.effects.ids.rpc(s.id).is_some() {
-                return Err("an RPC of this id is open".to_string());
-            }
+            let (id_is_open, now) = (self.effects.ids.rpc(s.id).is_some(), self.effects.net.now());
+            let settings = &self.effects.config.front_config.methods[method];
+            let start = self.effects.rules.start(s.id, settings, id_is_open, now);
+            start.map_err(|refusal| refusal.text().to_string())?;
             Ok((s.id, method, s.key_id(), s.deadline_ms, s.deadline_range.clone()))
         });
         let (id, method, key, deadline_ms, deadline_range) = match read {
@@ -454,6 +456,7 @@
             aborted = t.aborted,
             left = t.left,
             late = t.late,
+            violations = self.effects.rules.violations(),
             odd = t.bad_commands,
             picks = t.picks,
             ends,
