Sockets are called in one place, which can fail as Linux documents; a bind waits a while

Found by reading, each mended here: an accept that fails with ECONNABORTED or the like ended the accepting of its turn, and of a shutdown; `nothing_unread` took an interrupted look for "nothing there"; a listener whose socket the system could not open for a moment (ENFILE, ENOBUFS, ENOMEM) ended the process at its start, which counts as a crash.

Binding is tried for 5 s. `accept_streams` tells whether more may wait.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -42,6 +42,12 @@
     /// Clock skew in parts per million, 1% at most; for storms.
     #[arg(long, global = true, hide = true, value_parser = clap::value_parser!(i64).range(-10_000..=10_000))]
     clock_ppm: Option<i64>,
+    /// Seed of system calls that fail or do only a part; for soak tests.
+    #[arg(long, global = true, hide = true)]
+    call_faults: Option<u64>,
+    /// Seed of steps of the wall clock, by seconds and by an hour; for soak tests.
+    #[arg(long, global = true, hide = true)]
+    wall_clock_steps: Option<u64>,
     #[command(subcommand)]
     command: Command,
 }
@@ -483,6 +489,12 @@
         rockpick_files::inject_faults_from(file);
     }
     rockpick_net::set_clock_skew(cli.clock_ppm.unwrap_or(0));
+    if let Some(seed) = cli.call_faults {
+        rockpick_net::inject_call_faults(seed);
+    }
+    if let Some(seed) = cli.wall_clock_steps {
+        rockpick_net::step_wall_clock(seed);
+    }
     let result = run_command(cli.command).and_then(|code| match rockpick_rehearse::stdout_error() {
         None => Ok(code),
         Some(why) => Err(CliError(format!("standard output: {why}"))),
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -7,9 +7,11 @@
 mod log_limiter;
 mod net;
 mod poller;
+mod socket_calls;
 mod streams;
 mod timers;
 pub mod tls;
+mod wall_clock;
 
 pub use deadline_queue::DeadlineQueue;
 pub use log_limiter::LogLimiter;
@@ -17,8 +19,10 @@
     set_clock_skew, BoundListener, Call, CallEnd, Event, Id, Net, UnsentBytes, LINGER, MAX_BACKLOG,
     MAX_CALLS, MAX_IDLE,
 };
+pub use socket_calls::inject_call_faults;
 pub use streams::{MAX_CLOSING_STREAMS, MAX_STREAMS};
 pub use timers::{Ns, Timers};
+pub use wall_clock::{step_wall_clock, wall_time};
 
 /// Removes a complete line, including its line feed, from the front of the received data.
 ///
--- a/net/src/net.rs
+++ b/net/src/net.rs
@@ -5,6 +5,7 @@
 
 use crate::http::{self, Body, Refusal, Request, Response};
 use crate::poller::Poller;
+use crate::socket_calls;
 use crate::timers::{Ns, Timers};
 use crate::SEC;
 use rustix::event::epoll;
@@ -15,7 +16,7 @@
 use std::io::{self, ErrorKind, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::atomic::{AtomicI64, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Identifies a socket of this loop: the slot in the low half, the generation in the high half.
 pub type Id = u64;
@@ -55,6 +56,9 @@
 const ACCEPT_BACKLOG: i32 = 4_096;
 /// How often expired connections are looked for.
 const SWEEP_INTERVAL: Ns = SEC / 2;
+/// How long a socket that the system can't open at the moment is waited for at the start, and how often it is tried.
+const BIND_TIMEOUT: Duration = Duration::from_secs(5);
+const BIND_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Maximum size of a datagram.
 const MAX_DATAGRAM: usize = 2048;
 
@@ -354,11 +358,23 @@
 }
 
 impl BoundListener {
-    /// Binds an address; with port 0 the system chooses the port.
+    /// Binds an address; with port 0 the system chooses the port. Waits a while if the system lacks something for it.
     ///
     /// # Errors
     /// The address can't be bound.
     pub fn bind(at: SocketAddr) -> io::Result<BoundListener> {
+        let began = Instant::now();
+        loop {
+            match BoundListener::try_bind(at) {
+                Err(err) if socket_calls::is_transient(&err) && began.elapsed() < BIND_TIMEOUT => {
+                    std::thread::sleep(BIND_RETRY_DELAY);
+                }
+                result => return result,
+            }
+        }
+    }
+
+    fn try_bind(at: SocketAddr) -> io::Result<BoundListener> {
         use rustix::net::{bind, socket_with, sockopt, AddressFamily, SocketFlags, SocketType};
         let family = if at.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
         let fd = socket_with(family, SocketType::STREAM, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC, None)?;
@@ -379,6 +395,7 @@
 /// Starts a non-blocking connect.
 pub(crate) fn start_connect(to: &SocketAddr) -> io::Result<TcpStream> {
     use rustix::net::{socket_with, AddressFamily, SocketFlags, SocketType};
+    socket_calls::connect_fault()?;
     let family = if to.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
     let fd = socket_with(family, SocketType::STREAM, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC, None)?;
     match rustix::net::connect(&fd, to) {
@@ -649,7 +666,9 @@
         let id = u64::from(slot.generation) << 32 | index as u64;
         match &mut slot.socket {
             Socket::Listener(_) => self.accept(id),
-            Socket::Streams(_) => self.accept_streams(events, id),
+            Socket::Streams(_) => {
+                self.accept_streams(events, id);
+            }
             Socket::Stream(_) => self.stream_ready(events, id, flags),
             Socket::Client(_) => self.client_ready(events, id, flags),
             Socket::Server(_) => self.call_ready(events, id, flags),
--- a/net/src/net/calls.rs
+++ b/net/src/net/calls.rs
@@ -2,9 +2,10 @@
 use super::{start_connect, would_block, Call, CallEnd, CallState, Event, Id, Net, Server, Socket};
 use super::{CLOSED_MIDWAY, INTERNAL_TAG, MAX_CALLS, MAX_IDLE, POOL_IDLE};
 use crate::http::{self, Body, Framing, Refusal};
+use crate::socket_calls;
 use crate::Ns;
 use rustix::event::epoll;
-use std::io::{self, ErrorKind, Read, Write};
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 
 impl Net {
@@ -64,7 +65,7 @@
     pub(super) fn flush_server(&mut self, events: &mut Vec<Event>, id: Id) {
         let Some(server) = self.server(id) else { return };
         while server.sent < server.out.len() {
-            match server.io.write(&server.out[server.sent..]) {
+            match socket_calls::write(&server.io, &server.out[server.sent..]) {
                 Ok(n) if n > 0 => server.sent += n,
                 Err(err) if would_block(&err) => break,
                 _ => return self.call_failed(events, id, "closed while the request was sent"),
@@ -115,7 +116,7 @@
         let mut read_buf = std::mem::take(&mut self.read_buf);
         let read_size = self.read_size;
         if let Some(server) = self.server(id) {
-            match server.io.read(&mut read_buf[..read_size]) {
+            match socket_calls::read(&server.io, &mut read_buf[..read_size], true) {
                 Ok(0) => self.call_closed(events, id),
                 Ok(n) => {
                     server.buf.extend_from_slice(&read_buf[..n]);
--- a/net/src/net/requests.rs
+++ b/net/src/net/requests.rs
@@ -5,10 +5,11 @@
     REQUEST_ALLOWANCE,
 };
 use crate::http::{self, Body, Framing, Refusal};
+use crate::socket_calls::{self, accept_may_succeed};
 use crate::Ns;
 use rustix::event::epoll;
 use rustix::io::Errno;
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{Shutdown, TcpStream};
 
 impl Net {
@@ -97,7 +98,7 @@
             if client.sent == client.out.len() {
                 break;
             }
-            match client.io.write(&client.out[client.sent..]) {
+            match socket_calls::write(&client.io, &client.out[client.sent..]) {
                 Ok(0) => return self.close_socket(id),
                 Ok(n) => client.sent += n,
                 Err(err) if would_block(&err) => break,
@@ -154,8 +155,9 @@
     pub(super) fn accept(&mut self, id: Id) {
         for _ in 0..MAX_ACCEPTS_PER_TURN {
             let Some(Slot { socket: Socket::Listener(listener), .. }) = self.get(id) else { return };
-            match listener.accept() {
+            match socket_calls::accept(listener) {
                 Ok((io, _)) => self.add_client(io),
+                Err(err) if accept_may_succeed(&err) => {}
                 Err(err) if matches!(Errno::from_io_error(&err), Some(Errno::MFILE | Errno::NFILE)) => {
                     // Out of descriptors: refuses one connection with the reserved descriptor and continues
                     // later.
@@ -226,7 +228,7 @@
             self.read_buf = read_buf;
             return;
         };
-        match client.io.read(&mut read_buf) {
+        match socket_calls::read(&client.io, &mut read_buf, false) {
             Ok(0) => self.client_hung_up(events, id),
             Ok(n) => {
                 if !matches!(client.state, ClientState::Lingering | ClientState::Streaming) {
--- a/net/src/poller.rs
+++ b/net/src/poller.rs
@@ -2,6 +2,7 @@
 //!
 //! The kernel's event record is packed on some architectures (x86-64) and not on others, and a reference to a field of a
 //! packed record does not compile. This is the only place that touches it: it copies each record into a [`Readiness`].
+use crate::socket_calls::wait_is_interrupted;
 use crate::{Ns, SEC};
 use rustix::event::epoll::{self, EventData, EventFlags};
 use rustix::fd::{BorrowedFd, OwnedFd};
@@ -46,6 +47,9 @@
     /// # Errors
     /// Errors of the system call other than an interruption.
     pub(crate) fn wait(&self, most: Ns) -> io::Result<Vec<Readiness>> {
+        if wait_is_interrupted() {
+            return Ok(Vec::new());
+        }
         let timeout = rustix::event::Timespec { tv_sec: most / SEC, tv_nsec: most % SEC };
         let mut space = [const { MaybeUninit::<epoll::Event>::uninit() }; MAX_EVENTS_PER_WAIT];
         match epoll::wait(&self.epoll, &mut space[..], Some(&timeout)) {
--- a/net/src/streams.rs
+++ b/net/src/streams.rs
@@ -3,6 +3,7 @@
 use crate::net::UnsentBytes;
 use crate::net::{open_spare_fd, start_connect, would_block, BoundListener, Event, Id, Net, Socket, Stream};
 use crate::net::{LINGER, MAX_ACCEPTS_PER_TURN, MAX_BACKLOG};
+use crate::socket_calls::{self, accept_may_succeed};
 use crate::{Ns, SEC};
 use rustix::event::epoll::EventFlags;
 use rustix::io::Errno;
@@ -195,7 +196,9 @@
     /// Whether a stream is open and has no unread input.
     pub fn nothing_unread(&mut self, conn: Id) -> bool {
         let Some(stream) = self.stream_of(conn) else { return false };
-        stream.connected && matches!(stream.io.peek(&mut [0]), Err(err) if would_block(&err))
+        // An interrupted call tells nothing.
+        stream.connected
+            && matches!(stream.io.peek(&mut [0]), Err(err) if err.kind() == ErrorKind::WouldBlock)
     }
 
     pub(crate) fn stream_of(&mut self, id: Id) -> Option<&mut Stream> {
@@ -228,12 +231,14 @@
         self.set_interest(id, flags);
     }
 
-    /// Accepts the connections that wait at a listener for streams, at most as many as one turn allows.
-    pub fn accept_streams(&mut self, events: &mut Vec<Event>, listener: Id) {
+    /// Accepts the connections that wait at a listener for streams, at most as many as one turn allows. Returns whether
+    /// more may wait, also because the system could not accept one at the moment.
+    pub fn accept_streams(&mut self, events: &mut Vec<Event>, listener: Id) -> bool {
         for _ in 0..MAX_ACCEPTS_PER_TURN {
-            let Some(Socket::Streams(l)) = self.get(listener).map(|s| &s.socket) else { return };
-            let io = match l.accept() {
+            let Some(Socket::Streams(l)) = self.get(listener).map(|s| &s.socket) else { return false };
+            let io = match socket_calls::accept(l) {
                 Ok((io, _)) => io,
+                Err(err) if accept_may_succeed(&err) => continue,
                 Err(err) if matches!(Errno::from_io_error(&err), Some(Errno::MFILE | Errno::NFILE)) => {
                     // Out of descriptors: refuses one connection with the reserved descriptor; otherwise the
                     // listener would wake the loop continuously.
@@ -245,9 +250,9 @@
                     }
                     self.refused += 1;
                     self.spare_fd = open_spare_fd();
-                    return;
+                    return true;
                 }
-                Err(_) => return,
+                Err(err) => return err.kind() != ErrorKind::WouldBlock,
             };
             if self.streams >= self.max_streams || io.set_nonblocking(true).is_err() {
                 self.refused += 1;
@@ -262,6 +267,7 @@
                 events.push(Event::StreamOpened { conn });
             }
         }
+        true
     }
 
     pub(crate) fn stream_ready(&mut self, events: &mut Vec<Event>, id: Id, flags: EventFlags) {
@@ -300,7 +306,7 @@
         let read_size = self.read_size;
         if let Some(stream) = self.stream_of(id) {
             let limit = stream.read_limit.min(read_size);
-            match stream.io.read(&mut read_buf[..limit]) {
+            match socket_calls::read(&stream.io, &mut read_buf[..limit], !stream.accepted) {
                 Ok(0) => self.stream_closed(events, id),
                 Ok(n) if stream.closing => {
                     stream.dropped += n;
@@ -370,7 +376,7 @@
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         let mut written = 0;
         while written < bytes.len() {
-            match self.io.write(&bytes[written..]) {
+            match socket_calls::write(&self.io, &bytes[written..]) {
                 Ok(n) if n > 0 => written += n,
                 Err(err) if would_block(&err) => break,
                 Ok(_) => return Err(ErrorKind::WriteZero.into()),
