Start times of machines survive a stepped wall clock: cold machines stay cold

Cause: `born_ms` was converted by the difference of the clocks at the node's start, for good. With a clock an hour ahead a machine that has just started counted as warm (rule 4: the sum of all fronts overloads it), with one an hour behind as cold for an hour. Change: `node/src/start_times.rs`: nobody starts in the future, and a process that a watch reports which has served for longer than changes take to be told has started within 6 s; a report that says otherwise corrects the difference, to the youngest age. A process keeps the start that was determined for it, since it is identified by it. The last accept of a shutdown goes on after a failed call, until nothing waits at the listener.

Open: a node that starts with a stepped clock can't tell the age of what its first list names; it takes a start in the future for now, one in the past as told.

--- a/node/src/connection_pool.rs
+++ b/node/src/connection_pool.rs
@@ -186,6 +186,7 @@
         for (machine, entry) in self.pool.machines.iter_mut().enumerate() {
             if entry.outstanding == 0 && entry.gone.is_some_and(|since| now - since >= FORGET_AFTER) {
                 self.ids.forget_machine(machine);
+                self.start_times.forget(machine);
                 let incarnation = entry.incarnation.wrapping_add(1);
                 *entry = MachineEntry { incarnation, ..MachineEntry::default() };
             }
--- a/node/src/control_links.rs
+++ b/node/src/control_links.rs
@@ -1,6 +1,7 @@
 //! Links to the platform: discovery's watch and list, and the rollout API's notifications and votes. At a reload new
 //! links are established while the old ones still serve.
 use crate::effects::{Effects, ROLLOUT_API_TIMER};
+use crate::start_times::Source;
 use rand::Rng;
 use rockpick::{Member, Ns, Outcome, Reply, RolloutStatus, RosterUpdate, State, Verdict};
 use rockpick_net::http;
@@ -32,10 +33,20 @@
     partial: Vec<u8>,
     /// Whether it has sent any data, even a heartbeat only.
     has_data: bool,
-    active: bool,
+    /// Since when it serves.
+    active_since: Option<Ns>,
 }
 
 impl Watch {
+    fn is_active(&self) -> bool {
+        self.active_since.is_some()
+    }
+
+    /// Whether a change that it reports now has only just been made.
+    fn is_live(&self, now: Ns) -> bool {
+        self.active_since.is_some_and(|since| now - since > roster::CHANGE_KNOWN_WITHIN)
+    }
+
     /// Takes the complete lines that are there with these further bytes; what follows them is kept.
     fn take_complete_lines(&mut self, bytes: &[u8]) -> Vec<u8> {
         let Some(end) = bytes.iter().rposition(|b| *b == b'\n').map(|at| at + 1) else {
@@ -110,7 +121,7 @@
     }
 
     pub fn is_watching(&self) -> bool {
-        self.watches.iter().any(|w| w.active)
+        self.watches.iter().any(Watch::is_active)
     }
 }
 
@@ -201,7 +212,7 @@
         let keep = if on { MAX_LINKS - 1 } else { 0 };
         // Prefer to end a watch that does not serve yet.
         while self.discovery.watches.len() > keep {
-            let at = self.discovery.watches.iter().position(|w| !w.active).unwrap_or(0);
+            let at = self.discovery.watches.iter().position(|w| !w.is_active()).unwrap_or(0);
             let old = self.discovery.watches.remove(at);
             self.end_call(old.call);
         }
@@ -215,7 +226,7 @@
                 buffer: Vec::new(),
                 partial: Vec::new(),
                 has_data: false,
-                active: false,
+                active_since: None,
             });
             if self.discovery.last_watch_silent {
                 self.fetch_roster();
@@ -256,7 +267,7 @@
             match self.discovery.watches[at].parse_line(line, &mut self.config.zones) {
                 // A heartbeat first: nothing has changed since the list that the watch continues from, so that list
                 // is current.
-                Ok(None) if heartbeat && !self.discovery.watches[at].active => {
+                Ok(None) if heartbeat && !self.discovery.watches[at].is_active() => {
                     events.extend(self.watch_active(at));
                     events.push(ModuleEvent::Members(RosterUpdate::Changes, Vec::new()));
                 }
@@ -265,7 +276,9 @@
                 Ok(Some(update)) => {
                     events.extend(self.watch_active(at));
                     let roll = if update.whole { RosterUpdate::Full } else { RosterUpdate::Changes };
-                    events.push(self.apply_update(roll, update));
+                    let live = !update.whole && self.discovery.watches[at].is_live(now);
+                    let source = if live { Source::LiveChange } else { Source::List };
+                    events.push(self.apply_update(roll, update, source));
                 }
                 Err(()) => malformed = true,
             }
@@ -275,7 +288,7 @@
                 tracing::warn!(event = "malformed data on the discovery watch", status, left_out);
             }
             events.extend(self.end_watch(call));
-        } else if at > 0 && self.discovery.watches[at].active {
+        } else if at > 0 && self.discovery.watches[at].is_active() {
             // The newer watch serves; older ones are ended.
             for old in self.discovery.watches.drain(..at).collect::<Vec<_>>() {
                 self.end_call(old.call);
@@ -288,7 +301,7 @@
     fn watch_active(&mut self, at: usize) -> Option<ModuleEvent> {
         let now = self.net.now();
         let watch = &mut self.discovery.watches[at];
-        if std::mem::replace(&mut watch.active, true) {
+        if watch.active_since.replace(watch.active_since.unwrap_or(now)).is_some() {
             return None;
         }
         tracing::info!(event = "watch serves", after_ms = (now - watch.requested_at) / MS);
@@ -302,7 +315,7 @@
             self.discovery.last_watch_silent |= silent && end.is_none();
             // What is sent before an end in order has been received whole; what a silent watch missed is not known, nor
             // what a reset has cut off.
-            let whole = |w: &Watch| w.active && w.buffer.is_empty() && w.partial.is_empty();
+            let whole = |w: &Watch| w.is_active() && w.buffer.is_empty() && w.partial.is_empty();
             let served = self.discovery.watches.iter().any(|w| w.call == call && whole(w));
             let received_all = end.is_some_and(|end| end.received_all());
             let confirmed = (served && received_all).then_some(ModuleEvent::RosterConfirmed);
@@ -319,7 +332,7 @@
         // A list that is older than a watch's updates must not undo them. In that case a watch is being established
         // and will report the current state.
         let update = update.filter(|t| t.whole && t.seq >= self.discovery.seq);
-        update.map(|update| self.apply_update(RosterUpdate::Full, update)).into_iter().collect()
+        update.map(|update| self.apply_update(RosterUpdate::Full, update, Source::List)).into_iter().collect()
     }
 
     fn end_watch(&mut self, call: Id) -> Option<ModuleEvent> {
@@ -328,7 +341,7 @@
         let watch = self.discovery.watches.remove(at);
         let after_ms = (self.net.now() - watch.requested_at) / MS;
         if let Some(left_out) = self.log_limit.allow(self.net.now()) {
-            tracing::info!(event = "watch over", served = watch.active, after_ms, left_out);
+            tracing::info!(event = "watch over", served = watch.is_active(), after_ms, left_out);
         }
         self.end_call(call);
         // The end of an older watch does not matter while a newer one is being established.
@@ -336,7 +349,8 @@
     }
 
     /// Applies an update to the tables, and converts it for the module.
-    pub fn apply_update(&mut self, roll: RosterUpdate, update: RosterMessage) -> ModuleEvent {
+    pub fn apply_update(&mut self, roll: RosterUpdate, update: RosterMessage, source: Source) -> ModuleEvent {
+        let now = self.net.now();
         let RosterMessage { seq, whole, records, malformed } = update;
         self.discovery.updates += 1;
         if malformed > 0 {
@@ -353,9 +367,7 @@
                 continue;
             }
             let machine = self.ids.intern_machine(&record.name);
-            // Machines share the wall clock; convert it to the event loop's clock.
-            let since_start = i128::from(record.started_ms) * i128::from(MS) - self.wall_offset;
-            let started = (record.started_ms > 0).then_some(since_start as Ns);
+            let started = self.start_times.started(machine, record.started_ms, now, source);
             let gone = record.member.state == State::Gone;
             self.update_machine(machine, record.addr, record.member.build, started, gone);
             members.push(Member { machine, started, ..record.member });
--- a/node/src/effects.rs
+++ b/node/src/effects.rs
@@ -3,6 +3,7 @@
 use crate::connection_pool::Pool;
 use crate::control_links::{Discovery, RolloutApi};
 use crate::rules::{EarlierPick, Rules};
+use crate::start_times::StartTimes;
 use crate::Config;
 use rand::rngs::StdRng;
 use rand::SeedableRng;
@@ -104,8 +105,7 @@
     pub log_limit: LogLimiter,
     /// Keys that a build has answered here for the first time, to be sent to the peers.
     pub bound_keys: Vec<(u64, u32)>,
-    /// Unix time, in nanoseconds, at the origin of the event loop's clock.
-    pub wall_offset: i128,
+    pub start_times: StartTimes,
 }
 
 impl Effects {
@@ -136,7 +136,7 @@
             rules: Rules::default(),
             log_limit: LogLimiter::new(LOG_LINES_PER_SECOND),
             bound_keys: Vec::new(),
-            wall_offset,
+            start_times: StartTimes::new(wall_offset),
         }
     }
 
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -14,6 +14,7 @@
 mod recent_answers;
 mod rules;
 mod shutdown;
+mod start_times;
 
 pub use config::Config;
 pub use node::run;
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -8,6 +8,7 @@
 };
 use crate::lateness::Lateness;
 use crate::shutdown::{Shutdown, LINGER};
+use crate::start_times::Source;
 use crate::Config;
 use rockpick::{Front, Ns, Outcome, Reply, RosterUpdate};
 use rockpick_net::{BoundListener, Event, Id, Net, MS, SEC};
@@ -15,7 +16,6 @@
 use rockpick_pg as pg;
 use rockpick_platform::statement;
 use std::net::SocketAddr;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 const SIGHUP: i32 = 1;
 const SIGINT: i32 = 2;
@@ -25,6 +25,8 @@
 const MAX_RELOAD_RETRIES: u32 = 20;
 /// Interval of the counts in the log and of forgetting machines that are gone.
 const TICK_INTERVAL: Ns = SEC;
+/// How often connections are accepted before the listener is closed, each time as many as a turn accepts.
+const MAX_LAST_ACCEPTS: u32 = 1_000;
 const KIB: usize = 1024;
 
 pub struct Node {
@@ -74,8 +76,7 @@
         for signal in [SIGHUP, SIGTERM, SIGINT] {
             net.on_signal(signal).map_err(error_text)?;
         }
-        let unix_time = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos() as i128);
-        let wall_offset = unix_time - i128::from(net.clock());
+        let wall_offset = rockpick_net::wall_time() - i128::from(net.clock());
         let bound = BoundListener::bind(config.listen).map_err(|err| format!("{}: {err}", config.listen))?;
         let (front_config, initial_status) = (config.front_config.clone(), config.initial_status);
         let mut effects = Effects::new(net, config, wall_offset);
@@ -117,7 +118,7 @@
             peers,
         };
         if let Some(update) = initial_roster {
-            let event = node.effects.apply_update(RosterUpdate::Saved, update);
+            let event = node.effects.apply_update(RosterUpdate::Saved, update, Source::List);
             node.deliver(event);
         }
         if let Some(initial_status) = initial_status {
@@ -542,12 +543,9 @@
     fn close_listener(&mut self) {
         let Some(listener) = self.listener.take() else { return };
         let mut events = Vec::new();
-        loop {
-            let before = events.len();
-            self.effects.net.accept_streams(&mut events, listener);
-            if events.len() == before {
-                break;
-            }
+        let mut attempts = 0;
+        while self.effects.net.accept_streams(&mut events, listener) && attempts < MAX_LAST_ACCEPTS {
+            attempts += 1;
         }
         self.effects.net.close(listener);
         self.effects.queued_events.append(&mut events);
