--- a/cli/tests/node_soak.rs
+++ b/cli/tests/node_soak.rs
@@ -1,12 +1,17 @@
-//! Runs a short soak test of the live node among scripted peers; longer ones are run by hand (docs/operations.md).
-use std::process::Command;
+//! Runs a short soak test of live nodes among scripted peers; longer ones are run by hand (docs/operations.md).
+use std::process::{Command, Output};
 
-fn soak(seed: u64) {
-    let seed = seed.to_string();
-    let out = Command::new(env!("CARGO_BIN_EXE_rockpick"))
-        .args(["rehearse", "--day", "node", "--seconds", "20", "--seed", &seed])
+fn rehearse(seed: u64, seconds: u64, more: &[&str]) -> Output {
+    let (seed, seconds) = (seed.to_string(), seconds.to_string());
+    Command::new(env!("CARGO_BIN_EXE_rockpick"))
+        .args(["rehearse", "--day", "node", "--seconds", &seconds, "--seed", &seed])
+        .args(more)
         .output()
-        .unwrap();
+        .unwrap()
+}
+
+fn soak(seed: u64) {
+    let out = rehearse(seed, 20, &[]);
     let stdout = String::from_utf8_lossy(&out.stdout);
     assert!(out.status.success(), "{stdout}{}", String::from_utf8_lossy(&out.stderr));
 }
@@ -23,3 +28,14 @@
 fn a_soak_with_crowds_keeps_the_rules() {
     soak(9);
 }
+
+/// Guards against a checker that is blind: requests that are lost, run twice, sent to drained machines or sent beyond a cap, each
+/// planted among real processes, are reported under their rule.
+#[test]
+fn planted_faults_are_reported() {
+    for rule in ["1", "2", "3", "5"] {
+        let out = rehearse(3, 6, &["--faulty", rule]);
+        let stdout = String::from_utf8_lossy(&out.stdout);
+        assert!(!out.status.success() && stdout.contains(&format!("\nrule {rule}: ")), "{rule}: {stdout}");
+    }
+}
--- a/rehearse/src/lib.rs
+++ b/rehearse/src/lib.rs
@@ -85,7 +85,8 @@
 pub fn run(plan: Plan) -> Result<bool, String> {
     if plan.is_node_soak() {
         plan.check()?;
-        return node_soak::run(plan.seed, plan.seconds, plan.out);
+        let planted = plan.faulty.map(node_soak::PlantedFault::of_rule).transpose()?;
+        return node_soak::run(plan.seed, plan.seconds, plan.out, planted);
     }
     runner::run(plan)
 }
--- a/rehearse/src/node_soak/checker.rs
+++ b/rehearse/src/node_soak/checker.rs
@@ -55,6 +55,14 @@
     Silent(Ns),
 }
 
+/// Ids of requests begin with the number of the process that they went to.
+const RUN_SHIFT: u32 = 40;
+
+/// The id of the `number`th request to a process of a node.
+pub fn request_id(run: usize, number: u64) -> u64 {
+    (run as u64) << RUN_SHIFT | number
+}
+
 /// A request as its client recorded it.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -89,9 +97,17 @@
     pub time_left: Ns,
 }
 
-/// What discovery lists for a machine from a time on.
+impl Attempt {
+    /// The process of a node that made it.
+    fn run(&self) -> usize {
+        (self.request >> RUN_SHIFT) as usize
+    }
+}
+
+/// What discovery lists for a machine, to one of the nodes, from a time on.
 #[derive(Clone, Copy, Debug)]
 pub struct Listing {
+    pub node: usize,
     pub announced: Ns,
     pub machine: usize,
     pub build: u32,
@@ -108,9 +124,10 @@
     pub share: f64,
 }
 
-/// A process of the node.
+/// A process of a node.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct NodeRun {
+    pub node: usize,
     pub began: Ns,
     pub terminated: Option<Ns>,
     pub killed: Option<Ns>,
@@ -132,6 +149,8 @@
     pub caps: Vec<Cap>,
     pub runs: Vec<NodeRun>,
     pub stalled_clients: Vec<StalledClient>,
+    /// Rules that a node said it was about to break, by its log.
+    pub violations: Vec<String>,
 }
 
 /// A broken rule.
@@ -161,9 +180,12 @@
     breaches.extend(
         evidence.stalled_clients.iter().filter_map(|client| check_stalled_client(client, &evidence.runs)),
     );
-    breaches.extend(evidence.attempts.iter().filter_map(|a| check_drain(a, &evidence.listings, limits)));
-    breaches.extend(check_cold_machines(evidence, limits));
-    breaches.extend(check_exposure(evidence, limits));
+    let timeline = Timeline::new(evidence);
+    breaches.extend(timeline.attempts.iter().filter_map(|a| check_drain(a, &timeline, limits)));
+    breaches.extend(check_cold_machines(&timeline, limits));
+    breaches
+        .extend((0..evidence.runs.len()).filter_map(|run| check_exposure(run, evidence, &timeline, limits)));
+    breaches.extend(evidence.violations.iter().filter_map(|line| breach(1, 0, 0, line.clone())));
     breaches.sort_by_key(|b| b.at);
     breaches
 }
@@ -240,14 +262,50 @@
     breach(1, 0, due, "a client that stopped in the middle of a request got neither an error nor a close")
 }
 
-/// The latest listing of a machine at a time.
-fn latest_listing(listings: &[Listing], machine: usize, by: Ns) -> Option<&Listing> {
-    listings.iter().filter(|l| l.machine == machine && l.announced <= by).max_by_key(|l| l.announced)
+/// Attempts by time, and listings by node and machine.
+struct Timeline<'a> {
+    attempts: Vec<Attempt>,
+    listings: BTreeMap<(usize, usize), Vec<&'a Listing>>,
+    runs: &'a [NodeRun],
+    machines: usize,
+}
+
+impl Timeline<'_> {
+    fn new(evidence: &Evidence) -> Timeline<'_> {
+        let mut attempts = evidence.attempts.clone();
+        attempts.sort_by_key(|attempt| attempt.at);
+        let mut listings: BTreeMap<(usize, usize), Vec<&Listing>> = BTreeMap::new();
+        for listing in &evidence.listings {
+            listings.entry((listing.node, listing.machine)).or_default().push(listing);
+        }
+        listings.values_mut().for_each(|list| list.sort_by_key(|listing| listing.announced));
+        let machines = evidence.listings.iter().map(|l| l.machine + 1).max().unwrap_or(0);
+        Timeline { attempts, listings, runs: &evidence.runs, machines }
+    }
+
+    /// The latest listing of an attempt's machine that its node was told by then.
+    fn listing_of(&self, attempt: &Attempt) -> Option<&Listing> {
+        let node = self.runs.get(attempt.run())?.node;
+        let listings = self.listings.get(&(node, attempt.machine))?;
+        let told = listings.partition_point(|listing| listing.announced <= attempt.at);
+        listings[..told].last().copied()
+    }
+
+    fn build_of(&self, attempt: &Attempt) -> u32 {
+        self.listing_of(attempt).map_or(0, |listing| listing.build)
+    }
+}
+
+/// Attempts, sorted by time, that came at `at` or less than `span` before it.
+fn attempts_before(attempts: &[Attempt], at: Ns, span: Ns) -> &[Attempt] {
+    let from = attempts.partition_point(|a| a.at <= at - span);
+    let to = attempts.partition_point(|a| a.at <= at);
+    &attempts[from..to]
 }
 
 /// Rule 3: no attempt at a machine after the grace of its drain.
-fn check_drain(attempt: &Attempt, listings: &[Listing], limits: &Limits) -> Option<Breach> {
-    let last = latest_listing(listings, attempt.machine, attempt.at).filter(|l| !l.serves)?;
+fn check_drain(attempt: &Attempt, timeline: &Timeline, limits: &Limits) -> Option<Breach> {
+    let last = timeline.listing_of(attempt).filter(|l| !l.serves)?;
     let over = attempt.at - last.announced - limits.drain_grace - TIME_LIMIT_TOLERANCE - PEER_RECORDING_DELAY;
     if over <= 0 {
         return None;
@@ -260,22 +318,13 @@
     )
 }
 
-/// Attempts at a time or less than `span` before it.
-fn attempts_before(attempts: &[Attempt], at: Ns, span: Ns) -> impl Iterator<Item = &Attempt> {
-    attempts.iter().filter(move |a| a.at <= at && a.at > at - span)
-}
-
 /// Rule 4: a cold machine gets at most a multiple of the load that warm machines were seen to take.
-fn check_cold_machines(evidence: &Evidence, limits: &Limits) -> Option<Breach> {
-    let machines = evidence.listings.iter().map(|l| l.machine).max()? + 1;
-    let busiest = evidence
-        .attempts
-        .iter()
-        .map(|a| attempts_before(&evidence.attempts, a.at, limits.fall_time).count())
-        .max()?;
-    let average = busiest as f64 / machines as f64;
-    evidence.attempts.iter().find_map(|attempt| {
-        let started = latest_listing(&evidence.listings, attempt.machine, attempt.at)?.started?;
+fn check_cold_machines(timeline: &Timeline, limits: &Limits) -> Option<Breach> {
+    let attempts = &timeline.attempts;
+    let busiest = attempts.iter().map(|a| attempts_before(attempts, a.at, limits.fall_time).len()).max()?;
+    let average = busiest as f64 / timeline.machines as f64;
+    attempts.iter().find_map(|attempt| {
+        let started = timeline.listing_of(attempt)?.started?;
         let age = (attempt.at - started).clamp(0, limits.cold_time);
         if age == limits.cold_time {
             return None;
@@ -283,7 +332,8 @@
         let warmth = limits.cold_from + (1.0 - limits.cold_from) * age as f64 / limits.cold_time as f64;
         let allowed = limits.overload_factor * warmth * average;
         let most = allowed + 3.0 * allowed.sqrt() + 3.0;
-        let got = attempts_before(&evidence.attempts, attempt.at, limits.fall_time)
+        let got = attempts_before(attempts, attempt.at, limits.fall_time)
+            .iter()
             .filter(|a| a.machine == attempt.machine && a.at >= started)
             .count();
         if got as f64 <= most {
@@ -306,18 +356,20 @@
     Some(announced(at - LOWER_CAP_DELAY - PEER_RECORDING_DELAY).map_or(now, |before| before.share.max(now)))
 }
 
-/// Rule 5: attempts at a build on trial stay within the free allowance and the cap, counted anew by each process of the node.
-fn check_exposure(evidence: &Evidence, limits: &Limits) -> Option<Breach> {
-    let build_of = |a: &Attempt| latest_listing(&evidence.listings, a.machine, a.at).map_or(0, |l| l.build);
-    evidence.attempts.iter().find_map(|attempt| {
-        let build = build_of(attempt);
+/// Rule 5: attempts at a build on trial stay within the free allowance and the cap, counted anew by each process of a node.
+fn check_exposure(run: usize, evidence: &Evidence, timeline: &Timeline, limits: &Limits) -> Option<Breach> {
+    let attempts: Vec<Attempt> = timeline.attempts.iter().filter(|a| a.run() == run).copied().collect();
+    let mut sent: Vec<Ns> = evidence.requests.iter().filter(|r| r.run == run).map(|r| r.sent).collect();
+    sent.sort_unstable();
+    let began = evidence.runs[run].began;
+    attempts.iter().filter(|attempt| attempt.at >= began).find_map(|attempt| {
+        let build = timeline.build_of(attempt);
         let cap = cap_at(&evidence.caps, build, attempt.at).filter(|cap| *cap < 1.0)?;
-        let began = evidence.runs.iter().map(|l| l.began).filter(|began| *began <= attempt.at).max()?;
         let span = limits.window.min(attempt.at - began);
-        let got =
-            attempts_before(&evidence.attempts, attempt.at, span).filter(|a| build_of(a) == build).count();
+        let at_build = |a: &&Attempt| timeline.build_of(a) == build;
+        let got = attempts_before(&attempts, attempt.at, span).iter().filter(at_build).count();
         let from = attempt.at - span - PEER_RECORDING_DELAY;
-        let taken = evidence.requests.iter().filter(|r| r.sent > from && r.sent <= attempt.at).count();
+        let taken = sent.partition_point(|at| *at <= attempt.at) - sent.partition_point(|at| *at <= from);
         let most = limits.free + CAP_TOLERANCE_ATTEMPTS + (cap + CAP_TOLERANCE_SHARE) * taken as f64;
         if got as f64 <= most {
             return None;
--- a/rehearse/src/node_soak/clients.rs
+++ b/rehearse/src/node_soak/clients.rs
@@ -1,6 +1,6 @@
 //! Clients of a soak test. They send single or pipelined requests, close early, stop in the middle of a request, or connect in
 //! crowds, and record their requests and the answers.
-use super::checker::{Answer, ConnectionEnd, Request, StalledClient};
+use super::checker::{request_id, Answer, ConnectionEnd, Request, StalledClient};
 use super::{lock, Clock};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -32,8 +32,8 @@
 /// State that all clients share.
 pub struct Shared {
     pub clock: Clock,
-    /// The number of the node's process and its address, while clients should connect to it.
-    pub node: Mutex<Option<(usize, SocketAddr)>>,
+    /// Of each node the number of its process and its address, while clients should connect to it.
+    pub nodes: Mutex<Vec<Option<(usize, SocketAddr)>>>,
     pub requests: Mutex<Vec<Request>>,
     pub stalled_clients: Mutex<Vec<StalledClient>>,
     pub over: AtomicBool,
@@ -41,10 +41,10 @@
 }
 
 impl Shared {
-    pub fn new(clock: Clock) -> Arc<Shared> {
+    pub fn new(clock: Clock, nodes: usize) -> Arc<Shared> {
         Arc::new(Shared {
             clock,
-            node: Mutex::default(),
+            nodes: Mutex::new(vec![None; nodes]),
             requests: Mutex::default(),
             stalled_clients: Mutex::default(),
             over: AtomicBool::new(false),
@@ -87,7 +87,10 @@
 }
 
 fn connection(shared: &Shared, rng: &mut StdRng, requests: u32) -> Option<()> {
-    let (run, to) = (*lock(&shared.node))?;
+    let (run, to) = {
+        let nodes = lock(&shared.nodes);
+        nodes[rng.random_range(0..nodes.len())]?
+    };
     let io = TcpStream::connect(to).ok()?;
     io.set_nodelay(true).ok()?;
     let mut connection =
@@ -122,7 +125,7 @@
     }
 
     fn draw_request(&self, rng: &mut StdRng) -> (Request, String) {
-        let id = self.shared.next_id.fetch_add(1, Ordering::SeqCst);
+        let id = request_id(self.run, self.shared.next_id.fetch_add(1, Ordering::SeqCst));
         let timeout_ms = TIMEOUTS_MS[rng.random_range(0..TIMEOUTS_MS.len())];
         let at_most_once = rng.random_bool(0.3);
         let statement = if at_most_once { save(id, timeout_ms) } else { lookup(id, timeout_ms) };
--- a/rehearse/src/node_soak/fault_plan.rs
+++ b/rehearse/src/node_soak/fault_plan.rs
@@ -40,19 +40,29 @@
 pub enum Fault {
     /// A new configuration with discovery and platform at other addresses, then SIGHUP, repeated `times` times.
     Reload {
+        node: usize,
         times: u32,
     },
     /// SIGTERM, in a series followed by SIGHUP, SIGTERM and SIGHUP; then SIGKILL at the earliest time that is specified, and a
     /// restart.
     Stop {
+        node: usize,
         series: bool,
     },
     /// SIGKILL, then a restart.
-    Kill,
+    Kill {
+        node: usize,
+    },
     /// SIGSTOP, then SIGCONT.
-    Pause,
+    Pause {
+        node: usize,
+    },
+    /// Discovery is down, for all nodes.
     DiscoveryDown,
-    DiscoverySilent,
+    /// Watches send nothing, to one node.
+    DiscoverySilent {
+        node: usize,
+    },
     /// A machine drains, goes down, and comes back cold.
     Restart {
         machine: usize,
@@ -76,34 +86,35 @@
     pub duration: Duration,
 }
 
-/// Draws faults for `length`.
-pub fn draw(seed: u64, length: Duration, machines: usize) -> Vec<ScheduledFault> {
+/// Draws faults for `length`. They follow each other faster than they end.
+pub fn draw(seed: u64, length: Duration, nodes: usize, machines: usize) -> Vec<ScheduledFault> {
     let mut rng = StdRng::seed_from_u64(seed);
     let crowds = seed.is_multiple_of(CROWD_SEED_DIVISOR);
     let mut faults = Vec::new();
     let mut at = Duration::ZERO;
     while at < length {
-        let after = Duration::from_millis(rng.random_range(200..1_200));
+        let after = Duration::from_millis(rng.random_range(20..300));
         let duration = Duration::from_millis(rng.random_range(300..2_500));
-        faults.push(ScheduledFault { after, fault: draw_fault(&mut rng, crowds, machines), duration });
+        faults.push(ScheduledFault { after, fault: draw_fault(&mut rng, crowds, nodes, machines), duration });
         at += after;
     }
     faults
 }
 
-fn draw_fault(rng: &mut StdRng, crowds: bool, machines: usize) -> Fault {
+fn draw_fault(rng: &mut StdRng, crowds: bool, nodes: usize, machines: usize) -> Fault {
+    let node = rng.random_range(0..nodes);
     let machine = rng.random_range(0..machines);
     let behavior = FAULTY_BEHAVIORS[rng.random_range(0..FAULTY_BEHAVIORS.len())];
-    match rng.random_range(0..20) {
-        0..2 => Fault::Reload { times: rng.random_range(1..4) },
-        2..5 => Fault::Stop { series: rng.random_bool(0.5) },
-        5 => Fault::Kill,
-        6 => Fault::Pause,
-        7 => Fault::DiscoveryDown,
-        8 => Fault::DiscoverySilent,
-        9..12 => Fault::Restart { machine },
-        12..14 => Fault::ReleaseStep,
-        14..16 if crowds => Fault::Crowd,
+    match rng.random_range(0..24) {
+        0..3 => Fault::Reload { node, times: rng.random_range(1..4) },
+        3..7 => Fault::Stop { node, series: rng.random_bool(0.5) },
+        7..9 => Fault::Kill { node },
+        9..11 => Fault::Pause { node },
+        11 => Fault::DiscoveryDown,
+        12..14 => Fault::DiscoverySilent { node },
+        14..16 => Fault::Restart { machine },
+        16 => Fault::ReleaseStep,
+        17 if crowds => Fault::Crowd,
         _ => Fault::MachineBehavior { machine, behavior },
     }
 }
--- a/rehearse/src/node_soak/fleet.rs
+++ b/rehearse/src/node_soak/fleet.rs
@@ -1,7 +1,7 @@
 //! Machines and platform of a soak test: what is listed and announced, and since when.
 use super::checker::{Attempt, Cap, Listing};
 use super::machines::Machine;
-use super::{lock, Clock, LIMITS, LONGEST_DEADLINE_MS};
+use super::{lock, Clock, PlantedFault, LIMITS, LONGEST_DEADLINE_MS};
 use rockpick::Ns;
 use rockpick_fakes::scripted::{configuration, host, Platform};
 use rockpick_net::MS;
@@ -10,10 +10,10 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Machines that run the first build, and machines that run builds on trial.
-pub const STABLE_MACHINES: usize = 4;
-const TRIAL_MACHINES: usize = 2;
+pub const STABLE_MACHINES: usize = 8;
+const TRIAL_MACHINES: usize = 3;
 /// At least this many machines of the first build serve at any time.
-const MIN_SERVING: usize = 2;
+const MIN_SERVING: usize = 4;
 const FIRST_BUILD: u32 = 1;
 /// Share of the requests that the first stage of a trial may get.
 const FIRST_CAP: f64 = 0.2;
@@ -41,8 +41,8 @@
 struct Change {
     line: usize,
     listing: Listing,
-    /// When a process of the node was started whose configuration contains the listing.
-    in_configuration_since: Option<Ns>,
+    /// For each node, when a process of it was started whose configuration contains the listing.
+    in_configuration_since: Vec<Option<Ns>>,
 }
 
 /// The steps after a drain.
@@ -64,47 +64,53 @@
 pub struct Fleet {
     clock: Clock,
     pub machines: Vec<Machine>,
-    pub platform: Platform,
+    /// The platform's services for each node; all tell the same.
+    pub platforms: Vec<Platform>,
     listed: Vec<Listed>,
     changes: Vec<Change>,
     caps: Vec<Cap>,
     release: Release,
     attempts: Arc<Mutex<Vec<Attempt>>>,
+    planted: Option<PlantedFault>,
 }
 
 impl Fleet {
-    pub fn start(clock: Clock) -> Fleet {
+    pub fn start(clock: Clock, nodes: usize, planted: Option<PlantedFault>) -> Fleet {
         let attempts = Arc::<Mutex<Vec<Attempt>>>::default();
         let all = STABLE_MACHINES + TRIAL_MACHINES;
-        let machines: Vec<Machine> = (0..all).map(|i| Machine::start(i, clock, attempts.clone())).collect();
+        let machines: Vec<Machine> =
+            (0..all).map(|i| Machine::start(i, clock, attempts.clone(), planted)).collect();
         machines[STABLE_MACHINES..].iter().for_each(|m| m.set_up(false));
         let health = |i| if i < STABLE_MACHINES { Health::Active } else { Health::Gone };
         let listed =
             (0..all).map(|i| Listed { health: health(i), build: FIRST_BUILD, started: None }).collect();
         let release = Release { build: FIRST_BUILD, stage: 0, status: "stable", cap: 1.0 };
-        let platform = Platform::begin();
+        let platforms = (0..nodes).map(|_| Platform::begin()).collect();
         let (changes, caps) = (Vec::new(), Vec::new());
-        let mut fleet = Fleet { clock, machines, platform, listed, changes, caps, release, attempts };
+        let mut fleet =
+            Fleet { clock, machines, platforms, listed, changes, caps, release, attempts, planted };
         fleet.announce(release);
         for machine in 0..STABLE_MACHINES {
             fleet.list(machine, Health::Active);
         }
-        fleet.record_configured_start();
+        (0..nodes).for_each(|node| fleet.record_configured_start(node));
         fleet
     }
 
-    /// Moves discovery and platform to other addresses.
-    pub fn move_platform(&mut self) {
-        self.platform = self.platform.at_other_addresses();
+    /// Moves discovery and platform of a node to other addresses.
+    pub fn move_platform(&mut self, node: usize) {
+        self.platforms[node] = self.platforms[node].at_other_addresses();
     }
 
-    /// The node's current configuration.
-    pub fn configuration(&self) -> Value {
+    /// A node's current configuration.
+    pub fn configuration(&self, node: usize) -> Value {
         let Release { build, stage, status, cap } = self.release;
-        let mut configuration_json = configuration(&self.platform, &[]);
+        let mut configuration_json = configuration(&self.platforms[node], &[]);
         configuration_json["known"] = self.whole_list();
         configuration_json["platform"]["news"] = json!({ "version": build, "step": stage, "status": status, "maxWeight": cap, "observedAgoMs": 0 });
+        configuration_json["name"] = format!("n{node}").into();
         let settings = &mut configuration_json["settings"];
+        settings["balancers"] = self.platforms.len().into();
         for lane in settings["lanes"].as_array_mut().into_iter().flatten() {
             lane["deadlineMs"] = LONGEST_DEADLINE_MS.into();
         }
@@ -122,23 +128,25 @@
     }
 
     /// Records that a process starts now, whose configuration contains all listings, whether or not a watch has carried them.
-    pub fn record_configured_start(&mut self) {
+    pub fn record_configured_start(&mut self, node: usize) {
         let now = self.clock.now();
-        self.changes
-            .iter_mut()
-            .filter(|c| c.in_configuration_since.is_none())
-            .for_each(|c| c.in_configuration_since = Some(now));
+        for change in &mut self.changes {
+            change.in_configuration_since[node].get_or_insert(now);
+        }
     }
 
     /// Listings and caps with the times of their announcement, and all attempts.
     pub fn evidence(&self) -> (Vec<Listing>, Vec<Cap>, Vec<Attempt>) {
-        let written = lock(&self.platform.written);
-        let listing_of = |change: &Change| {
-            let by_watch = written.get(change.line).map(|at| self.clock.at(*at));
-            let announced = by_watch.into_iter().chain(change.in_configuration_since).min()?;
-            Some(Listing { announced, ..change.listing })
+        let listings_of = |node: usize| {
+            let written = lock(&self.platforms[node].written).clone();
+            let listing_of = move |change: &Change| {
+                let by_watch = written.get(change.line).map(|at| self.clock.at(*at));
+                let announced = by_watch.into_iter().chain(change.in_configuration_since[node]).min()?;
+                Some(Listing { node, announced, ..change.listing })
+            };
+            self.changes.iter().filter_map(listing_of).collect::<Vec<_>>()
         };
-        let listings = self.changes.iter().filter_map(listing_of).collect();
+        let listings = (0..self.platforms.len()).flat_map(listings_of).collect();
         (listings, self.caps.clone(), lock(&self.attempts).clone())
     }
 
@@ -205,25 +213,35 @@
         let Release { build, stage, status, cap } = release;
         self.release = release;
         if build > FIRST_BUILD {
-            self.caps.push(Cap { announced: self.clock.now(), build, share: cap });
+            let share = if self.planted == Some(PlantedFault::CapNotTold) { cap / 20.0 } else { cap };
+            self.caps.push(Cap { announced: self.clock.now(), build, share });
         }
         let fields = format!("{build} {stage} {status} {cap} 0");
-        *lock(&self.platform.answer) = Some(format!("OK {fields}"));
-        self.platform.news(&format!("* progress {fields}"));
+        for platform in &self.platforms {
+            *lock(&platform.answer) = Some(format!("OK {fields}"));
+            platform.news(&format!("* progress {fields}"));
+        }
     }
 
     fn list(&mut self, machine: usize, health: Health) {
         self.listed[machine].health = health;
         let Listed { build, started, .. } = self.listed[machine];
-        let line = self.platform.change(&[self.host(machine)]);
-        *lock(&self.platform.whole) = self.whole_list().to_string();
-        let listing = Listing { announced: 0, machine, build, serves: health == Health::Active, started };
-        self.changes.push(Change { line, listing, in_configuration_since: None });
+        let host = self.host(machine);
+        let lines: Vec<usize> =
+            self.platforms.iter().map(|platform| platform.change(std::slice::from_ref(&host))).collect();
+        let whole = self.whole_list().to_string();
+        self.platforms.iter().for_each(|platform| *lock(&platform.whole) = whole.clone());
+        let line = lines[0];
+        let listing =
+            Listing { node: 0, announced: 0, machine, build, serves: health == Health::Active, started };
+        self.changes.push(Change { line, listing, in_configuration_since: vec![None; self.platforms.len()] });
     }
 
     fn host(&self, machine: usize) -> Value {
         let Listed { health, build, started } = self.listed[machine];
+        let told_as_active = health == Health::Leaving && self.planted == Some(PlantedFault::DrainNotTold);
         let health = match health {
+            _ if told_as_active => "active",
             Health::Active => "active",
             Health::Leaving => "leaving",
             Health::Gone => "left",
@@ -236,6 +254,6 @@
     fn whole_list(&self) -> Value {
         let present = (0..self.machines.len()).filter(|i| self.listed[*i].health != Health::Gone);
         let hosts: Vec<Value> = present.map(|i| self.host(i)).collect();
-        json!({ "seq": self.platform.lines(), "whole": true, "hosts": hosts })
+        json!({ "seq": self.platforms[0].lines(), "whole": true, "hosts": hosts })
     }
 }
--- a/rehearse/src/node_soak/machines.rs
+++ b/rehearse/src/node_soak/machines.rs
@@ -1,7 +1,7 @@
 //! Machines of a soak test. They serve, misbehave as configured, and record each request that they receive.
 use super::checker::{value_of, Attempt};
 use super::fault_plan::Behavior;
-use super::{lock, Clock};
+use super::{lock, Clock, PlantedFault};
 use rockpick::Ns;
 use rockpick_fakes::scripted::{machine_served_by, row, MachineConnection};
 use rockpick_net::MS;
@@ -36,12 +36,23 @@
     up: AtomicBool,
     behavior: Mutex<Behavior>,
     attempts: Arc<Mutex<Vec<Attempt>>>,
+    /// It turns all requests away, and runs them.
+    lies: bool,
 }
 
 impl Machine {
-    pub fn start(number: usize, clock: Clock, attempts: Arc<Mutex<Vec<Attempt>>>) -> Machine {
+    pub fn start(
+        number: usize, clock: Clock, attempts: Arc<Mutex<Vec<Attempt>>>, planted: Option<PlantedFault>,
+    ) -> Machine {
         let (up, behavior) = (AtomicBool::new(true), Mutex::new(Behavior::Normal));
-        let state = Arc::new(State { number, clock, up, behavior, attempts });
+        let state = Arc::new(State {
+            number,
+            clock,
+            up,
+            behavior,
+            attempts,
+            lies: planted == Some(PlantedFault::RunTwice),
+        });
         let server_state = state.clone();
         let at = machine_served_by(move |_, line| server_state.serve(line));
         Machine { name: format!("m{number}"), at, state }
@@ -85,9 +96,9 @@
             let timeout = (self.behavior() == Behavior::ClosesIdle).then_some(IDLE_TIMEOUT);
             line.io.set_read_timeout(timeout).ok()?;
             let statement = line.query()?;
-            let behavior = self.behavior();
+            let behavior = if self.lies { Behavior::Refuses } else { self.behavior() };
             let Some((request, time_left)) = read_comment(&statement) else { continue };
-            let (machine, may_have_run) = (self.number, behavior != Behavior::Refuses);
+            let (machine, may_have_run) = (self.number, behavior != Behavior::Refuses || self.lies);
             let at = self.clock.now();
             lock(&self.attempts).push(Attempt { request, at, machine, may_have_run, time_left });
             self.is_up().then_some(())?;
--- a/rehearse/src/node_soak/process.rs
+++ b/rehearse/src/node_soak/process.rs
@@ -20,16 +20,20 @@
 }
 
 impl NodeProcess {
-    /// Starts this program as a node and waits until it prints its address. Configuration and log are files in `folder`.
+    /// Starts this program as a node, with more options, and waits until it prints its address. Configuration and log are
+    /// files in `folder`.
     ///
     /// # Errors
     /// A file can't be written, or the node prints no address.
-    pub fn start(folder: &Path, number: usize, configuration_json: &Value) -> Result<NodeProcess, String> {
+    pub fn start(
+        folder: &Path, number: usize, configuration_json: &Value, options: &[String],
+    ) -> Result<NodeProcess, String> {
         let describe = |err: std::io::Error| format!("node {number}: {err}");
         let configuration = folder.join(format!("node-{number}.json"));
         std::fs::write(&configuration, configuration_json.to_string()).map_err(describe)?;
         let log = File::create(folder.join(format!("node-{number}.log"))).map_err(describe)?;
         let mut child = Command::new(std::env::current_exe().map_err(describe)?)
+            .args(options)
             .arg("node")
             .env("PROXY_CONFIG", &configuration)
             .stdin(Stdio::null())
@@ -45,6 +49,11 @@
         Ok(NodeProcess { child, configuration, at })
     }
 
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     pub fn configure(&self, configuration_json: &Value) -> Result<(), String> {
         let new_file = self.configuration.with_extension("new");
         std::fs::write(&new_file, configuration_json.to_string()).map_err(|err| err.to_string())?;
--- a/rehearse/src/node_soak/tests.rs
+++ b/rehearse/src/node_soak/tests.rs
@@ -20,7 +20,7 @@
 
 fn listing(announced_ms: i64, machine: usize, serves: bool) -> Listing {
     let build = if machine == TRIAL { 2 } else { 1 };
-    Listing { announced: announced_ms * MS, machine, build, serves, started: None }
+    Listing { node: 0, announced: announced_ms * MS, machine, build, serves, started: None }
 }
 
 /// One request at 10 s, served by machine 0 of three.
@@ -32,6 +32,7 @@
         caps: vec![Cap { announced: 0, build: 2, share: 0.2 }],
         runs: vec![NodeRun::default()],
         stalled_clients: Vec::new(),
+        violations: Vec::new(),
     }
 }
 
@@ -110,6 +111,11 @@
     );
 }
 
+#[test]
+fn a_rule_that_a_node_was_about_to_break_is_caught() {
+    assert_eq!(broken(|evidence| evidence.violations.push("process 3: rule violated".into())), [1]);
+}
+
 #[test]
 fn an_effect_that_may_happen_twice_is_caught() {
     assert_eq!(broken(|evidence| evidence.attempts.push(attempt(ID, 10_020, 2))), [2]);
