Floods of requests, new names and datagrams are played against front and controller

Now by processes, 3 s each, test build: unknown pages, malformed heads, bodies, reports and votes, with new fronts, places, methods, keys and tenants each time, on one connection at full speed; noise at the datagram port of a peered front.

--- a/cli/tests/http_floods.rs
+++ b/cli/tests/http_floods.rs
@@ -96,3 +96,112 @@
     let front = front(controller.at, &[]);
     assert_unharmed(&front, "/status");
 }
+
+/// Sends requests on one connection at full speed, reading what comes, and opens another one where it is closed. Returns how
+/// many were sent.
+fn send_at_full_speed(at: SocketAddr, over: &AtomicBool, request: impl Fn(u64) -> String) -> u64 {
+    let mut sent = 0;
+    while !over.load(Ordering::SeqCst) {
+        let Ok(mut io) = TcpStream::connect(at) else { continue };
+        io.set_read_timeout(Some(ANSWER_TIME)).unwrap();
+        let mut answer = [0; 4096];
+        while !over.load(Ordering::SeqCst) {
+            let requests: String = (sent..sent + 16).map(&request).collect();
+            if io.write_all(requests.as_bytes()).is_err() || !matches!(io.read(&mut answer), Ok(1..)) {
+                break;
+            }
+            sent += 16;
+        }
+    }
+    sent
+}
+
+/// Guards against a server that one client at full speed keeps from serving the others, or whose memory grows with each new
+/// name: unknown pages, malformed heads, bodies and votes, new fronts, places, methods and keys each time.
+#[test]
+fn one_client_at_full_speed_neither_delays_others_nor_fills_the_memory() {
+    let controller = start(&["controller", "--listen", "127.0.0.1:0"]);
+    let front = front(controller.at, &[]);
+    let post = |path: &str, headers: &str, body: &str| {
+        format!("POST {path} HTTP/1.1\r\nHost: a\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
+    };
+    let malformed = |i: u64| match i % 4 {
+        0 => format!("GET /page-{i} HTTP/1.1\r\nHost: a\r\n\r\n"),
+        1 => post("/votes", "", "{\"front\":"),
+        2 => post("/counts", "", &format!("{{\"front\":\"f{i}\",\"rows\":[[1,\"m{i}\",1,0]]}}")),
+        _ => {
+            post("/machines", "", &format!("{{\"name\":\"m{i}\",\"place\":\"p{i}\",\"at\":\"127.0.0.1:9\"}}"))
+        }
+    };
+    let rpcs = |i: u64| match i % 3 {
+        0 => post(&format!("/rpc/m{i}"), &format!("Rockpick-Key: k{i}\r\n"), "{}"),
+        1 => post("/rpc/lookup", &format!("Rockpick-Key: k{i}\r\nRockpick-Tenant: t{i}\r\n"), "{}"),
+        _ => post("/dispute", "", &format!("{{\"machine\":\"m{i}\"}}")),
+    };
+    let malformed_head = |i: u64| format!("GET /{i} HTTP/1.1\r\nHost a\r\n\r\n");
+    type Requests<'a> = &'a (dyn Fn(u64) -> String + Sync);
+    let plays: [(&Proc, &str, Requests); 4] = [
+        (&controller, "/stage", &malformed),
+        (&controller, "/stage", &malformed_head),
+        (&front, "/status", &rpcs),
+        (&front, "/status", &malformed_head),
+    ];
+    for (server, path, requests) in plays {
+        let over = AtomicBool::new(false);
+        let (mut most, mut asked, mut served) = (0, 0, 0);
+        let sent = std::thread::scope(|scope| {
+            let flood = scope.spawn(|| send_at_full_speed(server.at, &over, requests));
+            let began = Instant::now();
+            while began.elapsed() < FLOOD_TIME {
+                most = most.max(own_memory_kib(server.child.id()));
+                asked += 1;
+                served += usize::from(is_served(server.at, path));
+                std::thread::sleep(Duration::from_millis(20));
+            }
+            over.store(true, Ordering::SeqCst);
+            flood.join().unwrap()
+        });
+        println!("{path}: {sent} sent, {most} KiB, {served} of {asked} served");
+        assert!(sent > 0 && most < MEMORY_LIMIT_KIB, "{path}: {sent} sent, {most} KiB");
+        assert_eq!(served, asked, "{path}");
+    }
+}
+
+/// The same by datagrams to the port for peers: noise, and messages that nobody has signed, of any length.
+#[test]
+fn datagrams_at_full_speed_neither_delay_clients_nor_fill_the_memory_of_a_peered_front() {
+    let free = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    let peers_at = free.local_addr().unwrap();
+    drop(free);
+    let key = tempfile::NamedTempFile::new().unwrap();
+    std::fs::write(key.path(), "a key of sixteen bytes or more").unwrap();
+    let controller = start(&["controller", "--listen", "127.0.0.1:0"]);
+    let (address, key) = (peers_at.to_string(), key.path().to_str().unwrap());
+    let front = front(controller.at, &["--peers-listen", &address, "--peers-key", key]);
+    let over = AtomicBool::new(false);
+    let (mut most, mut asked, mut served) = (0, 0, 0);
+    let sent = std::thread::scope(|scope| {
+        let flood = scope.spawn(|| {
+            let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+            let mut sent = 0u64;
+            while !over.load(Ordering::SeqCst) {
+                let noise =
+                    sent.wrapping_mul(0x9e37_79b9_7f4a_7c15).to_le_bytes().repeat(1 + sent as usize % 170);
+                sent += u64::from(socket.send_to(&noise, peers_at).is_ok());
+            }
+            sent
+        });
+        let began = Instant::now();
+        while began.elapsed() < FLOOD_TIME {
+            most = most.max(own_memory_kib(front.child.id()));
+            asked += 1;
+            served += usize::from(is_served(front.at, "/peers"));
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        over.store(true, Ordering::SeqCst);
+        flood.join().unwrap()
+    });
+    println!("/peers: {sent} datagrams, {most} KiB, {served} of {asked} served");
+    assert!(sent > 0 && most < MEMORY_LIMIT_KIB, "{sent} sent, {most} KiB");
+    assert_eq!(served, asked);
+}
