--- a/cli/tests/hardening.rs
+++ b/cli/tests/hardening.rs
@@ -538,3 +538,26 @@
     wait_until("the process ends", || controller.child.try_wait().unwrap().is_some());
     assert_eq!(controller.child.wait().unwrap().code(), Some(2));
 }
+
+/// Guards against RPCs that are sent on after their client has closed: it pipelines hundreds, the first of which is open as it
+/// closes.
+#[test]
+fn rpcs_that_a_client_left_unread_are_not_sent_once_it_has_closed() {
+    const PIPELINED: usize = 300;
+    /// A pick may begin this long after the close.
+    const TOLERANCE: Duration = Duration::from_millis(100);
+    let machine = ScriptedMachine::start(Behavior::Responds);
+    let controller = controller_with_machines(&[("m", machine.at, 1, "up")]);
+    let front = front(controller.at, &[]);
+    wait_for_machines(&front, 1);
+    let mut client = TcpStream::connect(front.at).unwrap();
+    let one = "POST /rpc/lookup HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}";
+    client.write_all(one.repeat(PIPELINED).as_bytes()).unwrap();
+    machine.requests.recv_timeout(TIMEOUT).unwrap();
+    drop(client);
+    std::thread::sleep(TOLERANCE);
+    let in_time = machine.requests.try_iter().count();
+    std::thread::sleep(5 * TOLERANCE);
+    assert_eq!(machine.requests.try_iter().count(), 0, "{in_time} before");
+    assert!(in_time < PIPELINED - 1);
+}
