The soak plays pushed lists in odd seeds, judged by when the agent has a change

Change: in odd seeds lists are pushed, and a change counts as told to a node when it is made, whether or not its watch is open, or when discovery is back or its watch is no longer silent.

--- a/rehearse/src/node_soak/fleet.rs
+++ b/rehearse/src/node_soak/fleet.rs
@@ -6,6 +6,7 @@
 use rockpick_fakes::scripted::{configuration, host, Platform};
 use rockpick_net::MS;
 use serde_json::{json, Value};
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -43,6 +44,8 @@
     listing: Listing,
     /// For each node, when a process of it was started whose configuration contains the listing.
     in_configuration_since: Vec<Option<Ns>>,
+    /// For each node, when it counts as told because lists are pushed, whether or not its watch is open.
+    pushed: Vec<Option<Ns>>,
 }
 
 /// The steps after a drain.
@@ -72,10 +75,12 @@
     release: Release,
     attempts: Arc<Mutex<Vec<Attempt>>>,
     planted: Option<PlantedFault>,
+    /// Lists are pushed: what discovery has to tell counts as told at once, while it is up.
+    pushes_lists: bool,
 }
 
 impl Fleet {
-    pub fn start(clock: Clock, nodes: usize, planted: Option<PlantedFault>) -> Fleet {
+    pub fn start(clock: Clock, nodes: usize, planted: Option<PlantedFault>, pushes_lists: bool) -> Fleet {
         let attempts = Arc::<Mutex<Vec<Attempt>>>::default();
         let all = STABLE_MACHINES + TRIAL_MACHINES;
         let machines: Vec<Machine> =
@@ -87,8 +92,18 @@
         let release = Release { build: FIRST_BUILD, stage: 0, status: "stable", cap: 1.0 };
         let platforms = (0..nodes).map(|_| Platform::begin()).collect();
         let (changes, caps) = (Vec::new(), Vec::new());
-        let mut fleet =
-            Fleet { clock, machines, platforms, listed, changes, caps, release, attempts, planted };
+        let mut fleet = Fleet {
+            clock,
+            machines,
+            platforms,
+            listed,
+            changes,
+            caps,
+            release,
+            attempts,
+            planted,
+            pushes_lists,
+        };
         fleet.announce(release);
         for machine in 0..STABLE_MACHINES {
             fleet.list(machine, Health::Active);
@@ -111,6 +126,9 @@
         configuration_json["name"] = format!("n{node}").into();
         let settings = &mut configuration_json["settings"];
         settings["balancers"] = self.platforms.len().into();
+        if self.pushes_lists {
+            settings["discovery"] = "automatic".into();
+        }
         for lane in settings["lanes"].as_array_mut().into_iter().flatten() {
             lane["deadlineMs"] = LONGEST_DEADLINE_MS.into();
         }
@@ -135,13 +153,29 @@
         }
     }
 
+    /// Where lists are pushed, all changes so far count as told to those nodes whose discovery is up and not silent.
+    pub fn push_lists(&mut self) {
+        let now = self.clock.now();
+        let tells = |platform: &Platform| {
+            !platform.down.load(Ordering::SeqCst) && !platform.mute.load(Ordering::SeqCst)
+        };
+        for (node, platform) in self.platforms.iter().enumerate() {
+            if self.pushes_lists && tells(platform) {
+                self.changes.iter_mut().for_each(|change| {
+                    change.pushed[node].get_or_insert(now);
+                });
+            }
+        }
+    }
+
     /// Listings and caps with the times of their announcement, and all attempts.
     pub fn evidence(&self) -> (Vec<Listing>, Vec<Cap>, Vec<Attempt>) {
         let listings_of = |node: usize| {
             let written = lock(&self.platforms[node].written).clone();
             let listing_of = move |change: &Change| {
                 let by_watch = written.get(change.line).map(|at| self.clock.at(*at));
-                let announced = by_watch.into_iter().chain(change.in_configuration_since[node]).min()?;
+                let known = change.in_configuration_since[node].into_iter().chain(change.pushed[node]);
+                let announced = by_watch.into_iter().chain(known).min()?;
                 Some(Listing { node, announced, ..change.listing })
             };
             self.changes.iter().filter_map(listing_of).collect::<Vec<_>>()
@@ -234,7 +268,9 @@
         let line = lines[0];
         let listing =
             Listing { node: 0, announced: 0, machine, build, serves: health == Health::Active, started };
-        self.changes.push(Change { line, listing, in_configuration_since: vec![None; self.platforms.len()] });
+        let none = vec![None; self.platforms.len()];
+        self.changes.push(Change { line, listing, in_configuration_since: none.clone(), pushed: none });
+        self.push_lists();
     }
 
     fn host(&self, machine: usize) -> Value {
--- a/rehearse/src/node_soak/mod.rs
+++ b/rehearse/src/node_soak/mod.rs
@@ -36,6 +36,8 @@
 const KILL_AFTER: Duration = Duration::from_millis(LONGEST_DEADLINE_MS + 700);
 /// Clients still connect to a node for this long after SIGTERM.
 const CONNECTS_AFTER_TERM: Duration = Duration::from_millis(300);
+/// In seeds that are multiples of this nodes ask for their lists; in others lists are pushed.
+const PULLED_LISTS_DIVISOR: u64 = 2;
 /// Between the signals of a series.
 const SIGNAL_INTERVAL: Duration = Duration::from_millis(15);
 /// How long SIGSTOP pauses a process, and the least time between two pauses of it.
@@ -212,7 +214,8 @@
 impl Soak {
     fn start(folder: PathBuf, seed: u64, planted: Option<PlantedFault>) -> Result<Soak, String> {
         let clock = Clock::begin();
-        let fleet = Fleet::start(clock, NODES, planted);
+        let pushes_lists = !seed.is_multiple_of(PULLED_LISTS_DIVISOR);
+        let fleet = Fleet::start(clock, NODES, planted, pushes_lists);
         let shared = Shared::new(clock, NODES);
         let (nodes, runs, schedule) = (Vec::new(), Vec::new(), Vec::new());
         let mut soak = Soak { clock, folder, seed, planted, fleet, shared, nodes, runs, schedule };
@@ -303,9 +306,13 @@
             ScheduledStep::RestoreMachine(machine) => {
                 self.fleet.machines[machine].set_behavior(Behavior::Normal)
             }
-            ScheduledStep::DiscoveryBack => self.set_discovery_down(false),
+            ScheduledStep::DiscoveryBack => {
+                self.set_discovery_down(false);
+                self.fleet.push_lists();
+            }
             ScheduledStep::WatchBack(node) => {
                 self.fleet.platforms[node].mute.store(false, Ordering::SeqCst);
+                self.fleet.push_lists();
             }
             ScheduledStep::Signal(node, signal) => self.signal(node, signal)?,
             ScheduledStep::Reload(node) => self.reload(node)?,
