--- a/rehearse/src/node_soak/fault_plan.rs
+++ b/rehearse/src/node_soak/fault_plan.rs
@@ -57,8 +57,10 @@
     Pause {
         node: usize,
     },
-    /// Discovery is down, for all nodes.
-    DiscoveryDown,
+    /// Discovery is down, for all nodes; when it is back, a machine drains.
+    DiscoveryDown {
+        machine: usize,
+    },
     /// Watches send nothing, to one node.
     DiscoverySilent {
         node: usize,
@@ -110,7 +112,7 @@
         3..7 => Fault::Stop { node, series: rng.random_bool(0.5) },
         7..9 => Fault::Kill { node },
         9..11 => Fault::Pause { node },
-        11 => Fault::DiscoveryDown,
+        11 => Fault::DiscoveryDown { machine },
         12..14 => Fault::DiscoverySilent { node },
         14..16 => Fault::Restart { machine },
         16 => Fault::ReleaseStep,
--- a/rehearse/src/node_soak/mod.rs
+++ b/rehearse/src/node_soak/mod.rs
@@ -167,7 +167,8 @@
 enum ScheduledStep {
     Drain(fleet::DrainStep),
     RestoreMachine(usize),
-    DiscoveryBack,
+    /// Discovery is up again, and takes a machine out at once.
+    DiscoveryBack(usize),
     WatchBack(usize),
     Signal(usize, Signal),
     Reload(usize),
@@ -306,9 +307,10 @@
             ScheduledStep::RestoreMachine(machine) => {
                 self.fleet.machines[machine].set_behavior(Behavior::Normal)
             }
-            ScheduledStep::DiscoveryBack => {
+            ScheduledStep::DiscoveryBack(machine) => {
                 self.set_discovery_down(false);
                 self.fleet.push_lists();
+                self.drain(machine);
             }
             ScheduledStep::WatchBack(node) => {
                 self.fleet.platforms[node].mute.store(false, Ordering::SeqCst);
@@ -322,6 +324,12 @@
         Ok(())
     }
 
+    fn drain(&mut self, machine: usize) {
+        if let Some((after, next)) = self.fleet.drain(machine) {
+            self.schedule(after, ScheduledStep::Drain(next));
+        }
+    }
+
     fn set_discovery_down(&self, down: bool) {
         self.fleet.platforms.iter().for_each(|platform| platform.down.store(down, Ordering::SeqCst));
     }
@@ -352,19 +360,15 @@
             Fault::Stop { node, series } => self.stop(node, series)?,
             Fault::Kill { node } => self.kill_and_restart(node)?,
             Fault::Pause { node } => self.pause(node)?,
-            Fault::DiscoveryDown => {
+            Fault::DiscoveryDown { machine } => {
                 self.set_discovery_down(true);
-                self.schedule(scheduled.duration, ScheduledStep::DiscoveryBack);
+                self.schedule(scheduled.duration, ScheduledStep::DiscoveryBack(machine));
             }
             Fault::DiscoverySilent { node } => {
                 self.fleet.platforms[node].mute.store(true, Ordering::SeqCst);
                 self.schedule(scheduled.duration, ScheduledStep::WatchBack(node));
             }
-            Fault::Restart { machine } => {
-                if let Some((after, next)) = self.fleet.drain(machine) {
-                    self.schedule(after, ScheduledStep::Drain(next));
-                }
-            }
+            Fault::Restart { machine } => self.drain(machine),
             Fault::MachineBehavior { machine, behavior } => {
                 self.fleet.machines[machine].set_behavior(behavior);
                 self.schedule(scheduled.duration, ScheduledStep::RestoreMachine(machine));
