A move of discovery does not renew the trust in a pushed list whose watch has ended

Cause, by that node's log: its watch ended as discovery went down; it rejected from 0.6 s on; 2 s later SIGHUP moved discovery, and the 4 s that a move gives were taken for the end of the watch, so it used its old list again until it heard the new service 0.65 s later.

--- a/src/tests.rs
+++ b/src/tests.rs
@@ -797,6 +797,19 @@
     assert_eq!(trusts(&front, [124_500, 124_700]), [true, false]);
 }
 
+/// Guards against a front that trusts its roster again after its watch has ended, because the service is moved then.
+#[test]
+fn a_move_of_the_service_does_not_renew_the_trust_in_a_pushed_roster() {
+    let limits = SafetyLimits { told_within: 6 * SEC, told_within_after_move: 4 * SEC, ..config().limits };
+    let mut recorder = Recorder { now: 100 * SEC, ..Recorder::default() };
+    let pushed = FrontConfig { ask_roster: false, limits, ..config() };
+    let mut front = front(pushed, &[member(0, 1, None)], &mut recorder);
+    recorder.now = 103 * SEC;
+    front.roster_updated(&mut recorder, RosterUpdate::Failed, &[]);
+    front.roster_service_moved(105 * SEC);
+    assert_eq!([103_500, 103_700, 105_100].map(|at| front.trusts_roster(at * MS)), [true, false, false]);
+}
+
 /// Guards against a client that is pushed back for ever because it asks too often, and against one that leaves no room to others.
 #[test]
 fn an_insistent_client_is_admitted_up_to_half_of_the_queue() {
