A moved discovery that was heard and goes down ends the trust in a pushed list as any

Cause, by the logs of both nodes: SIGHUP moved discovery, a watch at the new address served at once, and discovery went down 0.2 s later; that end was taken for one by the move, so the old list was used for up to 4 s. Change: once the moved service has been heard, the end of its watch counts as any other. Result: the test of the move failed before (trusted 0.7 s after the end).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -504,9 +504,10 @@
         let known_after_move = self.known_after_move().filter(|_| self.moved_service_unheard());
         let certain_until = certain_until.min(known_after_move.unwrap_or(Ns::MAX));
         // Pushed changes count as known at once, whether or not a watch is open; some time later if the watch ended
-        // because the service has moved.
+        // because the service has moved, until it is heard.
         let watch_ended = self.watch_ended.filter(|_| !self.config.ask_roster);
-        let ended_by_move = |ended: Ns| self.service_moved.is_some_and(|moved| moved <= ended);
+        let ended_by_move =
+            |ended: Ns| !self.moved_service_heard && self.service_moved.is_some_and(|moved| moved <= ended);
         let pushed_until = watch_ended.map_or(Ns::MAX, |ended| {
             let moved = known_after_move.filter(|_| ended_by_move(ended));
             ended.max(moved.unwrap_or(ended))
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -808,6 +808,13 @@
     front.roster_updated(&mut recorder, RosterUpdate::Failed, &[]);
     front.roster_service_moved(105 * SEC);
     assert_eq!([103_500, 103_700, 105_100].map(|at| front.trusts_roster(at * MS)), [true, false, false]);
+    // The moved service is heard, and its watch ends in turn: that is no end by the move.
+    front.moved_service_heard();
+    recorder.now = 106 * SEC;
+    front.roster_updated(&mut recorder, RosterUpdate::Changes, &[]);
+    recorder.now = 107 * SEC;
+    front.roster_updated(&mut recorder, RosterUpdate::Failed, &[]);
+    assert_eq!([107_500, 107_700].map(|at| front.trusts_roster(at * MS)), [true, false]);
 }
 
 /// Guards against a client that is pushed back for ever because it asks too often, and against one that leaves no room to others.
